--- /dev/null
+++ b/settings/types.go
@@ -0,0 +1,93 @@
+// Package settings reads the settings of one process: JSON with comments,
+// unknown fields refused, every error reported at once with line and field.
+package settings
+
+import "github.com/catkinline/catkinline/label"
+
+// Entry is the settings file of an entry.
+type Entry struct {
+	Name            string   `json:"name"`
+	FailureDomain   string   `json:"failure_domain"`
+	Region          string   `json:"region"`
+	CallerAddress   string   `json:"caller_address"`   // TCP ip:port for callers, health and metrics
+	OperatorAddress string   `json:"operator_address"` // TCP ip:port for operators, TLS; empty: no operator API
+	LinkAddress     string   `json:"link_address"`     // UDP ip:port for agents and peers
+	Advertise       string   `json:"advertise"`        // UDP ip:port that others dial; default: link_address
+	Peers           []string `json:"peers"`            // UDP ip:port of other entries
+	Store           Store    `json:"store"`
+	TLS             TLS      `json:"tls"`
+	Log             Log      `json:"log"`
+	Limits          Limits   `json:"limits"`
+	Policy          Policy   `json:"policy"`
+	DrainSeconds    float64  `json:"drain_seconds"` // how long readiness is false before a planned stop refuses jobs; default 2
+}
+
+// Agent is the settings file of an agent.
+type Agent struct {
+	Name          string   `json:"name"`
+	FailureDomain string   `json:"failure_domain"`
+	Region        string   `json:"region"`
+	AdminAddress  string   `json:"admin_address"` // TCP ip:port for health and metrics
+	Entries       []string `json:"entries"`       // UDP ip:port of entries to dial
+	Store         Store    `json:"store"`         // optional: a second way to find entries
+	TLS           TLS      `json:"tls"`
+	Log           Log      `json:"log"`
+	Target        Target   `json:"target"`
+	Policy        Policy   `json:"policy"`
+}
+
+// Target describes the target beside an agent.
+type Target struct {
+	Name        string    `json:"name"`
+	Service     string    `json:"service"`
+	URL         string    `json:"url"` // http://ip:port of the target
+	Labels      label.Set `json:"labels"`
+	Slots       int       `json:"slots"`       // tasks at once; default 8
+	Connections int       `json:"connections"` // HTTP connections at once; default 64
+}
+
+// Store says how to reach the platform's store.
+type Store struct {
+	URL       string `json:"url"`        // http://ip:port; empty: no store
+	TimeoutMS int    `json:"timeout_ms"` // of one call; default 1000
+}
+
+// TLS names the files of a process's identity. In development mode a
+// certificate authority is derived in memory from DevelopmentSecret, so that
+// processes that share the secret trust each other without files.
+type TLS struct {
+	CA                string `json:"ca"`
+	Certificate       string `json:"certificate"`
+	Key               string `json:"key"`
+	DevelopmentSecret string `json:"development_secret"`
+}
+
+// Log sets the log's level (debug, info, warn, error; default info) and format
+// (json, console; default json).
+type Log struct {
+	Level  string `json:"level"`
+	Format string `json:"format"`
+}
+
+// Limits bound what one entry accepts. Zero fields take the defaults.
+type Limits struct {
+	BodyBytes    int64 `json:"body_bytes"`    // of one job; default 32 MiB
+	PayloadBytes int   `json:"payload_bytes"` // of one task; default 1 MiB
+	ResultBytes  int   `json:"result_bytes"`  // of one task; default 4 MiB
+	Tasks        int   `json:"tasks"`         // in one job; default 160
+	QueuedJobs   int   `json:"queued_jobs"`   // waiting or running; default 20000
+	QueuedTasks  int   `json:"queued_tasks"`  // waiting; default 400000
+	QueuedBytes  int64 `json:"queued_bytes"`  // payloads of waiting tasks; default 256 MiB
+}
+
+// Policy selects decision rules. Every rule but the default is a baseline for
+// measurements.
+type Policy struct {
+	Order     string `json:"order"`     // remaining (default), fifo
+	Binding   string `json:"binding"`   // late (default), random, two-choices
+	Grants    string `json:"grants"`    // key (default), turns: how an agent picks the entry for a freed slot
+	Reserve   string `json:"reserve"`   // learnt (default), none, fixed: slots kept for short work
+	Estimates string `json:"estimates"` // learnt (default), declared
+	Admission string `json:"admission"` // feasible (default), bounds: refuse by deadline, or by queue bounds only
+	Outliers  string `json:"outliers"`  // eject (default), none
+}
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,146 @@
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+)
+
+// Limits of a frame. MaxMessageBytes leaves room for the largest payload or
+// result and its header; longer frames close the link.
+const (
+	MaxMessageBytes = 5 << 20
+	headerBytes     = 5
+	maxArrayItems   = 1 << 16
+	maxMapPairs     = 1 << 10
+	maxNesting      = 8
+)
+
+// Error is the class of encoding and framing errors.
+var Error = errs.Class("wire")
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayItems,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// factories has one entry per message type.
+var factories = map[Type]func() Message{
+	TypeHello:           func() Message { return &Hello{} },
+	TypeWelcome:         func() Message { return &Welcome{} },
+	TypeAnnounce:        func() Message { return &Announce{} },
+	TypePeers:           func() Message { return &Peers{} },
+	TypeView:            func() Message { return &View{} },
+	TypeDemand:          func() Message { return &Demand{} },
+	TypeGrant:           func() Message { return &Grant{} },
+	TypeRevoke:          func() Message { return &Revoke{} },
+	TypeReturn:          func() Message { return &Return{} },
+	TypeStart:           func() Message { return &Start{} },
+	TypeOutcome:         func() Message { return &Outcome{} },
+	TypeAck:             func() Message { return &Ack{} },
+	TypeQuery:           func() Message { return &Query{} },
+	TypeCancel:          func() Message { return &Cancel{} },
+	TypeHeartbeat:       func() Message { return &Heartbeat{} },
+	TypeLeave:           func() Message { return &Leave{} },
+	TypePeerState:       func() Message { return &PeerState{} },
+	TypeDocument:        func() Message { return &Document{} },
+	TypeDocumentRequest: func() Message { return &DocumentRequest{} },
+}
+
+// Type implementations.
+func (*Hello) Type() Type           { return TypeHello }
+func (*Welcome) Type() Type         { return TypeWelcome }
+func (*Announce) Type() Type        { return TypeAnnounce }
+func (*Peers) Type() Type           { return TypePeers }
+func (*View) Type() Type            { return TypeView }
+func (*Demand) Type() Type          { return TypeDemand }
+func (*Grant) Type() Type           { return TypeGrant }
+func (*Revoke) Type() Type          { return TypeRevoke }
+func (*Return) Type() Type          { return TypeReturn }
+func (*Start) Type() Type           { return TypeStart }
+func (*Outcome) Type() Type         { return TypeOutcome }
+func (*Ack) Type() Type             { return TypeAck }
+func (*Query) Type() Type           { return TypeQuery }
+func (*Cancel) Type() Type          { return TypeCancel }
+func (*Heartbeat) Type() Type       { return TypeHeartbeat }
+func (*Leave) Type() Type           { return TypeLeave }
+func (*PeerState) Type() Type       { return TypePeerState }
+func (*Document) Type() Type        { return TypeDocument }
+func (*DocumentRequest) Type() Type { return TypeDocumentRequest }
+
+// Encode returns the frame of a message: the body's length in four bytes, the
+// type in one, then the body in CBOR.
+func Encode(m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(body) > MaxMessageBytes {
+		return nil, Error.New("message of type %d has %d bytes, the limit is %d", m.Type(), len(body), MaxMessageBytes)
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	frame[4] = byte(m.Type())
+	return append(frame, body...), nil
+}
+
+// Decode returns the message of a type and a body.
+func Decode(t Type, body []byte) (Message, error) {
+	factory, ok := factories[t]
+	if !ok {
+		return nil, Error.New("unknown message type %d", t)
+	}
+	m := factory()
+	if err := decMode.Unmarshal(body, m); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return m, nil
+}
+
+// Read reads one frame and returns its message and its size in bytes.
+func Read(r io.Reader) (Message, int, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, 0, err
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n > MaxMessageBytes {
+		return nil, 0, Error.New("frame of %d bytes, the limit is %d", n, MaxMessageBytes)
+	}
+	body, err := readBody(r, int(n))
+	if err != nil {
+		return nil, 0, err
+	}
+	m, err := Decode(Type(header[4]), body)
+	return m, headerBytes + int(n), err
+}
+
+// readChunkBytes bounds what a frame's claimed length allocates before its
+// bytes arrive.
+const readChunkBytes = 64 << 10
+
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, 0, min(n, readChunkBytes))
+	for len(body) < n {
+		chunk := min(n-len(body), readChunkBytes)
+		start := len(body)
+		body = append(body, make([]byte, chunk)...)
+		if _, err := io.ReadFull(r, body[start:]); err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
