Add the job aggregate and the decoding of jobs

The aggregate owns a job's task states and its one answer.

The decoder uses encoding/json after one scan of the raw body. The scan is needed because encoding/json matches field names in any case, merges the values of repeated fields, replaces half surrogate pairs silently and allocates for every array element before a limit can be checked. Ruled out: json.Decoder with DisallowUnknownFields, which reports an unknown field only as text, and a token walk, which allocates for every string.

An attempt number starts at 1, since TaskID.Identity uses 0.

--- /dev/null
+++ b/job/decode.go
@@ -0,0 +1,103 @@
+package job
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+	"unicode/utf8"
+
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/result"
+)
+
+// body is the JSON form of a job.
+type body struct {
+	Key        string      `json:"key"`
+	Team       string      `json:"team"`
+	Labels     label.Set   `json:"labels"`
+	DeadlineMS int64       `json:"deadline_ms"`
+	Idempotent bool        `json:"idempotent"`
+	Tasks      []*taskBody `json:"tasks"`
+}
+
+// taskBody is the JSON form of a task. A payload is any JSON string; its UTF-8
+// text is what the target gets.
+type taskBody struct {
+	Payload   string  `json:"payload"`
+	SizeBytes int64   `json:"size_bytes"`
+	RunMS     float64 `json:"run_ms"`
+}
+
+// Decode reads a job from a caller's request body. Every error is the caller's
+// fault and has a code from 100 to 114; nothing of the job has run.
+func Decode(r io.Reader, l Limits) (*Spec, *result.Error) {
+	raw, err := io.ReadAll(io.LimitReader(r, l.BodyBytes+1))
+	if err != nil {
+		return nil, result.New(result.BadRequest, "the body was cut off")
+	}
+	if int64(len(raw)) > l.BodyBytes {
+		return nil, result.Newf(result.BodyTooLarge, "the limit is %d bytes", l.BodyBytes)
+	}
+	// encoding/json replaces invalid UTF-8 silently, which would change the
+	// payload.
+	if !utf8.Valid(raw) {
+		return nil, result.New(result.BadRequest, "the body is not valid UTF-8")
+	}
+	if refusal := scan(raw, l); refusal != nil {
+		return nil, refusal
+	}
+	var b body
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, result.New(result.BadRequest, err.Error())
+	}
+	spec, refusal := b.spec(l)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := spec.Validate(l); refusal != nil {
+		return nil, refusal
+	}
+	return spec, nil
+}
+
+func (b *body) spec(l Limits) (*Spec, *result.Error) {
+	spec := &Spec{
+		Key:         b.Key,
+		Team:        b.Team,
+		Labels:      b.Labels,
+		Deadline:    deadline(b.DeadlineMS, l),
+		Idempotent:  b.Idempotent,
+		Tasks:       make([]Task, 0, len(b.Tasks)),
+		ResultBytes: l.ResultBytes,
+	}
+	for i, t := range b.Tasks {
+		if t == nil {
+			return nil, result.Newf(result.BadRequest, "task %d is null", i)
+		}
+		spec.Tasks = append(spec.Tasks, t.task())
+	}
+	return spec, nil
+}
+
+// deadline converts milliseconds; values that would overflow stay above the
+// upper bound.
+func deadline(ms int64, l Limits) time.Duration {
+	if ms > l.MaxDeadline.Milliseconds() {
+		return l.MaxDeadline + 1
+	}
+	if ms <= 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// task converts hints and caps them; a negative hint stays negative for
+// Validate.
+func (t *taskBody) task() Task {
+	run := min(t.RunMS*float64(time.Millisecond), float64(maxRunHint))
+	return Task{
+		Payload:   []byte(t.Payload),
+		SizeBytes: min(t.SizeBytes, maxSizeHint),
+		RunTime:   time.Duration(max(run, -1)),
+	}
+}
--- /dev/null
+++ b/job/decode_test.go
@@ -0,0 +1,118 @@
+package job
+
+import (
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/catkinline/catkinline/result"
+)
+
+func testLimits() Limits {
+	l := DefaultLimits()
+	l.BodyBytes = 4096
+	l.Tasks = 3
+	l.PayloadBytes = 16
+	l.Labels = 2
+	l.Nesting = 4
+	return l
+}
+
+const head = `{"key":"k","team":"t","deadline_ms":500,`
+
+// Guards against a limit that is not checked, or that is reported with another
+// limit's code.
+func TestDecodeRefusals(t *testing.T) {
+	long := strings.Repeat("x", 70)
+	cases := map[string]struct {
+		body string
+		code result.Code
+	}{
+		"empty":             {``, result.BadRequest},
+		"trailing":          {head + `"tasks":[{}]} {}`, result.BadRequest},
+		"null task":         {head + `"tasks":[null]}`, result.BadRequest},
+		"payload object":    {head + `"tasks":[{"payload":{}}]}`, result.BadRequest},
+		"repeated field":    {head + `"tasks":[{"payload":"a"}],"tasks":[{}]}`, result.BadRequest},
+		"repeated label":    {head + `"labels":{"a":"b","a":"c"},"tasks":[{}]}`, result.BadRequest},
+		"invalid UTF-8":     {head + `"tasks":[{"payload":"` + "\xff" + `"}]}`, result.BadRequest},
+		"half a surrogate":  {head + `"tasks":[{"payload":"\ud800x"}]}`, result.BadRequest},
+		"long key":          {`{"key":"` + strings.Repeat("k", 257) + `","team":"t","deadline_ms":5,"tasks":[{}]}`, result.BadRequest},
+		"unknown field":     {head + `"tasks":[{}],"extra":1}`, result.UnknownField},
+		"other case":        {head + `"Tasks":[{}]}`, result.UnknownField},
+		"escaped name":      {head + `"t\u0061sks":[{}]}`, result.UnknownField},
+		"unknown in task":   {head + `"tasks":[{"pay":"x"}]}`, result.UnknownField},
+		"body":              {head + `"tasks":[{}]}` + strings.Repeat(" ", 4096), result.BodyTooLarge},
+		"tasks":             {head + `"tasks":[{},{},{},{}]}`, result.TooManyTasks},
+		"tasks, cut off":    {head + `"tasks":[1,2,3,4`, result.TooManyTasks},
+		"no tasks":          {head + `"tasks":[]}`, result.NoTasks},
+		"payload":           {head + `"tasks":[{"payload":"12345678901234567"}]}`, result.PayloadTooLarge},
+		"labels":            {head + `"labels":{"a":"","b":"","c":""},"tasks":[{}]}`, result.TooManyLabels},
+		"label key":         {head + `"labels":{"` + long + `":""},"tasks":[{}]}`, result.LabelTooLong},
+		"label value":       {head + `"labels":{"a":"` + long + `"},"tasks":[{}]}`, result.LabelTooLong},
+		"nesting":           {head + `"tasks":[[[[[]]]]]}`, result.NestingTooDeep},
+		"no deadline":       {`{"key":"k","team":"t","tasks":[{}]}`, result.BadDeadline},
+		"huge deadline":     {`{"key":"k","team":"t","deadline_ms":9223372036854775807,"tasks":[{}]}`, result.BadDeadline},
+		"no team":           {`{"key":"k","deadline_ms":5,"tasks":[{}]}`, result.UnknownTeam},
+		"no key":            {`{"team":"t","deadline_ms":5,"tasks":[{}]}`, result.MissingKey},
+		"null":              {`null`, result.MissingKey},
+		"label characters":  {head + `"labels":{"a b":""},"tasks":[{}]}`, result.BadLabel},
+		"empty label key":   {head + `"labels":{"":"a"},"tasks":[{}]}`, result.BadLabel},
+		"negative run time": {head + `"tasks":[{"run_ms":-0.5}]}`, result.BadHint},
+		"negative size":     {head + `"tasks":[{"size_bytes":-1}]}`, result.BadHint},
+	}
+	for name, c := range cases {
+		spec, err := Decode(strings.NewReader(c.body), testLimits())
+		if err == nil || spec != nil {
+			t.Errorf("%s: accepted", name)
+			continue
+		}
+		if err.Code != c.code || err.Ran != result.NotRun {
+			t.Errorf("%s: got %v ran=%s, want %v", name, err, err.Ran, c.code)
+		}
+	}
+}
+
+// Guards against a payload that reaches the target in another form than the
+// caller sent, and against hints whose sums overflow.
+func TestDecodeAccepts(t *testing.T) {
+	text := head + `"idempotent":true,"labels":{"a":"b"},"tasks":[{"payload":"\ud83e\ude81 \"[{\\","run_ms":1e300},{"run_ms":2.5,"size_bytes":7}]}`
+	spec, err := Decode(strings.NewReader(text), testLimits())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := string(spec.Tasks[0].Payload); got != "\U0001FA81 \"[{\\" {
+		t.Errorf("payload %q", got)
+	}
+	if spec.Tasks[0].RunTime != maxRunHint || spec.Tasks[1].RunTime != 2500*time.Microsecond || spec.Tasks[1].SizeBytes != 7 {
+		t.Errorf("hints %+v", spec.Tasks)
+	}
+	if spec.Deadline != 500*time.Millisecond || !spec.Idempotent || spec.Labels["a"] != "b" || spec.PayloadBytes() != 9 {
+		t.Errorf("spec %+v", spec)
+	}
+}
+
+// FuzzDecode guards against input that panics the decoder, that passes with a
+// broken limit, or that is refused with a code outside 100 to 114.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(head + `"tasks":[{}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l := testLimits()
+		spec, err := Decode(strings.NewReader(string(raw)), l)
+		if err != nil {
+			if err.Code < 100 || err.Code > 114 || err.Ran != result.NotRun {
+				t.Fatalf("%v ran=%s", err, err.Ran)
+			}
+			return
+		}
+		if refusal := spec.Validate(l); refusal != nil {
+			t.Fatalf("accepted, but %v", refusal)
+		}
+		for i := range spec.Tasks {
+			p := spec.Tasks[i].Payload
+			if !utf8.Valid(p) {
+				t.Fatalf("task %d has payload %q", i, p)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,179 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// MaxAttempts bounds how often one task is sent after refusals that say it did
+// not run. It ends jobs that every target refuses, and is well above the few
+// refusals that a paused entry or a revision change causes.
+const MaxAttempts = 12
+
+// taskState is the state of one task.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskOut               // sent, without a final outcome
+	taskDone              // ran, with a result
+	taskFailed            // ran certainly, without a usable result
+	taskUnknown           // may have run
+	taskNotRun            // no attempt ran, none will follow
+)
+
+type task struct {
+	state   taskState
+	attempt uint32 // number of the last attempt, from 1
+	result  []byte
+}
+
+// Job is the aggregate of one job. It is not safe for concurrent use.
+//
+// Invariants: a task is sent again only after an outcome that says that the
+// attempt before did not run; the job ends exactly once, with all results in
+// order or with an error whose Ran is no more certain than the outcomes.
+type Job struct {
+	id       wire.JobID
+	spec     *Spec
+	arrived  time.Time
+	tasks    []task
+	waiting  []int // indices of waiting tasks, next first
+	out      int
+	done     int
+	answer   *Answer
+	ignored  Ignored
+	endedOut []int // tasks that were out when the job ended
+}
+
+// Ignored counts outcomes that changed nothing in the job's answer.
+type Ignored struct {
+	Late      int // the job had ended, or a later attempt was out
+	Duplicate int // the attempt had its outcome already
+	Foreign   int // another job, no such task, or an attempt never sent
+}
+
+// New returns a job with every task waiting. It takes over the specification
+// and drops payloads that are no longer needed.
+func New(id wire.JobID, spec *Spec, now time.Time) *Job {
+	j := &Job{
+		id:      id,
+		spec:    spec,
+		arrived: now,
+		tasks:   make([]task, len(spec.Tasks)),
+		waiting: make([]int, len(spec.Tasks)),
+	}
+	for i := range j.waiting {
+		j.waiting[i] = i
+	}
+	return j
+}
+
+// ID returns the job's id.
+func (j *Job) ID() wire.JobID { return j.id }
+
+// Spec returns the specification. Payloads of finished tasks are gone.
+func (j *Job) Spec() *Spec { return j.spec }
+
+// Arrived returns when the job was accepted.
+func (j *Job) Arrived() time.Time { return j.arrived }
+
+// Deadline returns when the answer is due.
+func (j *Job) Deadline() time.Time { return j.arrived.Add(j.spec.Deadline) }
+
+// Waiting returns the number of tasks that wait to be sent; zero once the job
+// has ended.
+func (j *Job) Waiting() int { return len(j.waiting) }
+
+// Out returns the number of tasks that are out. After the job's end it falls to
+// zero as their outcomes arrive.
+func (j *Job) Out() int { return j.out }
+
+// Done returns the number of tasks with a result.
+func (j *Job) Done() int { return j.done }
+
+// Ignored returns the counts of outcomes that were ignored.
+func (j *Job) Ignored() Ignored { return j.ignored }
+
+// IsWaiting reports whether a task waits to be sent.
+func (j *Job) IsWaiting(index int) bool {
+	return j.answer == nil && j.inRange(index) && j.tasks[index].state == taskWaiting
+}
+
+// IsOut reports whether a task is out.
+func (j *Job) IsOut(index int) bool {
+	return j.inRange(index) && j.tasks[index].state == taskOut
+}
+
+func (j *Job) inRange(index int) bool { return index >= 0 && index < len(j.tasks) }
+
+// SortWaiting orders the waiting tasks by falling expected run time. A job is
+// answered when its last task ends, so its longest tasks go first.
+func (j *Job) SortWaiting(expected func(index int) time.Duration) {
+	slices.SortStableFunc(j.waiting, func(a, b int) int {
+		return cmp.Compare(expected(b), expected(a))
+	})
+}
+
+// NextTask returns the task to send next and the number its attempt will have.
+func (j *Job) NextTask() (index int, attempt uint32, ok bool) {
+	return j.NextTaskFunc(nil)
+}
+
+// NextTaskFunc returns the first waiting task for which allow is true; nil
+// allows every task.
+func (j *Job) NextTaskFunc(allow func(index int) bool) (index int, attempt uint32, ok bool) {
+	for _, i := range j.waiting {
+		if allow == nil || allow(i) {
+			return i, j.tasks[i].attempt + 1, true
+		}
+	}
+	return 0, 0, false
+}
+
+// MarkOut records that a waiting task is being sent and returns the id of the
+// attempt. It must be called before the message leaves. It reports false, and
+// nothing may be sent, if the task does not wait.
+func (j *Job) MarkOut(index int) (wire.TaskID, bool) {
+	if !j.IsWaiting(index) {
+		return wire.TaskID{}, false
+	}
+	t := &j.tasks[index]
+	t.state = taskOut
+	t.attempt++
+	j.out++
+	at := slices.Index(j.waiting, index)
+	j.waiting = slices.Delete(j.waiting, at, at+1)
+	return j.taskID(index), true
+}
+
+func (j *Job) taskID(index int) wire.TaskID {
+	return wire.TaskID{Job: j.id, Index: uint32(index), Attempt: j.tasks[index].attempt}
+}
+
+// Outstanding returns the attempts that are out, in order of their index: those
+// to query after a reconnect.
+func (j *Job) Outstanding() []wire.TaskID {
+	ids := make([]wire.TaskID, 0, j.out)
+	for i := range j.tasks {
+		if j.tasks[i].state == taskOut {
+			ids = append(ids, j.taskID(i))
+		}
+	}
+	return ids
+}
+
+// ToCancel returns the attempts to cancel at their targets: those that were out
+// when the job ended without a complete answer and are still out.
+func (j *Job) ToCancel() []wire.TaskID {
+	ids := make([]wire.TaskID, 0, len(j.endedOut))
+	for _, i := range j.endedOut {
+		if j.tasks[i].state == taskOut {
+			ids = append(ids, j.taskID(i))
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/job/scan.go
@@ -0,0 +1,202 @@
+package job
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+	"unicode/utf16"
+
+	"github.com/catkinline/catkinline/result"
+)
+
+// Levels of a job's body: the job, its labels or list of tasks, one task.
+const (
+	jobLevel  = 1
+	listLevel = 2
+	taskLevel = 3
+)
+
+var (
+	jobFields  = []string{"key", "team", "labels", "deadline_ms", "idempotent", "tasks"}
+	taskFields = []string{"payload", "size_bytes", "run_ms"}
+)
+
+// scanner checks what encoding/json does not: nesting depth, field names in
+// their exact case, repeated fields (encoding/json would merge the values),
+// counts before anything is allocated for them, and surrogate escapes that
+// encoding/json would replace. It accepts some invalid JSON, which
+// encoding/json refuses afterwards.
+type scanner struct {
+	raw    []byte
+	pos    int
+	limits Limits
+	open   []container
+}
+
+// container is an open object or array.
+type container struct {
+	object    bool
+	expectKey bool
+	commas    int
+	keys      []string
+}
+
+func scan(raw []byte, l Limits) *result.Error {
+	s := &scanner{raw: raw, limits: l}
+	for s.pos < len(raw) {
+		if err := s.step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scanner) step() *result.Error {
+	c := s.raw[s.pos]
+	s.pos++
+	switch c {
+	case '{', '[':
+		return s.push(c == '{')
+	case '}', ']':
+		s.pop()
+	case ',':
+		return s.comma()
+	case '"':
+		return s.text()
+	}
+	return nil
+}
+
+func (s *scanner) push(object bool) *result.Error {
+	if len(s.open) >= s.limits.Nesting {
+		return result.Newf(result.NestingTooDeep, "the limit is %d levels", s.limits.Nesting)
+	}
+	s.open = append(s.open, container{object: object, expectKey: object})
+	return nil
+}
+
+func (s *scanner) pop() {
+	if len(s.open) > 0 {
+		s.open = s.open[:len(s.open)-1]
+	}
+}
+
+func (s *scanner) comma() *result.Error {
+	if len(s.open) == 0 {
+		return nil
+	}
+	top := &s.open[len(s.open)-1]
+	top.commas++
+	top.expectKey = top.object
+	if !top.object && len(s.open) == listLevel && top.commas >= s.limits.Tasks {
+		return result.Newf(result.TooManyTasks, "the limit is %d", s.limits.Tasks)
+	}
+	return nil
+}
+
+// text passes over a string, whose opening quote has been read.
+func (s *scanner) text() *result.Error {
+	start := s.pos
+	end, err := s.closingQuote()
+	if err != nil {
+		return err
+	}
+	if len(s.open) == 0 {
+		return nil
+	}
+	top := &s.open[len(s.open)-1]
+	if !top.expectKey {
+		return nil
+	}
+	top.expectKey = false
+	return s.key(top, string(s.raw[start:end]))
+}
+
+func (s *scanner) closingQuote() (int, *result.Error) {
+	for s.pos < len(s.raw) {
+		next := bytes.IndexAny(s.raw[s.pos:], `"\`)
+		if next < 0 {
+			break
+		}
+		at := s.pos + next
+		s.pos = at + 1
+		if s.raw[at] == '"' {
+			return at, nil
+		}
+		if err := s.escape(); err != nil {
+			return 0, err
+		}
+	}
+	s.pos = len(s.raw)
+	return 0, result.New(result.BadRequest, "a string is not closed")
+}
+
+// escape passes over an escape, whose backslash has been read.
+func (s *scanner) escape() *result.Error {
+	if s.pos < len(s.raw) && s.raw[s.pos] != 'u' {
+		s.pos++
+		return nil
+	}
+	first := s.hex(s.pos - 1)
+	s.pos = min(s.pos+5, len(s.raw))
+	if !utf16.IsSurrogate(first) {
+		return nil
+	}
+	second := s.hex(s.pos)
+	if utf16.DecodeRune(first, second) == '\uFFFD' {
+		return result.New(result.BadRequest, "a string has half of a surrogate pair")
+	}
+	s.pos += 6
+	return nil
+}
+
+// hex returns the code unit of an escape \uXXXX at a position, or -1.
+func (s *scanner) hex(at int) rune {
+	if at+6 > len(s.raw) || s.raw[at] != '\\' || s.raw[at+1] != 'u' {
+		return -1
+	}
+	v, err := strconv.ParseUint(string(s.raw[at+2:at+6]), 16, 16)
+	if err != nil {
+		return -1
+	}
+	return rune(v)
+}
+
+// key checks a field name, or a label's key, as it is written: no defined name
+// needs an escape.
+func (s *scanner) key(top *container, key string) *result.Error {
+	switch len(s.open) {
+	case jobLevel:
+		if !slices.Contains(jobFields, key) {
+			return result.Newf(result.UnknownField, "%q", shorten(key))
+		}
+	case listLevel:
+		if len(top.keys) >= s.limits.Labels {
+			return result.Newf(result.TooManyLabels, "the limit is %d", s.limits.Labels)
+		}
+		if bytes.IndexByte([]byte(key), '\\') >= 0 {
+			return result.Newf(result.BadLabel, "label %q", shorten(key))
+		}
+	case taskLevel:
+		if !slices.Contains(taskFields, key) {
+			return result.Newf(result.UnknownField, "%q in a task", shorten(key))
+		}
+	default:
+		return nil
+	}
+	if slices.Contains(top.keys, key) {
+		return result.Newf(result.BadRequest, "field %q is repeated", shorten(key))
+	}
+	top.keys = append(top.keys, key)
+	return nil
+}
+
+// maxQuoted bounds how much of a caller's text an error repeats.
+const maxQuoted = 64
+
+func shorten(s string) string {
+	if len(s) <= maxQuoted {
+		return s
+	}
+	return s[:maxQuoted] + "..."
+}
