--- /dev/null
+++ b/dispatch/group.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/queue"
+	"github.com/catkinline/catkinline/result"
+)
+
+// group is one set of selectors that requests need, with the targets that match
+// it. Jobs of one group can run on the same targets.
+type group struct {
+	id         queue.Group
+	key        string
+	filter     config.Filter
+	targets    []*target
+	emptySince time.Time // zero while a target matches
+}
+
+// noTargetLimit is how long queued jobs wait for a target of their group to
+// come back. New jobs of such a group are refused at once.
+const noTargetLimit = 5 * time.Second
+
+// groupFor returns the group of a request under the current rules.
+func (s *Scheduler) groupFor(request label.Set) (*group, *result.Error) {
+	if s.rules == nil {
+		return nil, result.New(result.NotConfigured, "")
+	}
+	service, ok := s.rules.Service(s.opts.Service)
+	if !ok {
+		return nil, result.New(result.UnknownService, s.opts.Service)
+	}
+	filter := service.Filter(request)
+	key := filterKey(filter)
+	if g := s.groups[key]; g != nil {
+		return g, nil
+	}
+	g := &group{id: queue.Group(len(s.byGroup)), key: key, filter: filter}
+	s.groups[key] = g
+	s.byGroup = append(s.byGroup, g)
+	s.fill(g)
+	return g, nil
+}
+
+func filterKey(f config.Filter) string {
+	texts := make([]string, len(f))
+	for i, s := range f {
+		texts[i] = s.String()
+	}
+	return strings.Join(texts, ";")
+}
+
+// fill finds the targets of a group. Targets without a link stay in the group
+// until they are forgotten, so that a short loss of a link refuses no job.
+func (s *Scheduler) fill(g *group) {
+	g.targets = g.targets[:0]
+	for _, t := range s.targets {
+		if t.announced && !t.announce.Draining && !t.drained && s.reachable(t) && g.filter.Eligible(t.labels) {
+			g.targets = append(g.targets, t)
+		}
+	}
+}
+
+func (s *Scheduler) reachable(t *target) bool {
+	if t.distance < distanceRegion {
+		return true
+	}
+	service, ok := s.rules.Service(s.opts.Service)
+	return ok && service.SpillAcrossRegions
+}
+
+// Distances of targets.
+const (
+	distanceDomain    = iota // same failure domain
+	distanceElsewhere        // same region
+	distanceRegion           // another region
+)
+
+// place works out what the rules say about a target.
+func (s *Scheduler) place(t *target) {
+	t.distance = s.distance(t)
+	t.labels = t.announce.Labels
+	if s.rules == nil {
+		return
+	}
+	t.labels = s.rules.TargetLabels(t.announce.Target, t.announce.Labels)
+	t.drained = s.rules.Target(t.announce.Target).Drain
+}
+
+func (s *Scheduler) distance(t *target) int {
+	switch {
+	case t.announce.FailureDomain == s.opts.FailureDomain:
+		return distanceDomain
+	case t.announce.Region == s.opts.Region:
+		return distanceElsewhere
+	}
+	return distanceRegion
+}
+
+// regroup fills every group again after a change of a target or of the rules.
+func (s *Scheduler) regroup() {
+	for _, g := range s.groups {
+		s.fill(g)
+	}
+}
+
+// SetRules takes a newer configuration into force.
+func (s *Scheduler) SetRules(rules *config.Snapshot, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rules = rules
+	s.setWeights()
+	for _, t := range s.targets {
+		t.stale = false
+		s.place(t)
+	}
+	s.groups = make(map[string]*group)
+	s.byGroup = nil
+	for _, j := range s.jobs {
+		s.rebind(j, now)
+	}
+	s.pump(now)
+}
+
+func (s *Scheduler) setWeights() {
+	weights := make(map[string]float64)
+	for name, t := range s.rules.Teams() {
+		weights[name] = t.Weight
+	}
+	s.queue.SetWeights(weights)
+}
+
+// rebind finds the group of a job under new rules. A job whose service is gone
+// ends; tasks that run already decide what its answer says about that.
+func (s *Scheduler) rebind(j *activeJob, now time.Time) {
+	s.dequeue(j)
+	g, refusal := s.groupFor(j.job.Spec().Labels)
+	if refusal != nil {
+		if j.job.Fail(refusal) {
+			s.finish(j, now)
+		}
+		return
+	}
+	j.group = g
+	if !j.held {
+		s.enqueue(j)
+	}
+}
--- /dev/null
+++ b/dispatch/outcome.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// lossLimit is how long the scheduler waits for a lost agent to come back and
+// vouch for its starts. It covers the silence limit, a new connection and a
+// restart of the network path; afterwards the jobs fail with an unknown
+// outcome, so that callers do not wait for their whole deadline.
+const lossLimit = 8 * time.Second
+
+// LinkUp tells the scheduler that an agent has a link. An agent that comes back
+// with the same incarnation is asked for the outcome of everything that was
+// out; a newer incarnation cannot vouch for the old one's starts. It reports
+// false for an incarnation older than one already seen.
+func (s *Scheduler) LinkUp(name string, incarnation wire.Incarnation, link Sender, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil {
+		t = newTarget(name)
+		s.targets[name] = t
+	}
+	if incarnation < t.incarnation {
+		return false
+	}
+	if incarnation > t.incarnation {
+		s.lose(t, now)
+		t.announced = false
+	}
+	s.dropGrants(t)
+	t.incarnation = incarnation
+	t.link = link
+	t.stale = false
+	t.lostAt = time.Time{}
+	t.demand, t.unanswered = wire.Demand{}, false
+	if len(t.out) > 0 {
+		s.send(t, &wire.Query{Tasks: t.outstanding()})
+	}
+	return true
+}
+
+// LinkDown tells the scheduler that an agent's link closed. A link that was
+// replaced by a newer one changes nothing.
+func (s *Scheduler) LinkDown(name string, link Sender, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil || t.link != link {
+		return
+	}
+	s.dropGrants(t)
+	t.link = nil
+	t.lostAt = now
+	t.acks = nil
+	s.pump(now)
+}
+
+func (s *Scheduler) dropGrants(t *target) {
+	for _, g := range t.grants {
+		s.record.Add(metrics.GrantsUnused, int64(g.left))
+	}
+	t.grants = nil
+}
+
+// lose ends every job with a task out at the target: nobody can say any more
+// whether those tasks ran.
+func (s *Scheduler) lose(t *target, now time.Time) {
+	for key, a := range t.out {
+		s.settle(t, key, a)
+		if a.job.job.Lose(int(key.index)) {
+			s.finish(a.job, now)
+			continue
+		}
+		s.updateItem(a.job)
+	}
+}
+
+// settle takes an attempt off those that are out.
+func (s *Scheduler) settle(t *target, key taskKey, a *attempt) {
+	delete(t.out, key)
+	a.job.at[key.index] = nil
+	s.tasksOut--
+	if s.opts.Quotas != nil {
+		s.opts.Quotas.Ended(a.job.job.Spec().Team)
+	}
+}
+
+// HandleOutcome takes in a task's outcome from an agent.
+func (s *Scheduler) HandleOutcome(name string, link Sender, o *wire.Outcome, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil {
+		return
+	}
+	if t.link == link && o.Grant != nil {
+		s.addGrant(t, o.Grant)
+	}
+	t.load = o.Load
+	s.applyOutcome(t, o, now)
+	s.pump(now)
+}
+
+func (s *Scheduler) applyOutcome(t *target, o *wire.Outcome, now time.Time) {
+	if o.State.Final() && o.State != wire.StateRefused && o.State != wire.StateNeverSeen {
+		t.acks = append(t.acks, o.Task)
+	}
+	key := taskKey{o.Task.Job.Seq, o.Task.Index}
+	a := t.out[key]
+	if a == nil || a.id != o.Task {
+		s.record.Add(metrics.OutcomesIgnored, 1)
+		return
+	}
+	if !o.State.Final() {
+		return
+	}
+	s.settle(t, key, a)
+	s.record.Add(metrics.TaskOutcomes, 1, metrics.TagState, o.State.String())
+	switch o.State {
+	case wire.StateRefused:
+		s.refused(t, a, o)
+	case wire.StateDone, wire.StateFailed, wire.StateUnknown:
+		s.observe(t, a, o, now)
+	}
+	s.charge(a, o)
+	if a.job.job.Apply(*o) {
+		s.finish(a.job, now)
+		return
+	}
+	s.updateItem(a.job)
+}
+
+// charge corrects the slot time that the team was charged at the start.
+func (s *Scheduler) charge(a *attempt, o *wire.Outcome) {
+	s.queue.Charge(a.job.job.Spec().Team, o.RunTime-a.expected)
+	if o.State != wire.StateDone {
+		return
+	}
+	a.job.left -= a.job.expected[a.id.Index]
+	a.job.longest = max(a.job.longest, o.RunTime)
+}
+
+// refused adjusts what the scheduler believes of a target that refused a start.
+func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome) {
+	s.record.Add(metrics.StartRefusals, 1, metrics.TagCode, o.Code.String())
+	s.waste(2) // the start and its refusal
+	switch o.Code {
+	case result.GrantExpired, result.SlotsFull:
+		s.record.Add(metrics.GrantsUnused, int64(t.dropUpTo(a.grant)))
+	case result.Draining:
+		t.announce.Draining = true
+		s.dropGrants(t)
+	case result.OldRevision:
+		t.stale = true
+		s.dropGrants(t)
+	}
+}
+
+// HandleGrant takes in a grant.
+func (s *Scheduler) HandleGrant(name string, link Sender, g *wire.Grant, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil || t.link != link {
+		return
+	}
+	t.load = g.Load
+	s.addGrant(t, g)
+	s.pump(now)
+}
+
+func (s *Scheduler) addGrant(t *target, g *wire.Grant) {
+	if g.ID.Agent != t.incarnation || g.Slots == 0 {
+		return
+	}
+	t.unanswered = false
+	t.grants = append(t.grants, grant{id: g.ID, left: g.Slots, shortOnly: g.ShortOnly})
+}
+
+// HandleRevoke gives the unused slots of a grant back.
+func (s *Scheduler) HandleRevoke(name string, link Sender, r *wire.Revoke, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil || t.link != link {
+		return
+	}
+	left, used := t.drop(r.ID)
+	if !used {
+		s.waste(1) // the grant led to no start
+	}
+	s.record.Add(metrics.GrantsUnused, int64(left))
+	s.send(t, &wire.Return{ID: r.ID, Slots: left})
+}
+
+// HandleAnnounce takes in what an agent says about its target.
+func (s *Scheduler) HandleAnnounce(name string, link Sender, a *wire.Announce, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil || t.link != link {
+		return
+	}
+	t.announce = *a
+	t.announced = true
+	s.place(t)
+	s.regroup()
+	s.pump(now)
+}
+
+// HandleLeave stops new work to a target that is leaving.
+func (s *Scheduler) HandleLeave(name string, link Sender, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	if t == nil || t.link != link {
+		return
+	}
+	t.announce.Draining = true
+	s.dropGrants(t)
+	s.pump(now)
+}
--- /dev/null
+++ b/dispatch/pump.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/job"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/queue"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// defaultExpected is the expected run time of a task about which nothing is
+// known: the middle of the usual 50 ms to 1 s.
+const defaultExpected = 300 * time.Millisecond
+
+func (s *Scheduler) newJob(spec *job.Spec, g *group, now time.Time) *activeJob {
+	id := wire.JobID{Entry: s.opts.Incarnation, Seq: s.opts.NextJob()}
+	j := &activeJob{
+		job:      job.New(id, spec, now),
+		seq:      id.Seq,
+		group:    g,
+		expected: make([]time.Duration, len(spec.Tasks)),
+		at:       make([]*target, len(spec.Tasks)),
+		bytes:    spec.PayloadBytes(),
+		done:     make(chan job.Answer, 1),
+	}
+	s.estimate(j)
+	j.job.SortWaiting(func(i int) time.Duration { return j.expected[i] })
+	return j
+}
+
+func (s *Scheduler) accept(j *activeJob) {
+	s.jobs[j.seq] = j
+	s.bytes += j.bytes
+	s.expiry.push(j)
+}
+
+func (s *Scheduler) enqueue(j *activeJob) {
+	if j.queued || j.job.Ended() {
+		return
+	}
+	j.queued = true
+	s.queue.Add(queue.Item{
+		Job:       j.job.ID(),
+		Team:      j.job.Spec().Team,
+		Group:     j.group.id,
+		Class:     j.class,
+		Remaining: j.left,
+		Waiting:   j.job.Waiting(),
+		Arrived:   j.job.Arrived(),
+		Deadline:  j.job.Deadline(),
+	})
+}
+
+func (s *Scheduler) dequeue(j *activeJob) {
+	if j.queued {
+		j.queued = false
+		s.queue.Remove(j.job.ID())
+	}
+}
+
+// updateItem tells the queue what a job still needs.
+func (s *Scheduler) updateItem(j *activeJob) {
+	if j.queued {
+		s.queue.Update(j.job.ID(), max(0, j.left), j.job.Waiting(), j.class)
+	}
+}
+
+// pump starts waiting tasks as long as grants allow, then tells the agents what
+// still waits.
+func (s *Scheduler) pump(now time.Time) {
+	for s.startNext(now) {
+	}
+	s.sendDemand(now)
+}
+
+func (s *Scheduler) startNext(now time.Time) bool {
+	if s.queue.Waiting() == 0 {
+		return false
+	}
+	general, shortOnly := s.groupsWithCredit()
+	id, ok := s.selectJob(general, shortOnly)
+	if !ok {
+		return false
+	}
+	j := s.jobs[id.Seq]
+	t := s.chooseTarget(j)
+	if t == nil {
+		return false
+	}
+	return s.start(j, t, now)
+}
+
+// groupsWithCredit returns the groups with a free slot for any class, and those
+// with one for short tasks only.
+func (s *Scheduler) groupsWithCredit() (general, shortOnly []queue.Group) {
+	for _, g := range s.byGroup {
+		short := false
+		long := false
+		for _, t := range g.targets {
+			if !s.mayStart(t) {
+				continue
+			}
+			short = short || t.credit(wire.ClassShort) > 0
+			if t.credit(wire.ClassLong) > 0 {
+				long = true
+				break
+			}
+		}
+		switch {
+		case long:
+			general = append(general, g.id)
+		case short:
+			shortOnly = append(shortOnly, g.id)
+		}
+	}
+	return general, shortOnly
+}
+
+// selectJob returns the first job in order among groups with a free slot of the
+// right kind.
+func (s *Scheduler) selectJob(general, shortOnly []queue.Group) (wire.JobID, bool) {
+	if len(shortOnly) > 0 {
+		head, ok := s.queue.HeadKey(general, s.allow)
+		short, okShort := s.queue.HeadKey(shortOnly, s.allowShort)
+		if okShort && (!ok || short.Key < head.Key) {
+			return s.queue.Select(shortOnly, s.allowShort)
+		}
+	}
+	return s.queue.Select(general, s.allow)
+}
+
+func (s *Scheduler) allow(team string, _ wire.Class) bool {
+	return s.opts.Quotas == nil || s.opts.Quotas.Allow(team)
+}
+
+func (s *Scheduler) allowShort(team string, class wire.Class) bool {
+	return class == wire.ClassShort && s.allow(team, class)
+}
+
+func (s *Scheduler) mayStart(t *target) bool { return t.usable() && len(t.grants) > 0 }
+
+// chooseTarget returns the nearest target with a free slot for the job, the
+// least loaded one among equally near.
+func (s *Scheduler) chooseTarget(j *activeJob) *target {
+	var best *target
+	for _, t := range j.group.targets {
+		if !s.mayStart(t) || t.credit(j.class) == 0 {
+			continue
+		}
+		if best == nil || s.better(t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) better(a, b *target) bool {
+	if a.distance != b.distance {
+		return a.distance < b.distance
+	}
+	return a.use() < b.use()
+}
+
+// use is the share of the target's slots that this entry uses.
+func (t *target) use() float64 {
+	return float64(len(t.out)) / float64(max(1, t.announce.Slots))
+}
+
+// start sends one task of the job to the target.
+func (s *Scheduler) start(j *activeJob, t *target, now time.Time) bool {
+	index, _, ok := j.job.NextTask()
+	if !ok {
+		return false
+	}
+	return s.startTask(j, index, t, now)
+}
+
+func (s *Scheduler) startTask(j *activeJob, index int, t *target, now time.Time) bool {
+	grantID, ok := t.take(j.class)
+	if !ok {
+		return false
+	}
+	id, ok := j.job.MarkOut(index)
+	if !ok {
+		return false
+	}
+	spec := j.job.Spec()
+	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: j.class, grant: grantID}
+	t.out[taskKey{j.seq, id.Index}] = a
+	j.at[index] = t
+	s.tasksOut++
+	if s.opts.Quotas != nil {
+		s.opts.Quotas.Started(spec.Team)
+	}
+	s.queue.Charge(spec.Team, a.expected)
+	s.updateItem(j)
+	s.recordStart(j, now)
+	s.send(t, &wire.Start{
+		Task:     id,
+		Grant:    grantID,
+		Revision: s.rules.RevisionFor(s.opts.Service, t.announce.Target),
+		Team:     spec.Team,
+		Class:    j.class,
+		TimeLeft: s.timeLeft(j, now),
+		Payload:  spec.Tasks[index].Payload,
+		Demand:   s.demandOnStart(t, now),
+		Acks:     t.takeAcks(),
+	})
+	return true
+}
+
+// timeLeft is what a task may take: the time to the deadline, and no more than
+// the run-time limit of long work, since the class is only an estimate.
+func (s *Scheduler) timeLeft(j *activeJob, now time.Time) time.Duration {
+	left := j.job.Deadline().Sub(now)
+	if service, ok := s.rules.Service(s.opts.Service); ok && service.Long.RunMS > 0 {
+		left = min(left, time.Duration(service.Long.RunMS)*time.Millisecond)
+	}
+	return left
+}
+
+func (s *Scheduler) recordStart(j *activeJob, now time.Time) {
+	s.record.Add(metrics.TaskStarts, 1)
+	if j.started {
+		return
+	}
+	j.started = true
+	s.record.Duration(metrics.QueueSeconds, now.Sub(j.job.Arrived()),
+		metrics.TagTeam, j.job.Spec().Team, metrics.TagClass, j.class.String())
+}
+
+func (t *target) takeAcks() []wire.TaskID {
+	acks := t.acks
+	t.acks = nil
+	return acks
+}
--- /dev/null
+++ b/dispatch/scheduler.go
@@ -0,0 +1,227 @@
+// Package dispatch is one service's scheduler in an entry. It joins the jobs,
+// their queue, the grants of agents and the outcomes of tasks.
+//
+// A Scheduler does no I/O of its own and starts no goroutines: every method
+// takes the time, sends through Sender, and returns at once.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/job"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/queue"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Recorder records metrics; *metrics.Registry is one.
+type Recorder interface {
+	Add(name string, n int64, tags ...string)
+	Duration(name string, d time.Duration, tags ...string)
+	Ratio(name string, v float64, tags ...string)
+}
+
+// Quotas bound the slots that a team uses over all entries.
+type Quotas interface {
+	// Allow reports whether the team may use one more slot.
+	Allow(team string) bool
+	// Started and Ended follow the team's use of slots at this entry.
+	Started(team string)
+	Ended(team string)
+}
+
+// Options configure a Scheduler.
+type Options struct {
+	Service       string
+	Incarnation   wire.Incarnation
+	FailureDomain string
+	Region        string
+	Policy        settings.Policy
+	Limits        settings.Limits
+	Random        *rand.Rand
+	Recorder      Recorder
+	Quotas        Quotas
+	// NextJob returns a job number that is unique within the entry.
+	NextJob func() uint64
+	// Ended is called once for each job that ends, under the scheduler's lock.
+	Ended func(answer job.Answer)
+}
+
+// Scheduler dispatches the jobs of one service at one entry. Its methods are
+// safe for concurrent use.
+type Scheduler struct {
+	opts   Options
+	record Recorder
+
+	mu       sync.Mutex
+	rules    *config.Snapshot
+	jobs     map[uint64]*activeJob
+	expiry   expiryHeap
+	targets  map[string]*target
+	groups   map[string]*group
+	byGroup  []*group // by queue.Group
+	queue    *queue.Queue
+	tasksOut int
+	bytes    int64
+}
+
+// activeJob is a job that was accepted and has not ended.
+type activeJob struct {
+	job      *job.Job
+	seq      uint64
+	group    *group
+	class    wire.Class
+	expected []time.Duration // by task
+	left     time.Duration   // expected work of tasks that are not done
+	at       []*target       // by task: where it is out
+	bytes    int64
+	held     bool
+	queued   bool
+	started  bool
+	longest  time.Duration // longest run time of a finished task
+	done     chan job.Answer
+}
+
+// New returns a scheduler without configuration, which refuses every job until
+// SetRules.
+func New(o Options) *Scheduler {
+	return &Scheduler{
+		opts:    o,
+		record:  o.Recorder,
+		jobs:    make(map[uint64]*activeJob),
+		targets: make(map[string]*target),
+		groups:  make(map[string]*group),
+		queue:   queue.New(queue.Options{Order: queue.Order(o.Policy.Order)}),
+	}
+}
+
+// Ticket is a caller's hold on an accepted job.
+type Ticket struct {
+	s *Scheduler
+	j *activeJob
+}
+
+// Done delivers the job's one answer.
+func (t *Ticket) Done() <-chan job.Answer { return t.j.done }
+
+// ID returns the job's id.
+func (t *Ticket) ID() wire.JobID { return t.j.job.ID() }
+
+// Release lets a held job start.
+func (t *Ticket) Release(now time.Time) { t.s.releaseHeld(t.j, now) }
+
+// Fail ends a job with an error, unless it has ended before.
+func (t *Ticket) Fail(err *result.Error, now time.Time) {
+	t.s.endEarly(t.j, now, func() bool { return t.j.job.Fail(err) })
+}
+
+// Cancel ends a job because its caller went away.
+func (t *Ticket) Cancel(now time.Time) {
+	t.s.endEarly(t.j, now, t.j.job.Cancel)
+}
+
+// Submit accepts a job or refuses it, not run. A held job takes its place in
+// the bounds but does not start before Ticket.Release.
+func (s *Scheduler) Submit(spec *job.Spec, hold bool, now time.Time) (*Ticket, *result.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, refusal := s.groupFor(spec.Labels)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if len(g.targets) == 0 {
+		return nil, result.New(result.NoMatchingTarget, "")
+	}
+	j := s.newJob(spec, g, now)
+	if refusal := s.admit(j); refusal != nil {
+		return nil, refusal
+	}
+	s.accept(j)
+	j.held = hold
+	if !hold {
+		s.enqueue(j)
+		s.pump(now)
+	}
+	return &Ticket{s: s, j: j}, nil
+}
+
+func (s *Scheduler) releaseHeld(j *activeJob, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !j.held || j.job.Ended() {
+		return
+	}
+	j.held = false
+	s.enqueue(j)
+	s.pump(now)
+}
+
+func (s *Scheduler) endEarly(j *activeJob, now time.Time, end func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end() {
+		s.finish(j, now)
+	}
+}
+
+// finish delivers the answer of a job that has ended, takes it out of the queue
+// and cancels what is still out.
+func (s *Scheduler) finish(j *activeJob, now time.Time) {
+	answer, _ := j.job.Answer()
+	s.dequeue(j)
+	s.cancelOut(j)
+	delete(s.jobs, j.seq)
+	s.bytes -= j.bytes
+	s.recordEnd(j, answer, now)
+	if s.opts.Ended != nil {
+		s.opts.Ended(answer)
+	}
+	j.done <- answer
+}
+
+// cancelOut asks the agents to stop the tasks of an ended job. Each task keeps
+// its slot until its outcome arrives.
+func (s *Scheduler) cancelOut(j *activeJob) {
+	ids := j.job.ToCancel()
+	if len(ids) == 0 {
+		return
+	}
+	byTarget := make(map[*target][]wire.TaskID)
+	for _, id := range ids {
+		if t := j.at[id.Index]; t != nil {
+			byTarget[t] = append(byTarget[t], id)
+		}
+	}
+	for t, tasks := range byTarget {
+		s.send(t, &wire.Cancel{Tasks: tasks})
+	}
+}
+
+func (s *Scheduler) recordEnd(j *activeJob, a job.Answer, now time.Time) {
+	team, class := j.job.Spec().Team, j.class.String()
+	if a.Err != nil {
+		s.record.Add(metrics.JobsFailed, 1, metrics.TagCode, a.Err.Code.String())
+		return
+	}
+	took := now.Sub(j.job.Arrived())
+	s.record.Add(metrics.JobsComplete, 1)
+	s.record.Duration(metrics.JobSeconds, took, metrics.TagTeam, team, metrics.TagClass, class)
+	if j.longest > 0 {
+		s.record.Ratio(metrics.ResponseOverhead, float64(took)/float64(j.longest), metrics.TagTeam, team, metrics.TagClass, class)
+	}
+}
+
+// send sends a message to a target that has a link. Errors are left to
+// LinkDown, which always follows.
+func (s *Scheduler) send(t *target, m wire.Message) {
+	if t.link != nil {
+		_ = t.link.Send(m)
+	}
+}
+
+func (s *Scheduler) waste(messages int64) { s.record.Add(metrics.MessagesWasted, messages) }
--- /dev/null
+++ b/dispatch/target.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Sender sends messages to one agent. Send never blocks; an error means that
+// the link is closed, which LinkDown reports as well.
+type Sender interface {
+	Send(m wire.Message) error
+}
+
+// taskKey names a task within one entry.
+type taskKey struct {
+	seq   uint64
+	index uint32
+}
+
+// attempt is a task that was sent to a target and has no final outcome yet.
+type attempt struct {
+	id       wire.TaskID
+	job      *activeJob
+	sent     time.Time
+	expected time.Duration
+	class    wire.Class
+	grant    wire.GrantID
+	overran  bool
+}
+
+// grant is what is left of a grant.
+type grant struct {
+	id        wire.GrantID
+	left      uint32
+	used      bool
+	shortOnly bool
+}
+
+// target is one agent with its target, as one entry's scheduler sees it.
+type target struct {
+	name        string
+	incarnation wire.Incarnation
+	link        Sender // nil while there is no link
+	announce    wire.Announce
+	announced   bool
+	labels      label.Set // announced labels with the operators' overrides
+	drained     bool      // by the operators' configuration
+	stale       bool      // refused a start for its revision; a newer one is on its way
+	distance    int       // 0 same failure domain, 1 same region, 2 other region
+	grants      []grant
+	out         map[taskKey]*attempt
+	lostAt      time.Time
+	load        uint32 // tasks running and waiting at the target, as last heard
+	acks        []wire.TaskID
+	acksSince   time.Time
+	demand      wire.Demand // last sent
+	demandAt    time.Time
+	unanswered  bool // the last demand has led to no grant
+
+}
+
+func newTarget(name string) *target {
+	return &target{name: name, out: make(map[taskKey]*attempt)}
+}
+
+// usable reports whether new work may be sent.
+func (t *target) usable() bool {
+	return t.link != nil && t.announced && !t.announce.Draining && !t.drained && !t.stale
+}
+
+// credit returns the slots that the target's grants leave for a class.
+func (t *target) credit(class wire.Class) int {
+	n := 0
+	for i := range t.grants {
+		if class == wire.ClassShort || !t.grants[i].shortOnly {
+			n += int(t.grants[i].left)
+		}
+	}
+	return n
+}
+
+// take uses one slot for a class. Slots kept for short work go to short tasks
+// first, so that the others stay free for either class.
+func (t *target) take(class wire.Class) (wire.GrantID, bool) {
+	at := -1
+	for i := range t.grants {
+		g := &t.grants[i]
+		switch {
+		case g.left == 0 || g.shortOnly && class == wire.ClassLong:
+		case at < 0 || g.shortOnly && !t.grants[at].shortOnly:
+			at = i
+		}
+	}
+	if at < 0 {
+		return wire.GrantID{}, false
+	}
+	t.grants[at].left--
+	t.grants[at].used = true
+	id := t.grants[at].id
+	if t.grants[at].left == 0 {
+		t.grants = append(t.grants[:at], t.grants[at+1:]...)
+	}
+	return id, true
+}
+
+// drop removes a grant and returns what was left of it.
+func (t *target) drop(id wire.GrantID) (left uint32, used bool) {
+	for i := range t.grants {
+		if t.grants[i].id == id {
+			left, used = t.grants[i].left, t.grants[i].used
+			t.grants = append(t.grants[:i], t.grants[i+1:]...)
+			return left, used
+		}
+	}
+	return 0, true
+}
+
+// dropUpTo removes the grants that the agent made no later than id: an agent
+// that refuses a grant as expired has expired the earlier ones as well.
+func (t *target) dropUpTo(id wire.GrantID) (slots int) {
+	kept := t.grants[:0]
+	for _, g := range t.grants {
+		if g.id.Agent == id.Agent && g.id.Seq > id.Seq {
+			kept = append(kept, g)
+			continue
+		}
+		slots += int(g.left)
+	}
+	t.grants = kept
+	return slots
+}
+
+// outstanding returns the attempts that are out, to query after a reconnect.
+func (t *target) outstanding() []wire.TaskID {
+	ids := make([]wire.TaskID, 0, len(t.out))
+	for _, a := range t.out {
+		ids = append(ids, a.id)
+	}
+	return ids
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/catkinline/catkinline/job"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/result"
+	"github.com/uptrace/bunrouter"
+)
+
+// Result is one task's result in an answer: a JSON string where the bytes are
+// UTF-8, otherwise an object with the bytes in base64.
+type Result []byte
+
+// MarshalJSON implements json.Marshaler.
+func (r Result) MarshalJSON() ([]byte, error) {
+	if utf8.Valid(r) {
+		return json.Marshal(string(r))
+	}
+	return json.Marshal(struct {
+		Base64 string `json:"base64"`
+	}{base64.StdEncoding.EncodeToString(r)})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *Result) UnmarshalJSON(data []byte) error {
+	var text string
+	if json.Unmarshal(data, &text) == nil {
+		*r = Result(text)
+		return nil
+	}
+	var object struct {
+		Base64 []byte `json:"base64"`
+	}
+	if err := json.Unmarshal(data, &object); err != nil {
+		return err
+	}
+	*r = object.Base64
+	return nil
+}
+
+// Answer is the body of every answer to a caller. A complete answer has all
+// results in the order of the tasks; a failed one has none.
+type Answer struct {
+	State        string      `json:"state"` // complete, failed
+	Results      []Result    `json:"results,omitempty"`
+	Code         result.Code `json:"code,omitempty"`
+	Name         string      `json:"name,omitempty"`
+	Reason       string      `json:"reason,omitempty"`
+	Ran          result.Ran  `json:"ran,omitempty"`
+	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
+}
+
+// The states of an Answer.
+const (
+	StateComplete = "complete"
+	StateFailed   = "failed"
+)
+
+// readTimeout bounds how long a caller may take to send a job, so that silent
+// connections do not keep memory.
+const readTimeout = 30 * time.Second
+
+// writeTimeout bounds how long an answer may take to leave.
+const writeTimeout = 30 * time.Second
+
+func (e *Entry) callerRoutes() http.Handler {
+	r := bunrouter.New()
+	r.POST("/v1/services/:service/jobs", e.serveJob)
+	r.GET("/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return writePlain(w, http.StatusOK, "ok")
+	})
+	r.GET("/readyz", e.serveReady)
+	r.GET("/metrics", bunrouter.HTTPHandler(e.metrics.Handler()))
+	r.GET("/v1/counts", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return bunrouter.JSON(w, e.Counts())
+	})
+	return r
+}
+
+func writePlain(w http.ResponseWriter, status int, text string) error {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, err := w.Write([]byte(text + "\n"))
+	return err
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (e *Entry) serveReady(w http.ResponseWriter, _ bunrouter.Request) error {
+	if reason := e.notReady(); reason != "" {
+		return writePlain(w, http.StatusServiceUnavailable, reason)
+	}
+	return writePlain(w, http.StatusOK, "ready")
+}
+
+func (e *Entry) serveJob(w http.ResponseWriter, req bunrouter.Request) error {
+	e.requests.Add(1)
+	defer e.requests.Add(-1)
+	e.counts.entered.Add(1)
+	e.metrics.Add(metrics.JobsEntered, 1)
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(readTimeout))
+	spec, failure := job.Decode(req.Body, e.jobLimits())
+	_ = controller.SetReadDeadline(time.Time{})
+	if failure != nil {
+		return e.refuse(w, failure)
+	}
+	pending, failure := e.submit(req.Context(), req.Param("service"), spec)
+	if failure != nil {
+		return e.refuse(w, failure)
+	}
+	answer := pending.wait(req.Context())
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return writeAnswer(w, answer)
+}
+
+// refuse answers a job that was not accepted.
+func (e *Entry) refuse(w http.ResponseWriter, failure *result.Error) error {
+	e.counts.refused.Add(1)
+	e.metrics.Add(metrics.JobsRefused, 1, metrics.TagCode, failure.Code.String())
+	return writeAnswer(w, job.Answer{Err: failure})
+}
+
+func writeAnswer(w http.ResponseWriter, a job.Answer) error {
+	body, status := encodeAnswer(a)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if a.Err != nil && a.Err.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.Err.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(status)
+	_, err := w.Write(body)
+	return err
+}
+
+// encodeAnswer returns the whole body before the status is sent, so that an
+// answer that cannot be encoded is not sent in part.
+func encodeAnswer(a job.Answer) ([]byte, int) {
+	out := Answer{State: StateComplete}
+	status := http.StatusOK
+	if a.Err != nil {
+		out = failedAnswer(a.Err)
+		info, _ := result.Lookup(a.Err.Code)
+		status = info.Status
+	}
+	for _, r := range a.Results {
+		out.Results = append(out.Results, Result(r))
+	}
+	body, err := json.Marshal(out)
+	if err != nil {
+		body, _ = json.Marshal(failedAnswer(result.New(result.OutcomeUnknown, "the answer cannot be encoded")))
+		return body, http.StatusInternalServerError
+	}
+	return append(body, '\n'), status
+}
+
+func failedAnswer(err *result.Error) Answer {
+	return Answer{
+		State:        StateFailed,
+		Code:         err.Code,
+		Name:         err.Code.String(),
+		Reason:       err.Reason,
+		Ran:          err.Ran,
+		RetryAfterMS: err.RetryAfter.Milliseconds(),
+	}
+}
+
+// pendingJob is an accepted job whose caller waits.
+type pendingJob struct {
+	done   <-chan job.Answer
+	cancel func()
+}
+
+// wait returns the job's answer. A caller that goes away cancels its job; the
+// job's end is still awaited, so that it is accounted for.
+func (p pendingJob) wait(ctx context.Context) job.Answer {
+	select {
+	case a := <-p.done:
+		return a
+	case <-ctx.Done():
+		p.cancel()
+		return <-p.done
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,286 @@
+// Package entry is the entry process: the callers' API, the links to agents and
+// to other entries, and the schedulers of the services.
+package entry
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinline/catkinline/claim"
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/job"
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+	tomb "gopkg.in/tomb.v2"
+)
+
+// Error is the class of errors of an entry's life cycle.
+var Error = errs.Class("entry")
+
+// Entry is one entry process.
+type Entry struct {
+	settings    settings.Entry
+	log         *zap.Logger
+	metrics     *metrics.Registry
+	incarnation wire.Incarnation
+	credentials *transport.Credentials
+	store       *platform.Counted // nil without a store
+	config      *config.Holder
+	watcher     *config.Watcher // nil without a store
+	members     *member.Members
+	claims      *claim.Claims // nil without a store
+	quotas      *quotaBook
+	tomb        tomb.Tomb
+	started     time.Time
+
+	schedulers atomic.Pointer[map[string]*dispatch.Scheduler]
+	jobs       atomic.Uint64
+	stopping   atomic.Bool // a planned stop has begun
+	refusing   atomic.Bool // new jobs are refused
+	counts     counts
+	requests   atomic.Int64 // job requests being served
+	dialling   sync.Map // addresses of peers that a loop dials
+
+	mu         sync.RWMutex
+	agents     map[*transport.Link]*agentLink
+	peers      map[*transport.Link]bool
+	confirmed  map[string]uint64 // revision by peer name, as last heard
+	listener   *transport.Listener
+	callerAddr net.Addr
+}
+
+// Options are what an entry needs beside its settings.
+type Options struct {
+	Settings settings.Entry
+	Log      *zap.Logger
+	Store    platform.Store // nil: none
+}
+
+// New returns an entry that Run starts.
+func New(o Options) (*Entry, error) {
+	self := transport.Identity{Role: wire.RoleEntry, Name: o.Settings.Name}
+	credentials, err := transport.NewCredentials(o.Settings.TLS, self)
+	if err != nil {
+		return nil, err
+	}
+	if o.Settings.Advertise == "" {
+		o.Settings.Advertise = o.Settings.LinkAddress
+	}
+	e := &Entry{
+		settings:    o.Settings,
+		log:         o.Log,
+		metrics:     metrics.New(map[string]string{"role": "entry", "instance": o.Settings.Name}),
+		incarnation: wire.NewIncarnation(time.Now()),
+		credentials: credentials,
+		config:      config.NewHolder(),
+		quotas:      newQuotaBook(),
+		started:     time.Now(),
+		agents:      make(map[*transport.Link]*agentLink),
+		peers:       make(map[*transport.Link]bool),
+		confirmed:   make(map[string]uint64),
+	}
+	e.schedulers.Store(&map[string]*dispatch.Scheduler{})
+	if o.Store != nil {
+		e.store = platform.NewCounted(o.Store)
+	}
+	return e, nil
+}
+
+func (e *Entry) linkOptions() transport.Options {
+	return transport.Options{
+		Self:        transport.Identity{Role: wire.RoleEntry, Name: e.settings.Name},
+		Incarnation: e.incarnation,
+		Credentials: e.credentials,
+		Handler:     linkHandler{e},
+		Revision:    func() uint64 { return e.config.Current().Revision() },
+		Counter:     messageCounter{e.metrics},
+	}
+}
+
+// messageCounter counts messages by type.
+type messageCounter struct{ metrics *metrics.Registry }
+
+// CountMessage implements transport.Counter.
+func (c messageCounter) CountMessage(t wire.Type, bytes int, sent bool) {
+	if sent {
+		c.metrics.Add(metrics.MessagesSent, 1, metrics.TagType, t.String())
+		c.metrics.Add(metrics.MessageBytesSent, int64(bytes))
+		return
+	}
+	c.metrics.Add(metrics.MessagesReceived, 1, metrics.TagType, t.String())
+	c.metrics.Add(metrics.MessageBytesRead, int64(bytes))
+}
+
+// Run serves until ctx is cancelled, which begins a planned stop, and returns
+// when that stop has ended.
+func (e *Entry) Run(ctx context.Context) error {
+	if err := e.start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		e.drain()
+	case <-e.tomb.Dying():
+	}
+	e.tomb.Kill(nil)
+	return e.stop()
+}
+
+// start opens every address before the entry registers itself, so that nobody
+// is sent to an address that does not answer.
+func (e *Entry) start() error {
+	if err := e.startMembers(); err != nil {
+		return err
+	}
+	listener, err := transport.Listen(e.settings.LinkAddress, e.linkOptions())
+	if err != nil {
+		return err
+	}
+	e.listener = listener
+	if err := e.serveCallers(); err != nil {
+		return err
+	}
+	if err := e.serveOperators(); err != nil {
+		return err
+	}
+	e.tomb.Go(e.configLoop)
+	e.tomb.Go(e.peerLoop)
+	e.tomb.Go(e.tickLoop)
+	e.log.Info("entry started", zap.String("name", e.settings.Name), zap.String("callers", e.callerAddr.String()))
+	return nil
+}
+
+func (e *Entry) serveCallers() error {
+	l, err := net.Listen("tcp", e.settings.CallerAddress)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	e.callerAddr = l.Addr()
+	e.serveHTTP(l, e.callerRoutes())
+	return nil
+}
+
+// headerTimeout bounds how long a connection may take to send a request's
+// header; idleTimeout closes kept-alive connections that went silent.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// serveHTTP serves until the tomb dies. The planned stop waits for requests
+// first, so that Shutdown finds none.
+func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	e.tomb.Go(func() error {
+		<-e.tomb.Dying()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return server.Shutdown(ctx)
+	})
+	e.tomb.Go(func() error {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+}
+
+// CallerAddress returns the address that serves callers.
+func (e *Entry) CallerAddress() string { return e.callerAddr.String() }
+
+// scheduler returns the scheduler of a service, and creates it on first use.
+func (e *Entry) scheduler(service string) *dispatch.Scheduler {
+	if s := (*e.schedulers.Load())[service]; s != nil {
+		return s
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := *e.schedulers.Load()
+	if s := known[service]; s != nil {
+		return s
+	}
+	s := dispatch.New(dispatch.Options{
+		Service:       service,
+		Incarnation:   e.incarnation,
+		FailureDomain: e.settings.FailureDomain,
+		Region:        e.settings.Region,
+		Policy:        e.settings.Policy,
+		Limits:        e.settings.Limits,
+		Random:        rand.New(rand.NewPCG(uint64(e.incarnation), uint64(len(known)))),
+		Recorder:      e.metrics,
+		Quotas:        e.quotas,
+		NextJob:       func() uint64 { return e.jobs.Add(1) },
+		Ended:         func(a job.Answer) { e.counts.end(a) },
+	})
+	if current := e.config.Current(); current.Revision() > 0 {
+		s.SetRules(current, time.Now())
+	}
+	next := maps.Clone(known)
+	next[service] = s
+	e.schedulers.Store(&next)
+	return s
+}
+
+func (e *Entry) tickLoop() error {
+	ticker := time.NewTicker(dispatch.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			for _, s := range *e.schedulers.Load() {
+				s.Tick(now)
+			}
+		}
+	}
+}
+
+// configLoop takes each new configuration into force.
+func (e *Entry) configLoop() error {
+	changed, cancel := e.config.Subscribe()
+	defer cancel()
+	for {
+		e.applyConfig()
+		select {
+		case <-e.tomb.Dying():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// applyConfig sends the agents their views before the schedulers may stamp the
+// new revision on starts.
+func (e *Entry) applyConfig() {
+	current := e.config.Current()
+	e.mu.Lock()
+	for _, a := range e.agents {
+		e.sendView(a)
+	}
+	e.mu.Unlock()
+	for name := range current.Document().Services {
+		e.scheduler(name)
+	}
+	now := time.Now()
+	for _, s := range *e.schedulers.Load() {
+		s.SetRules(current, now)
+	}
+	e.quotas.setTeams(current.Teams(), now)
+	e.metrics.Set(metrics.ConfigRevision, float64(current.Revision()))
+	e.sendPeerState()
+	e.log.Info("configuration in force", zap.Uint64("revision", current.Revision()))
+}
--- /dev/null
+++ b/entry/links.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+	"go.uber.org/zap"
+)
+
+// agentLink is an open link to an agent.
+type agentLink struct {
+	link      *transport.Link
+	announce  wire.Announce
+	scheduler *dispatch.Scheduler // set by the first announcement
+	spec      []byte              // configuration view last sent on this link
+}
+
+// linkHandler passes what happens on links to the entry.
+type linkHandler struct{ e *Entry }
+
+// LinkUp implements transport.Handler.
+func (h linkHandler) LinkUp(l *transport.Link) {
+	if l.Role() == wire.RoleEntry {
+		h.e.peerUp(l)
+		return
+	}
+	h.e.agentUp(l)
+}
+
+// LinkDown implements transport.Handler.
+func (h linkHandler) LinkDown(l *transport.Link, err error) {
+	if l.Role() == wire.RoleEntry {
+		h.e.peerDown(l, err)
+		return
+	}
+	h.e.agentDown(l, err)
+}
+
+// Handle implements transport.Handler.
+func (h linkHandler) Handle(l *transport.Link, m wire.Message) {
+	if l.Role() == wire.RoleEntry {
+		h.e.handlePeer(l, m)
+		return
+	}
+	h.e.handleAgent(l, m)
+}
+
+func (e *Entry) agentUp(l *transport.Link) {
+	e.mu.Lock()
+	e.agents[l] = &agentLink{link: l}
+	e.mu.Unlock()
+	_ = l.Send(e.peersMessage())
+	if e.stopping.Load() {
+		_ = l.Send(&wire.Leave{})
+	}
+}
+
+func (e *Entry) agentDown(l *transport.Link, err error) {
+	e.mu.Lock()
+	a := e.agents[l]
+	delete(e.agents, l)
+	e.mu.Unlock()
+	if a == nil || a.scheduler == nil {
+		return
+	}
+	a.scheduler.LinkDown(l.Name(), l, time.Now())
+	e.log.Info("agent link closed", zap.String("agent", l.Name()), zap.Error(err))
+}
+
+// handleAgent handles a message from an agent. Until the agent has announced
+// its target there is nothing that its other messages could be about.
+func (e *Entry) handleAgent(l *transport.Link, m wire.Message) {
+	now := time.Now()
+	if a, ok := m.(*wire.Announce); ok {
+		e.handleAnnounce(l, a, now)
+		return
+	}
+	if v, ok := m.(*wire.View); ok {
+		e.mergeView(*v)
+		return
+	}
+	s := e.schedulerOf(l)
+	if s == nil {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Grant:
+		s.HandleGrant(l.Name(), l, m, now)
+	case *wire.Outcome:
+		s.HandleOutcome(l.Name(), l, m, now)
+	case *wire.Revoke:
+		s.HandleRevoke(l.Name(), l, m, now)
+	case *wire.Leave:
+		s.HandleLeave(l.Name(), l, now)
+	}
+}
+
+func (e *Entry) schedulerOf(l *transport.Link) *dispatch.Scheduler {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	if a := e.agents[l]; a != nil {
+		return a.scheduler
+	}
+	return nil
+}
+
+// handleAnnounce joins an agent to the scheduler of its service. The view goes
+// out before anything else, so that no start can carry a revision whose view
+// the agent has not been sent.
+func (e *Entry) handleAnnounce(l *transport.Link, m *wire.Announce, now time.Time) {
+	s := e.scheduler(m.Service)
+	e.mu.Lock()
+	a := e.agents[l]
+	if a == nil || a.scheduler != nil && a.announce.Service != m.Service {
+		e.mu.Unlock()
+		_ = l.Close(nil)
+		return
+	}
+	first := a.scheduler == nil
+	a.scheduler = s
+	a.announce = *m
+	e.sendView(a)
+	e.mu.Unlock()
+	if first {
+		if !s.LinkUp(l.Name(), l.Incarnation(), l, now) {
+			e.log.Warn("an earlier incarnation of an agent was refused", zap.String("agent", l.Name()))
+			_ = l.Close(nil)
+			return
+		}
+		e.log.Info("agent linked", zap.String("agent", l.Name()), zap.String("target", m.Target))
+	}
+	s.HandleAnnounce(l.Name(), l, m, now)
+}
+
+// sendView sends an agent its view if the view has changed since it was last
+// sent on this link. Otherwise the heartbeats' revision says that it still
+// holds. It must be called with mu held.
+func (e *Entry) sendView(a *agentLink) {
+	snapshot := e.config.Current()
+	if snapshot.Revision() == 0 || a.scheduler == nil {
+		return
+	}
+	view, err := snapshot.View(a.announce.Service, a.announce.Target)
+	if err != nil {
+		e.log.Error("agent view cannot be encoded", zap.Error(err))
+		return
+	}
+	if bytes.Equal(view.Spec, a.spec) {
+		return
+	}
+	a.spec = view.Spec
+	_ = a.link.Send(&view)
+}
+
+func (e *Entry) mergeView(v wire.View) {
+	merged, err := e.config.MergeView(v)
+	if err != nil {
+		e.log.Warn("an agent handed back an invalid view", zap.Error(err))
+		return
+	}
+	if merged {
+		e.requestDocument(v.Revision)
+	}
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+	"go.uber.org/zap"
+)
+
+// Timing of the links between entries.
+const (
+	// peerStateInterval bounds how old an entry's picture of the others' use of
+	// quotas is.
+	peerStateInterval = 500 * time.Millisecond
+	// dialInterval is the pause between attempts to reach a peer, jittered so
+	// that entries that start together do not dial in step.
+	dialInterval = time.Second
+	// yieldTime is how long an entry leaves the first attempt to the other side,
+	// so that two entries do not open two links to each other.
+	yieldTime = 3 * time.Second
+)
+
+func (e *Entry) peerUp(l *transport.Link) {
+	e.mu.Lock()
+	e.peers[l] = true
+	e.mu.Unlock()
+	e.log.Info("peer linked", zap.String("peer", l.Name()))
+	_ = l.Send(e.peersMessage())
+}
+
+func (e *Entry) peerDown(l *transport.Link, err error) {
+	e.mu.Lock()
+	delete(e.peers, l)
+	gone := !e.linkedLocked(l.Name())
+	e.mu.Unlock()
+	if gone {
+		e.members.Unlinked(wire.Peer{Name: l.Name(), Incarnation: l.Incarnation()})
+		e.log.Info("peer link closed", zap.String("peer", l.Name()), zap.Error(err))
+	}
+}
+
+func (e *Entry) linkedLocked(name string) bool {
+	for l := range e.peers {
+		if l.Name() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// handlePeer handles a message from another entry.
+func (e *Entry) handlePeer(l *transport.Link, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Heartbeat:
+		e.heardRevision(l, m.Revision)
+	case *wire.PeerState:
+		e.heardRevision(l, m.Revision)
+		e.handlePeerState(l, m)
+	case *wire.DocumentRequest:
+		e.answerDocument(l, m)
+	case *wire.Document:
+		e.adoptDocument(m)
+	case *wire.Peers:
+		e.handlePeers(l, m)
+	}
+}
+
+// heardRevision asks a peer for its document when it knows a newer one.
+func (e *Entry) heardRevision(l *transport.Link, revision uint64) {
+	e.noteConfirmed(l.Name(), revision)
+	if known := e.config.Current().Revision(); revision > known {
+		_ = l.Send(&wire.DocumentRequest{Newer: known})
+	}
+}
+
+// requestDocument asks every peer and the store for a document that an agent
+// has shown to exist.
+func (e *Entry) requestDocument(revision uint64) {
+	known := e.config.Current().Revision()
+	if known >= revision {
+		return
+	}
+	if e.watcher != nil {
+		e.watcher.Refresh()
+	}
+	for _, l := range e.peerLinks() {
+		_ = l.Send(&wire.DocumentRequest{Newer: known})
+	}
+}
+
+func (e *Entry) answerDocument(l *transport.Link, m *wire.DocumentRequest) {
+	current := e.config.Current()
+	if current.Revision() > m.Newer {
+		_ = l.Send(&wire.Document{Revision: current.Revision(), Body: current.Body()})
+	}
+}
+
+func (e *Entry) adoptDocument(m *wire.Document) {
+	if _, err := e.config.AdoptBody(m.Revision, m.Body); err != nil {
+		e.log.Warn("a peer sent an invalid configuration", zap.Uint64("revision", m.Revision), zap.Error(err))
+	}
+}
+
+func (e *Entry) peerLinks() []*transport.Link {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	links := make([]*transport.Link, 0, len(e.peers))
+	for l := range e.peers {
+		links = append(links, l)
+	}
+	return links
+}
+
+func (e *Entry) self() wire.Peer {
+	return wire.Peer{
+		Name:          e.settings.Name,
+		Address:       e.settings.Advertise,
+		FailureDomain: e.settings.FailureDomain,
+		Region:        e.settings.Region,
+		Incarnation:   e.incarnation,
+	}
+}
+
+// peersMessage lists this entry first, so that the receiver learns the
+// addresses of the sender, then the entries that it knows at first hand.
+func (e *Entry) peersMessage() *wire.Peers {
+	return &wire.Peers{Peers: append([]wire.Peer{e.self()}, e.members.Snapshot().Direct...)}
+}
+
+// handlePeers takes in a peer's list. Its first element is the sender.
+func (e *Entry) handlePeers(l *transport.Link, m *wire.Peers) {
+	if len(m.Peers) == 0 || m.Peers[0].Name != l.Name() {
+		return
+	}
+	e.members.Linked(m.Peers[0])
+	e.members.Heard(m.Peers[1:])
+}
+
+// peerLoop keeps agents told of the entries and links to the entries dialled.
+func (e *Entry) peerLoop() error {
+	ticker := time.NewTicker(peerStateInterval)
+	defer ticker.Stop()
+	for _, address := range e.settings.Peers {
+		e.dialPeer(address)
+	}
+	for {
+		changed := e.members.Snapshot().Changed()
+		for _, p := range e.members.Snapshot().Peers {
+			e.dialPeer(p.Address)
+		}
+		select {
+		case <-e.tomb.Dying():
+			return nil
+		case <-changed:
+			e.tellPeers()
+		case <-ticker.C:
+			e.sendPeerState()
+		}
+	}
+}
+
+// tellPeers sends the list of entries to every agent and peer.
+func (e *Entry) tellPeers() {
+	message := e.peersMessage()
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for l := range e.agents {
+		_ = l.Send(message)
+	}
+	for l := range e.peers {
+		_ = l.Send(message)
+	}
+}
+
+func (e *Entry) sendPeerState() {
+	state := &wire.PeerState{
+		Revision: e.config.Current().Revision(),
+		Teams:    e.quotas.Report(),
+		Leaving:  e.stopping.Load(),
+	}
+	for _, l := range e.peerLinks() {
+		_ = l.Send(state)
+	}
+}
+
+// dialPeer starts a loop that keeps a link to an address, once per address.
+func (e *Entry) dialPeer(address string) {
+	if address == e.settings.Advertise {
+		return
+	}
+	if _, running := e.dialling.LoadOrStore(address, true); running {
+		return
+	}
+	e.tomb.Go(func() error {
+		defer e.dialling.Delete(address)
+		e.dialLoop(address)
+		return nil
+	})
+}
+
+func (e *Entry) dialLoop(address string) {
+	ctx := e.tomb.Context(context.Background())
+	if address < e.settings.Advertise {
+		e.pause(yieldTime)
+	}
+	for e.tomb.Alive() && e.wanted(address) {
+		if !e.linkedAddress(address) {
+			_ = transport.Dial(ctx, address, e.linkOptions())
+		}
+		e.pause(dialInterval/2 + rand.N(dialInterval))
+	}
+}
+
+// wanted reports whether an address belongs to a configured or a live entry.
+func (e *Entry) wanted(address string) bool {
+	for _, a := range e.settings.Peers {
+		if a == address {
+			return true
+		}
+	}
+	for _, p := range e.members.Snapshot().Peers {
+		if p.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) linkedAddress(address string) bool {
+	for _, p := range e.members.Snapshot().Peers {
+		if p.Address != address {
+			continue
+		}
+		e.mu.RLock()
+		defer e.mu.RUnlock()
+		return e.linkedLocked(p.Name)
+	}
+	return false
+}
+
+func (e *Entry) pause(d time.Duration) {
+	select {
+	case <-e.tomb.Dying():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+	"go.uber.org/zap"
+)
+
+// Bounds of a planned stop.
+const (
+	// pollInterval is how often a stop looks whether work has ended.
+	pollInterval = 20 * time.Millisecond
+	// agentGrace is how long a new entry waits for its first agent before it
+	// reports itself ready: a balancer should not send jobs that nothing can run.
+	agentGrace = 3 * time.Second
+	// leaveTimeout bounds the store calls of a stop.
+	leaveTimeout = 2 * time.Second
+)
+
+// notReady returns why the balancer should not send callers here, or an empty
+// text.
+func (e *Entry) notReady() string {
+	switch {
+	case e.stopping.Load():
+		return "stopping"
+	case e.config.Current().Revision() == 0:
+		return "no configuration yet"
+	case e.agentCount() == 0 && time.Since(e.started) < agentGrace:
+		return "no agent yet"
+	}
+	return ""
+}
+
+func (e *Entry) agentCount() int {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return len(e.agents)
+}
+
+// drain is the planned stop: readiness fails first; after the balancer had time
+// to see it, new jobs are refused; then every accepted job is answered.
+func (e *Entry) drain() {
+	e.log.Info("planned stop begins", zap.Int64("running", e.counts.running.Load()))
+	e.stopping.Store(true)
+	e.sendPeerState()
+	time.Sleep(time.Duration(e.settings.DrainSeconds * float64(time.Second)))
+	e.refusing.Store(true)
+	for e.unanswered() > 0 && e.tomb.Alive() {
+		time.Sleep(pollInterval)
+	}
+	e.leave()
+}
+
+// unanswered counts the requests that are being read, run or answered.
+func (e *Entry) unanswered() int64 { return e.requests.Load() }
+
+// leave tells everyone that this entry is gone.
+func (e *Entry) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := e.members.Stop(ctx); err != nil {
+		e.log.Warn("the entry's key could not be removed from the store", zap.Error(err))
+	}
+	e.mu.RLock()
+	for l := range e.agents {
+		_ = l.Send(&wire.Leave{})
+	}
+	e.mu.RUnlock()
+	time.Sleep(5 * pollInterval) // lets the messages leave before the links close
+}
+
+// stop ends everything that Run started.
+func (e *Entry) stop() error {
+	if e.watcher != nil {
+		_ = e.watcher.Stop()
+	}
+	if e.listener != nil {
+		_ = e.listener.Close()
+	}
+	err := e.tomb.Wait()
+	_ = e.metrics.Close()
+	e.log.Info("entry stopped", zap.Any("counts", e.Counts()))
+	return err
+}
--- a/label/label.go
+++ b/label/label.go
@@ -3,6 +3,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/zeebo/errs"
@@ -70,3 +71,14 @@
 	}
 	return c == '.' || c == '_' || c == '/' || c == '-'
 }
+
+// maxQuoted bounds how much of a caller's text an error repeats.
+const maxQuoted = 64
+
+// Quote returns a caller's text, shortened and quoted, for an error message.
+func Quote(s string) string {
+	if len(s) > maxQuoted {
+		s = s[:maxQuoted]
+	}
+	return strconv.Quote(s)
+}
--- /dev/null
+++ b/metrics/registry.go
@@ -0,0 +1,151 @@
+package metrics
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often counters reach the page.
+const reportInterval = 500 * time.Millisecond
+
+// durationBuckets cover 1 ms to 65 s, doubling: the run times of tasks span
+// 50 ms to 30 s.
+var durationBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 17)
+
+// ratioBuckets cover response over ideal from 1 to about 500.
+var ratioBuckets = tally.MustMakeExponentialValueBuckets(1, 1.5, 16)
+
+// Registry is one process's metrics. Its methods are safe for concurrent use
+// and cost a map lookup in a copy-on-write snapshot.
+type Registry struct {
+	scope      tally.Scope
+	closer     io.Closer
+	handler    http.Handler
+	counters   vector[tally.Counter]
+	gauges     vector[tally.Gauge]
+	histograms vector[tally.Histogram]
+}
+
+// New returns an empty registry. Tags are added to every metric.
+func New(tags map[string]string) *Registry {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 Prefix,
+		Tags:                   tags,
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Registry{
+		scope:   scope,
+		closer:  closer,
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}
+}
+
+// Close stops reporting.
+func (r *Registry) Close() error { return r.closer.Close() }
+
+// Handler serves the page in the Prometheus text format.
+func (r *Registry) Handler() http.Handler { return r.handler }
+
+// Add adds n to a counter. Tags are pairs of key and value.
+func (r *Registry) Add(name string, n int64, tags ...string) {
+	c := r.counters.get(name, tags, func() tally.Counter { return r.tagged(tags).Counter(name) })
+	c.Inc(n)
+}
+
+// Set sets a gauge.
+func (r *Registry) Set(name string, value float64, tags ...string) {
+	g := r.gauges.get(name, tags, func() tally.Gauge { return r.tagged(tags).Gauge(name) })
+	g.Update(value)
+}
+
+// Duration records a duration in a histogram.
+func (r *Registry) Duration(name string, d time.Duration, tags ...string) {
+	h := r.histograms.get(name, tags, func() tally.Histogram {
+		return r.tagged(tags).Histogram(name, durationBuckets)
+	})
+	h.RecordDuration(d)
+}
+
+// Ratio records a ratio in a histogram.
+func (r *Registry) Ratio(name string, v float64, tags ...string) {
+	h := r.histograms.get(name, tags, func() tally.Histogram {
+		return r.tagged(tags).Histogram(name, ratioBuckets)
+	})
+	h.RecordValue(v)
+}
+
+func (r *Registry) tagged(tags []string) tally.Scope {
+	if len(tags) == 0 {
+		return r.scope
+	}
+	m := make(map[string]string, len(tags)/2)
+	for i := 0; i+1 < len(tags); i += 2 {
+		m[tags[i]] = tags[i+1]
+	}
+	return r.scope.Tagged(m)
+}
+
+// vector caches metrics by name and tags, so that the request path neither
+// takes a lock nor builds tally's tag maps.
+type vector[M any] struct {
+	mu       sync.Mutex
+	snapshot atomic.Pointer[map[string]M]
+}
+
+func (v *vector[M]) get(name string, tags []string, create func() M) M {
+	key := name
+	if len(tags) > 0 {
+		key = name + "\x00" + strings.Join(tags, "\x00")
+	}
+	if known := v.snapshot.Load(); known != nil {
+		if m, ok := (*known)[key]; ok {
+			return m
+		}
+	}
+	return v.add(key, create)
+}
+
+func (v *vector[M]) add(key string, create func() M) M {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := map[string]M{}
+	if old := v.snapshot.Load(); old != nil {
+		if m, ok := (*old)[key]; ok {
+			return m
+		}
+		known = maps.Clone(*old)
+	}
+	m := create()
+	known[key] = m
+	v.snapshot.Store(&known)
+	return m
+}
+
+// Keys returns the sorted names and tags of all counters, for tests.
+func (r *Registry) Keys() []string {
+	known := r.counters.snapshot.Load()
+	if known == nil {
+		return nil
+	}
+	keys := make([]string, 0, len(*known))
+	for k := range *known {
+		keys = append(keys, strings.ReplaceAll(k, "\x00", " "))
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/transport/connect.go
@@ -0,0 +1,200 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+	"github.com/quic-go/quic-go"
+	tomb "gopkg.in/tomb.v2"
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIdleTimeout:        2 * SilenceLimit,
+		MaxIncomingUniStreams: maxLargeStreams,
+		MaxIncomingStreams:    1,
+	}
+}
+
+// Listener accepts links.
+type Listener struct {
+	opts     Options
+	listener *quic.Listener
+	tomb     tomb.Tomb
+}
+
+// Listen serves links on a UDP address until Close.
+func Listen(address string, opts Options) (*Listener, error) {
+	q, err := quic.ListenAddr(address, opts.Credentials.TLS(protocolName), quicConfig())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	l := &Listener{opts: opts, listener: q}
+	l.tomb.Go(l.acceptLoop)
+	return l, nil
+}
+
+// Address returns the address that the listener is bound to.
+func (l *Listener) Address() net.Addr { return l.listener.Addr() }
+
+// Close stops the listener and every link that it accepted.
+func (l *Listener) Close() error {
+	l.tomb.Kill(nil)
+	_ = l.listener.Close()
+	return l.tomb.Wait()
+}
+
+func (l *Listener) acceptLoop() error {
+	ctx := l.tomb.Context(context.Background())
+	for {
+		conn, err := l.listener.Accept(ctx)
+		if err != nil {
+			return nil
+		}
+		l.tomb.Go(func() error {
+			l.serve(ctx, conn)
+			return nil
+		})
+	}
+}
+
+func (l *Listener) serve(ctx context.Context, conn *quic.Conn) {
+	link, err := accept(ctx, conn, l.opts)
+	if err != nil {
+		_ = conn.CloseWithError(1, err.Error())
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { link.Close(nil) })
+	defer stop()
+	_ = link.run()
+}
+
+func accept(ctx context.Context, conn *quic.Conn, opts Options) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	identity, err := PeerIdentity(conn.ConnectionState().TLS)
+	if err != nil {
+		return nil, err
+	}
+	control, err := conn.AcceptStream(ctx)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	link := newLink(opts, conn, control)
+	_ = control.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	m, _, err := wire.Read(link.reader)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	welcome := &wire.Welcome{Version: wire.Version, Name: opts.Self.Name, Incarnation: opts.Incarnation}
+	welcome.Refusal = refusal(m, identity)
+	frame, err := wire.Encode(welcome)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := control.Write(frame); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if welcome.Refusal != "" {
+		awaitClose(ctx, conn)
+		return nil, Error.New("%s", welcome.Refusal)
+	}
+	link.peer = identity
+	link.incarnation = m.(*wire.Hello).Incarnation
+	return link, nil
+}
+
+// awaitClose lets the dialer read the refusal and close before the connection
+// is torn down, which would drop the refusal.
+func awaitClose(ctx context.Context, conn *quic.Conn) {
+	select {
+	case <-conn.Context().Done():
+	case <-ctx.Done():
+	}
+}
+
+// refusal returns why a peer is refused, or an empty text.
+func refusal(m wire.Message, identity Identity) string {
+	hello, ok := m.(*wire.Hello)
+	switch {
+	case !ok:
+		return "the first message is not a hello"
+	case hello.Version != wire.Version:
+		return "protocol version not supported"
+	case hello.Role != identity.Role || hello.Name != identity.Name:
+		return "the hello's role and name differ from the certificate's"
+	case hello.Role != wire.RoleAgent && hello.Role != wire.RoleEntry:
+		return "this role may not open links"
+	}
+	return ""
+}
+
+// Dial opens a link from a new UDP socket and serves it until it closes. A new
+// socket each time gives the path new state where an old flow has gone silent.
+func Dial(ctx context.Context, address string, opts Options) error {
+	link, err := connect(ctx, address, opts)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { link.Close(nil) })
+	defer stop()
+	return link.run()
+}
+
+func connect(ctx context.Context, address string, opts Options) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*handshakeTimeout)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, address, opts.Credentials.TLS(protocolName), quicConfig())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	link, err := greet(ctx, conn, opts)
+	if err != nil {
+		_ = conn.CloseWithError(1, err.Error())
+		return nil, err
+	}
+	return link, nil
+}
+
+func greet(ctx context.Context, conn *quic.Conn, opts Options) (*Link, error) {
+	identity, err := PeerIdentity(conn.ConnectionState().TLS)
+	if err != nil {
+		return nil, err
+	}
+	if identity.Role != wire.RoleEntry {
+		return nil, Error.New("the peer's role is %s, want %s", identity.Role, wire.RoleEntry)
+	}
+	control, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	hello := &wire.Hello{Version: wire.Version, Role: opts.Self.Role, Name: opts.Self.Name, Incarnation: opts.Incarnation}
+	frame, err := wire.Encode(hello)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := control.Write(frame); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	link := newLink(opts, conn, control)
+	_ = control.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	m, _, err := wire.Read(link.reader)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	welcome, ok := m.(*wire.Welcome)
+	if !ok {
+		return nil, Error.New("the first message is not a welcome")
+	}
+	if welcome.Refusal != "" {
+		return nil, Error.New("%s refused the link: %s", identity.Name, welcome.Refusal)
+	}
+	link.peer = identity
+	link.incarnation = welcome.Incarnation
+	return link, nil
+}
--- /dev/null
+++ b/transport/link_test.go
@@ -0,0 +1,125 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// recorder passes what a handler sees to channels.
+type recorder struct {
+	up       chan *Link
+	messages chan wire.Message
+	down     chan error
+}
+
+func newRecorder() *recorder {
+	return &recorder{up: make(chan *Link, 4), messages: make(chan wire.Message, 64), down: make(chan error, 4)}
+}
+
+func (r *recorder) LinkUp(l *Link)                 { r.up <- l }
+func (r *recorder) Handle(_ *Link, m wire.Message) { r.messages <- m }
+func (r *recorder) LinkDown(_ *Link, err error)    { r.down <- err }
+
+func (r *recorder) next(want wire.Type) wire.Message {
+	for m := range r.messages {
+		if m.Type() == want {
+			return m
+		}
+	}
+	return nil
+}
+
+func options(t *testing.T, role wire.Role, secret string, h Handler) Options {
+	t.Helper()
+	self := Identity{Role: role, Name: string(role) + "-1"}
+	c, err := NewCredentials(settings.TLS{DevelopmentSecret: secret}, self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{
+		Self: self, Incarnation: wire.NewIncarnation(time.Now()), Credentials: c,
+		Handler: h, Revision: func() uint64 { return 7 },
+	}
+}
+
+func listen(t *testing.T, h Handler) *Listener {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", options(t, wire.RoleEntry, "a", h))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// Guards against a large result that holds up, loses or corrupts messages.
+func TestLinkCarriesSmallAndLargeMessages(t *testing.T) {
+	entry, agent := newRecorder(), newRecorder()
+	l := listen(t, entry)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go Dial(ctx, l.Address().String(), options(t, wire.RoleAgent, "a", agent))
+
+	up := <-agent.up
+	large := bytes.Repeat([]byte("x"), 3<<20)
+	if err := up.Send(&wire.Outcome{State: wire.StateDone, Result: large}); err != nil {
+		t.Fatal(err)
+	}
+	if err := up.Send(&wire.Ack{Tasks: []wire.TaskID{{Index: 3}}}); err != nil {
+		t.Fatal(err)
+	}
+	got := map[wire.Type]wire.Message{}
+	for len(got) < 2 {
+		m := <-entry.messages
+		got[m.Type()] = m
+	}
+	if !bytes.Equal(got[wire.TypeOutcome].(*wire.Outcome).Result, large) {
+		t.Error("the large result differs")
+	}
+	if h := (<-entry.up); h.Name() != "agent-1" || h.Role() != wire.RoleAgent || h.Incarnation() != up.opts.Incarnation {
+		t.Errorf("peer is %s %s", h.Role(), h.Name())
+	}
+	cancel()
+	<-agent.down
+	<-entry.down
+	if err := up.Send(&wire.Leave{}); err == nil {
+		t.Error("a closed link accepted a message")
+	}
+}
+
+// Guards against a process of another deployment that joins by its own authority.
+func TestDialRefusesForeignAuthority(t *testing.T) {
+	l := listen(t, newRecorder())
+	err := Dial(t.Context(), l.Address().String(), options(t, wire.RoleAgent, "b", newRecorder()))
+	if err == nil {
+		t.Fatal("a certificate of another authority was accepted")
+	}
+}
+
+// Guards against a caller or operator that poses as an agent.
+func TestRoleInHelloMustMatchCertificate(t *testing.T) {
+	l := listen(t, newRecorder())
+	opts := options(t, wire.RoleOperator, "a", newRecorder())
+	opts.Self.Role = wire.RoleAgent
+	err := Dial(t.Context(), l.Address().String(), opts)
+	if err == nil || !strings.Contains(err.Error(), "differ from the certificate") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against a link that stays open when neither side has anything to send.
+func TestHeartbeatsCarryTheRevision(t *testing.T) {
+	entry, agent := newRecorder(), newRecorder()
+	l := listen(t, entry)
+	go Dial(t.Context(), l.Address().String(), options(t, wire.RoleAgent, "a", agent))
+	h := entry.next(wire.TypeHeartbeat).(*wire.Heartbeat)
+	if h.Revision != 7 {
+		t.Errorf("revision %d, want 7", h.Revision)
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -33,6 +33,18 @@
 	TypeDocumentRequest
 )
 
+// typeNames are the names of message types in metrics and logs.
+var typeNames = map[Type]string{
+	TypeHello: "hello", TypeWelcome: "welcome", TypeAnnounce: "announce", TypePeers: "peers",
+	TypeView: "view", TypeDemand: "demand", TypeGrant: "grant", TypeRevoke: "revoke",
+	TypeReturn: "return", TypeStart: "start", TypeOutcome: "outcome", TypeAck: "ack",
+	TypeQuery: "query", TypeCancel: "cancel", TypeHeartbeat: "heartbeat", TypeLeave: "leave",
+	TypePeerState: "peer_state", TypeDocument: "document", TypeDocumentRequest: "document_request",
+}
+
+// String returns the type's name in metrics and logs.
+func (t Type) String() string { return typeNames[t] }
+
 // Message is one message between two processes of the system.
 type Message interface {
 	Type() Type
@@ -129,11 +141,14 @@
 }
 
 // Grant offers slots to an entry until TTL has passed on the agent's clock.
+// Load is the number of tasks running at the target and waiting for it at all
+// entries, as the agent last heard.
 type Grant struct {
 	ID        GrantID       `cbor:"1,keyasint"`
 	Slots     uint32        `cbor:"2,keyasint"`
 	TTL       time.Duration `cbor:"3,keyasint"`
 	ShortOnly bool          `cbor:"4,keyasint,omitempty"`
+	Load      uint32        `cbor:"5,keyasint,omitempty"`
 }
 
 // Revoke asks for the unused slots of a grant back.
@@ -158,6 +173,7 @@
 	TimeLeft time.Duration `cbor:"6,keyasint"`
 	Payload  []byte        `cbor:"7,keyasint,omitempty"`
 	Demand   *Demand       `cbor:"8,keyasint,omitempty"`
+	Acks     []TaskID      `cbor:"9,keyasint,omitempty"` // as in Ack, to save a message
 }
 
 // OutcomeState says how far a task got on its target.
@@ -174,6 +190,25 @@
 	StateUnknown
 )
 
+// String returns the state's name in metrics and logs.
+func (s OutcomeState) String() string {
+	switch s {
+	case StateRunning:
+		return "running"
+	case StateDone:
+		return "done"
+	case StateFailed:
+		return "failed"
+	case StateRefused:
+		return "refused"
+	case StateNeverSeen:
+		return "never_seen"
+	case StateUnknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
 // Final reports whether the agent will send nothing further about the task.
 func (s OutcomeState) Final() bool { return s != StateRunning }
 
@@ -187,6 +222,7 @@
 	RunTime time.Duration `cbor:"5,keyasint,omitempty"`
 	Result  []byte        `cbor:"6,keyasint,omitempty"`
 	Grant   *Grant        `cbor:"7,keyasint,omitempty"`
+	Load    uint32        `cbor:"8,keyasint,omitempty"` // as in Grant
 }
 
 // Ack lets the agent forget outcomes.
