Add the agent's slot table

The table decides every start on a target: fences in a fixed order, grants that expire by the agent's clock, one start per identity, retained outcomes and bounded records of identities. It is pure, so that paused agents, late starts and restarts are tested with explicit times and random sequences.

Attempts are barred, not whole identities: a refusal or a "never seen" bars the attempt and all lower ones, and a later attempt may run on the same target. Barring the identity would leave a service with one target unable to retry. What may have run but is no longer remembered is answered as unknown; refusing it as "not run" was ruled out, because its entry would run it again.

Identities are bounded by a low-water mark per entry incarnation. A pure time bound was ruled out: jobs may wait longer than any fixed time. For the mark, Ack gets Below; Revoke gets a number of slots, so that an idle entry loses only what another one lacks; Query gets the agent incarnation that the tasks were sent to, so that a new incarnation does not answer for an earlier one.

Slots granted ahead are balanced by unused slots. Balancing by running plus unused slots was ruled out: a busy entry would need a round trip per start.

--- /dev/null
+++ b/slots/entry.go
@@ -0,0 +1,158 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// entry is what the table knows about one entry name.
+type entry struct {
+	name        string
+	incarnation wire.Incarnation
+	up          bool // has a link
+	leaving     bool // announced a planned stop
+	forgotten   bool // its records were replaced by the low-water mark
+	downSince   time.Time
+	demand      wire.Demand
+	served      uint64 // turn of the last slot it was granted
+	running     int
+	ids         identities
+}
+
+// waiting returns the entry's waiting tasks that could use a slot.
+func (e *entry) waiting() int {
+	if !e.up {
+		return 0
+	}
+	return int(e.demand.Waiting)
+}
+
+// EntryUp records a link to an entry. It returns false for an incarnation that
+// is older than a known one of this name, or that was forgotten altogether: the
+// link must be closed.
+//
+// A newer incarnation replaces the older one. The older one's grants, outcomes
+// and identities are forgotten, and its starts are not accepted any more. A
+// repeated call for the same incarnation is a reconnect: grants of the earlier
+// link are withdrawn, since the entry drops them with the link.
+func (t *Table) EntryUp(name string, incarnation wire.Incarnation, now time.Time) bool {
+	t.advance(now)
+	i, known := t.search(name)
+	if !known {
+		if incarnation <= t.floor {
+			return false
+		}
+		t.evictEntry()
+		i, _ = t.search(name)
+		e := &entry{name: name, incarnation: incarnation, ids: newIdentities(t.opts.Identities)}
+		t.entries = slices.Insert(t.entries, i, e)
+	}
+	e := t.entries[i]
+	if incarnation < e.incarnation {
+		return false
+	}
+	t.withdrawFrom(e)
+	if incarnation > e.incarnation {
+		t.dropOutcomes(e)
+		e.incarnation = incarnation
+		e.ids = newIdentities(t.opts.Identities)
+	}
+	e.up = true
+	e.leaving = false
+	e.forgotten = false
+	e.demand = wire.Demand{}
+	return true
+}
+
+// EntryDown records that the link to an entry is lost. Its unused grants are
+// withdrawn at once; its running tasks go on and their outcomes are retained.
+func (t *Table) EntryDown(name string, now time.Time) {
+	t.advance(now)
+	e := t.find(name)
+	if e == nil || !e.up {
+		return
+	}
+	e.up = false
+	e.downSince = t.clock
+	e.demand = wire.Demand{}
+	t.withdrawFrom(e)
+}
+
+// EntryLeaving records that an entry announced its planned stop: it is granted
+// slots for waiting work only.
+func (t *Table) EntryLeaving(name string, now time.Time) {
+	t.advance(now)
+	if e := t.find(name); e != nil {
+		e.leaving = true
+	}
+}
+
+// Heard records a heartbeat of an entry and renews its grants. A grant that is
+// being revoked is not renewed, so that a Revoke without an answer ends with
+// the grant's expiry.
+func (t *Table) Heard(name string, now time.Time) {
+	t.advance(now)
+	e := t.find(name)
+	if e == nil || !e.up {
+		return
+	}
+	for _, g := range t.grants {
+		if g.entry == e && g.revoking == 0 {
+			g.expiry = t.clock.Add(t.opts.GrantTTL)
+			g.kept = false
+		}
+	}
+}
+
+// SetDemand records an entry's latest demand.
+func (t *Table) SetDemand(name string, d wire.Demand, now time.Time) {
+	t.advance(now)
+	if e := t.find(name); e != nil && e.up {
+		e.demand = d
+	}
+}
+
+// forget replaces an entry's records by the low-water mark: every job whose
+// number was seen counts as seen from now on.
+func (t *Table) forget(e *entry) {
+	t.dropOutcomes(e)
+	e.ids.forgetAll()
+	e.forgotten = true
+}
+
+// evictEntry makes room for one more entry name. The evicted incarnation and
+// all older ones that are not known by name are refused from then on, since
+// their identities are forgotten.
+func (t *Table) evictEntry() {
+	if len(t.entries) < maxEntries {
+		return
+	}
+	oldest := -1
+	for i, e := range t.entries {
+		if e.up {
+			continue
+		}
+		if oldest < 0 || e.downSince.Before(t.entries[oldest].downSince) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return
+	}
+	e := t.entries[oldest]
+	t.dropOutcomes(e)
+	t.floor = max(t.floor, e.incarnation)
+	t.entries = slices.Delete(t.entries, oldest, oldest+1)
+}
+
+// owner returns the entry whose current incarnation is given, or nil.
+func (t *Table) owner(incarnation wire.Incarnation) *entry {
+	for _, e := range t.entries {
+		if e.incarnation == incarnation {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/slots/grant.go
@@ -0,0 +1,368 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// grantsByTurns is the baseline in settings.Policy.Grants: waiting entries get
+// freed slots in turn. Any other name is the default, by order key.
+const grantsByTurns = "turns"
+
+// grant is the unused part of one grant.
+type grant struct {
+	seq       uint64
+	entry     *entry
+	left      int // unused slots, at least 1
+	shortOnly bool
+	expiry    time.Time
+	revoking  int  // slots asked back, until the Return arrives
+	kept      bool // the entry returned fewer than asked: it is using the rest
+}
+
+// Allocation is a new grant for an entry.
+type Allocation struct {
+	Entry string
+	Grant wire.Grant
+}
+
+// Revocation asks an entry for unused slots back.
+type Revocation struct {
+	Entry  string
+	Revoke wire.Revoke
+}
+
+// held returns the unused slots of an entry that are not being revoked.
+func (t *Table) held(e *entry) (general, short int) {
+	for _, g := range t.grants {
+		if g.entry != e {
+			continue
+		}
+		if g.shortOnly {
+			short += g.left - g.revoking
+		} else {
+			general += g.left - g.revoking
+		}
+	}
+	return general, short
+}
+
+// deficit returns how many more slots an entry's waiting work could use. Slots
+// for short work only do not help an entry whose first task is long.
+func (t *Table) deficit(e *entry) int {
+	general, short := t.held(e)
+	if e.demand.Class == wire.ClassLong {
+		short = 0
+	}
+	return max(0, e.waiting()-general-short)
+}
+
+// generalRoom returns how many more slots may be granted without the
+// restriction to short work. Running long tasks, occupied slots of unknown
+// class and unused general grants all count as long work.
+func (t *Table) generalRoom() int {
+	used := t.runningLong() + t.occupied
+	for _, g := range t.grants {
+		if !g.shortOnly {
+			used += g.left
+		}
+	}
+	return t.opts.Slots - t.reserve.size() - used
+}
+
+// Allocate grants the free slots and returns the new grants, at most one of each
+// kind per entry. Waiting entries come first: by the lowest order key, or in
+// turn, as the policy says. Slots that no waiting entry can use are granted
+// ahead, each to the entry with the fewest unused slots, so that a later start
+// needs no round trip.
+func (t *Table) Allocate(now time.Time) []Allocation {
+	t.advance(now)
+	prefer := t.prefer
+	t.prefer = nil
+	if t.draining {
+		return nil
+	}
+	var made []*grant
+	for t.free() > 0 {
+		room := t.generalRoom() > 0
+		e := t.nextWaiting(room)
+		if e == nil {
+			e = t.nextAhead(prefer)
+		}
+		if e == nil {
+			break
+		}
+		made = t.grantOne(made, e, !room)
+	}
+	out := make([]Allocation, 0, len(made))
+	for _, g := range made {
+		out = append(out, Allocation{Entry: g.entry.name, Grant: wire.Grant{
+			ID:        wire.GrantID{Agent: t.agent, Seq: g.seq},
+			Slots:     uint32(g.left),
+			TTL:       t.opts.GrantTTL,
+			ShortOnly: g.shortOnly,
+		}})
+	}
+	return out
+}
+
+// grantOne adds one slot to the entry's grant of this round and kind.
+func (t *Table) grantOne(made []*grant, e *entry, shortOnly bool) []*grant {
+	t.turn++
+	e.served = t.turn
+	for _, g := range made {
+		if g.entry == e && g.shortOnly == shortOnly {
+			g.left++
+			return made
+		}
+	}
+	t.seq++
+	g := &grant{
+		seq:       t.seq,
+		entry:     e,
+		left:      1,
+		shortOnly: shortOnly,
+		expiry:    t.clock.Add(t.opts.GrantTTL),
+	}
+	t.grants = append(t.grants, g)
+	return append(made, g)
+}
+
+// nextWaiting picks the waiting entry for a free slot. Without general room an
+// entry whose first task is long is passed over.
+func (t *Table) nextWaiting(room bool) *entry {
+	var best *entry
+	for _, e := range t.entries {
+		if t.deficit(e) == 0 || (!room && e.demand.Class == wire.ClassLong) {
+			continue
+		}
+		if best == nil || t.before(e, best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// before orders two waiting entries. Equal keys are served in turn.
+func (t *Table) before(a, b *entry) bool {
+	if t.opts.Policy.Grants != grantsByTurns && a.demand.Key != b.demand.Key {
+		return a.demand.Key < b.demand.Key
+	}
+	return a.served < b.served
+}
+
+// nextAhead picks the entry with the fewest unused slots. Among equals it is the
+// one that is about to be sent an outcome, since the grant then costs no message.
+func (t *Table) nextAhead(prefer *entry) *entry {
+	var best *entry
+	fewest := 0
+	for _, e := range t.entries {
+		if !e.up || e.leaving {
+			continue
+		}
+		general, short := t.held(e)
+		unused := general + short
+		switch {
+		case best == nil, unused < fewest:
+		case unused > fewest, best == prefer:
+			continue
+		case e != prefer && e.served >= best.served:
+			continue
+		}
+		best, fewest = e, unused
+	}
+	return best
+}
+
+// Revocations returns the requests for unused slots that are due. Call it after
+// Allocate: slots that are still free then are of no use to waiting entries.
+//
+// Slots that an entry holds beyond its own demand are asked back, as many as
+// waiting entries lack, from the entry with the most of them. While no entry
+// waits, an entry without any slot is given one of an entry that holds several.
+func (t *Table) Revocations(now time.Time) []Revocation {
+	t.advance(now)
+	if t.draining {
+		return nil
+	}
+	var out []Revocation
+	general, either := t.wanted()
+	pendingGeneral, pendingShort := t.pending()
+	pendingEither := pendingShort + max(0, pendingGeneral-general)
+	out = t.revoke(out, general-pendingGeneral, false)
+	out = t.revoke(out, either-pendingEither, true)
+	if len(out) == 0 && !t.anyWaiting() {
+		out = t.revoke(out, t.emptyHanded()-pendingEither, true)
+	}
+	return out
+}
+
+// wanted returns the slots that waiting entries lack: general ones for long
+// work, as far as the reserve permits them, and any kind for short work.
+func (t *Table) wanted() (general, either int) {
+	for _, e := range t.entries {
+		if e.demand.Class == wire.ClassLong {
+			general += t.deficit(e)
+		} else {
+			either += t.deficit(e)
+		}
+	}
+	permitted := t.opts.Slots - t.reserve.size() - t.runningLong() - t.occupied
+	return min(general, max(0, permitted)), either
+}
+
+// pending returns the slots that are being revoked.
+func (t *Table) pending() (general, short int) {
+	for _, g := range t.grants {
+		if g.shortOnly {
+			short += g.revoking
+		} else {
+			general += g.revoking
+		}
+	}
+	return general, short
+}
+
+func (t *Table) anyWaiting() bool {
+	return slices.ContainsFunc(t.entries, func(e *entry) bool { return t.deficit(e) > 0 })
+}
+
+// emptyHanded returns how many entries have neither a slot nor a running task
+// while others hold at least two unused slots. Only those entries are helped by
+// a revocation: any other gets its share from the slots that its own tasks free,
+// without messages.
+func (t *Table) emptyHanded() int {
+	empty, spare := 0, 0
+	for _, e := range t.entries {
+		if !e.up || e.leaving {
+			continue
+		}
+		general, short := t.held(e)
+		if general+short == 0 && e.running == 0 {
+			empty++
+		}
+		spare += max(0, general+short-e.waiting()-1)
+	}
+	return min(empty, spare)
+}
+
+// revoke asks for up to n unused slots back, one at a time from the entry with
+// the most to spare, and merges the requests by grant.
+func (t *Table) revoke(out []Revocation, n int, shortToo bool) []Revocation {
+	for ; n > 0; n-- {
+		g := t.spareGrant(shortToo)
+		if g == nil {
+			return out
+		}
+		g.revoking++
+		out = mergeRevocation(out, g, t.agent)
+	}
+	return out
+}
+
+func mergeRevocation(out []Revocation, g *grant, agent wire.Incarnation) []Revocation {
+	id := wire.GrantID{Agent: agent, Seq: g.seq}
+	for i := range out {
+		if out[i].Revoke.ID == id {
+			out[i].Revoke.Slots++
+			return out
+		}
+	}
+	return append(out, Revocation{Entry: g.entry.name, Revoke: wire.Revoke{ID: id, Slots: 1}})
+}
+
+// spareGrant returns a grant with a slot to spare of the entry that has most of
+// them, or nil. shortToo admits grants for short work only.
+func (t *Table) spareGrant(shortToo bool) *grant {
+	var best *grant
+	most := 0
+	for _, g := range t.grants {
+		if g.kept || g.left == g.revoking || (g.shortOnly && !shortToo) {
+			continue
+		}
+		if spare := t.spare(g); spare > most {
+			best, most = g, spare
+		}
+	}
+	return best
+}
+
+// spare returns how many slots the holder of a grant holds beyond its demand.
+// Slots for short work only are all spare to an entry whose first task is long.
+func (t *Table) spare(g *grant) int {
+	general, short := t.held(g.entry)
+	if g.entry.demand.Class == wire.ClassLong && g.shortOnly {
+		return short
+	}
+	if g.entry.demand.Class == wire.ClassLong {
+		return general - g.entry.waiting()
+	}
+	return general + short - g.entry.waiting()
+}
+
+// Return takes unused slots of a grant back. A return of slots that are no
+// longer granted has no effect.
+func (t *Table) Return(name string, r wire.Return, now time.Time) {
+	t.advance(now)
+	g := t.lookupGrant(t.find(name), r.ID)
+	if g == nil {
+		return
+	}
+	n := min(int(r.Slots), g.left)
+	g.kept = n < g.revoking
+	g.revoking = 0
+	g.left -= n
+	t.counters.unused += n
+	t.dropUsedUp()
+}
+
+// lookupGrant returns the entry's live grant of an id, or nil.
+func (t *Table) lookupGrant(e *entry, id wire.GrantID) *grant {
+	if e == nil || id.Agent != t.agent {
+		return nil
+	}
+	for _, g := range t.grants {
+		if g.seq == id.Seq && g.entry == e {
+			return g
+		}
+	}
+	return nil
+}
+
+// use takes one slot of a grant.
+func (t *Table) use(g *grant) {
+	g.left--
+	g.revoking = min(g.revoking, g.left)
+	t.dropUsedUp()
+}
+
+func (t *Table) dropUsedUp() {
+	t.grants = slices.DeleteFunc(t.grants, func(g *grant) bool { return g.left == 0 })
+}
+
+func (t *Table) expireGrants() {
+	t.grants = slices.DeleteFunc(t.grants, func(g *grant) bool {
+		if t.clock.Before(g.expiry) {
+			return false
+		}
+		t.counters.expired += g.left
+		return true
+	})
+}
+
+// withdraw drops the grants that match.
+func (t *Table) withdraw(match func(*grant) bool) {
+	t.grants = slices.DeleteFunc(t.grants, func(g *grant) bool {
+		if !match(g) {
+			return false
+		}
+		t.counters.unused += g.left
+		return true
+	})
+}
+
+func (t *Table) withdrawFrom(e *entry) {
+	t.withdraw(func(g *grant) bool { return g.entry == e })
+}
--- /dev/null
+++ b/slots/sharing_test.go
@@ -0,0 +1,259 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Guards against an entry that starts without slots while another has several:
+// idle slots are shared equally, also with an entry that joins late.
+func TestIdleSlotsAreSharedEqually(t *testing.T) {
+	f := newFixture(t, Options{}, "a", "b")
+	if a, b := f.heldBy("a"), f.heldBy("b"); a != 4 || b != 4 {
+		t.Fatalf("a has %d, b has %d", a, b)
+	}
+	f.EntryUp("c", 3, f.now)
+	f.settle()
+	if c := f.heldBy("c"); c != 1 {
+		t.Fatalf("the late entry has %d slots, want 1 without a further message", c)
+	}
+}
+
+func (f *fixture) heldBy(name string) int {
+	general, short := f.held(f.find(name))
+	return general + short
+}
+
+// settle lets every entry answer all revocations and returns their number.
+func (f *fixture) settle() int {
+	f.Helper()
+	messages := 0
+	for range 20 {
+		f.allocate()
+		revocations := f.Revocations(f.now)
+		if len(revocations) == 0 {
+			return messages
+		}
+		for _, r := range revocations {
+			messages++
+			f.Return(r.Entry, wire.Return{ID: r.Revoke.ID, Slots: r.Revoke.Slots}, f.now)
+		}
+	}
+	f.Fatal("revocations do not come to an end")
+	return 0
+}
+
+// Guards against unused grants that stay with entries without demand while
+// another waits, against asking twice for the same slots, and against taking
+// slots from an entry that needs them.
+func TestRevocation(t *testing.T) {
+	f := newFixture(t, Options{}, "a", "b", "c")
+	f.demand("b", 2, 1, wire.ClassShort)
+	f.demand("a", 5, 1, wire.ClassShort)
+	f.allocate()
+	asked := map[string]int{}
+	for _, r := range f.Revocations(f.now) {
+		asked[r.Entry] += int(r.Revoke.Slots)
+	}
+	if asked["a"] != 0 || asked["b"]+asked["c"] != 2 {
+		t.Fatalf("asked %v; a lacks 2 slots, b can spare 1 and c 2", asked)
+	}
+	if again := f.Revocations(f.now); len(again) != 0 {
+		t.Fatalf("asked again: %v", again)
+	}
+}
+
+// Guards against an endless exchange with an entry that answers a revocation
+// with nothing because its starts are on their way, and against a revocation
+// without an answer that holds the slots for ever.
+func TestRevocationWithoutSlots(t *testing.T) {
+	f := newFixture(t, Options{Slots: 2}, "a", "b")
+	f.demand("a", 2, 1, wire.ClassShort)
+	first := f.Revocations(f.now)
+	if len(first) != 1 || first[0].Entry != "b" {
+		t.Fatalf("%v", first)
+	}
+	f.Return("b", wire.Return{ID: first[0].Revoke.ID}, f.now)
+	if again := f.Revocations(f.now); len(again) != 0 {
+		t.Fatalf("asked again at once: %v", again)
+	}
+	f.Heard("b", f.now)
+	if again := f.Revocations(f.now); len(again) != 1 {
+		t.Fatalf("not asked again after a heartbeat: %v", again)
+	}
+	f.now = f.now.Add(DefaultGrantTTL / 2)
+	f.Heard("a", f.now)
+	f.Heard("b", f.now)
+	f.now = epoch.Add(DefaultGrantTTL)
+	if got := f.allocate(); got["a"] != 1 {
+		t.Fatalf("the unanswered grant did not expire: %v", got)
+	}
+}
+
+// churn runs the table at full load for a number of freed slots: each finished
+// task's slot goes to whoever Allocate picks, and every entry starts at once
+// what it is granted. It returns the starts of each entry.
+func (f *fixture) churn(rounds int, keys map[string]wire.OrderKey) map[string]int {
+	starts := map[string]int{}
+	var active []wire.TaskID
+	job := uint64(0)
+	for range rounds {
+		for name, key := range keys {
+			f.demand(name, 100, key, wire.ClassShort)
+		}
+		f.allocate()
+		for _, e := range f.entries {
+			for f.heldBy(e.name) > 0 {
+				job++
+				s := message(task(e.incarnation, job, 1), f.live(e.name))
+				f.mustStart(e.name, s)
+				starts[e.name]++
+				active = append(active, s.Task)
+			}
+		}
+		f.now = f.now.Add(time.Second)
+		f.Finish(active[0], done(active[0], 0), f.now)
+		active = active[1:]
+	}
+	return starts
+}
+
+// Guards against freed slots that do not go to the lowest order key, or that go
+// to one of several equal entries only.
+func TestFreedSlotsByKeyAndByTurns(t *testing.T) {
+	equal := newFixture(t, Options{}, "a", "b").churn(100, map[string]wire.OrderKey{"a": 1, "b": 1})
+	if equal["a"] < 45 || equal["b"] < 45 {
+		t.Errorf("equal keys: %v", equal)
+	}
+	byKey := newFixture(t, Options{}, "a", "b").churn(100, map[string]wire.OrderKey{"a": 2, "b": 1})
+	if byKey["a"] > 4 {
+		t.Errorf("by key: %v; a gets only its first share", byKey)
+	}
+	turns := Options{Policy: settings.Policy{Grants: grantsByTurns}}
+	byTurns := newFixture(t, turns, "a", "b").churn(100, map[string]wire.OrderKey{"a": 2, "b": 1})
+	if byTurns["a"] < 45 || byTurns["b"] < 45 {
+		t.Errorf("by turns: %v", byTurns)
+	}
+}
+
+// Guards against skewed demand that costs a message per start or moves the idle
+// slots to one entry: b starts rarely, a all the time.
+func TestSkewedDemand(t *testing.T) {
+	f := newFixture(t, Options{}, "a", "b")
+	messages := 0
+	for round := range uint64(200) {
+		name := "a"
+		if round%20 == 0 {
+			name = "b"
+		}
+		f.demand(name, 1, 1, wire.ClassShort)
+		messages += f.settle()
+		s := message(task(f.find(name).incarnation, round, 1), f.live(name))
+		f.mustStart(name, s)
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.Heard("a", f.now)
+		f.Heard("b", f.now)
+		f.Finish(s.Task, done(s.Task, 0), f.now)
+		f.settle()
+		if f.heldBy("a") != 4 || f.heldBy("b") != 4 {
+			t.Fatalf("round %d: a has %d, b has %d", round, f.heldBy("a"), f.heldBy("b"))
+		}
+	}
+	if messages > 0 {
+		t.Errorf("%d revocations although slots were free all the time", messages)
+	}
+}
+
+// Guards against long work in every slot, and against a reserve that ignores how
+// much slot time each class uses.
+func TestReserve(t *testing.T) {
+	f := newFixture(t, Options{Policy: settings.Policy{Reserve: reserveFixed}})
+	f.EntryUp("a", 1, f.now)
+	f.demand("a", 20, 1, wire.ClassLong)
+	for _, a := range f.Allocate(f.now) {
+		long := message(task(1, a.Grant.ID.Seq, 1), a.Grant.ID)
+		long.Class = wire.ClassLong
+		want, ok := !a.Grant.ShortOnly, false
+		for range a.Grant.Slots {
+			long.Task.Index++
+			ok, _ = f.start("a", long)
+			if ok != want {
+				t.Fatalf("long task under %+v: accepted %v", a.Grant, ok)
+			}
+		}
+	}
+	if n := len(f.running); n != DefaultSlots-2 {
+		t.Fatalf("%d long tasks run", n)
+	}
+	for _, c := range []struct{ short, long, want int }{{0, 8, 0}, {1, 7, 1}, {3, 5, 3}, {8, 0, 4}} {
+		learnt := reserve{slots: 8}
+		learnt.observe(time.Hour, 4, 4)
+		learnt.observe(time.Hour, c.short, c.long)
+		if got := learnt.size(); got != c.want {
+			t.Errorf("short %d, long %d: reserve %d, want %d", c.short, c.long, got, c.want)
+		}
+	}
+}
+
+// Guards against lost slot time that the measure does not show, and against
+// counting idle slots that no waiting task could use.
+func TestIdleTimeWhileWaiting(t *testing.T) {
+	f := newFixture(t, Options{}, "a", "b")
+	f.now = f.now.Add(time.Second)
+	f.demand("a", 3, 1, wire.ClassShort)
+	f.now = f.now.Add(time.Second)
+	if got := f.Stats(f.now).IdleWaiting; got != 3*time.Second {
+		t.Fatalf("idle slot time %v, want 3 s: three tasks waited one second", got)
+	}
+}
+
+// Guards against a freed slot that goes ahead of demand to an entry that holds
+// several, only because the grant needs no message of its own.
+func TestFreedSlotGoesToTheEmptyEntry(t *testing.T) {
+	f := newFixture(t, Options{}, "a", "b")
+	for job := range uint64(4) {
+		f.mustStart("b", message(task(2, job, 1), f.live("b")))
+	}
+	f.mustStart("a", message(task(1, 1, 1), f.live("a")))
+	f.Finish(task(1, 1, 1), done(task(1, 1, 1), 0), f.now)
+	if got := f.allocate(); got["b"] != 1 {
+		t.Fatalf("%v", got)
+	}
+}
+
+// operation is one random call; its fields select arguments.
+type operation struct {
+	Kind, Entry, Job, Grant, Millis uint8
+}
+
+// Guards against any interleaving of operations that lets running tasks and
+// unexpired grants exceed the slots, starts an identity twice, or starts an
+// attempt that was refused or answered with never seen.
+func TestRandomOperations(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(20260101)
+	params.MinSuccessfulTests = 300
+	params.MaxSize = 200
+	properties := gopter.NewProperties(params)
+	one := gen.Struct(reflectOperation, map[string]gopter.Gen{
+		"Kind": gen.UInt8Range(0, 10), "Entry": gen.UInt8Range(0, 2), "Job": gen.UInt8Range(0, 15),
+		"Grant": gen.UInt8(), "Millis": gen.UInt8(),
+	})
+	properties.Property("slots and identities", prop.ForAll(func(ops []operation) string {
+		r := newRandomRun(t)
+		for _, op := range ops {
+			r.apply(op)
+			if problem := r.check(); problem != "" {
+				return problem
+			}
+		}
+		return ""
+	}, gen.SliceOf(one)))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/slots/start.go
@@ -0,0 +1,308 @@
+package slots
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// outcomeOverhead is the approximate size of a retained outcome without its
+// result and reason.
+const outcomeOverhead = 256
+
+// kept is a retained outcome.
+type kept struct {
+	rec     *record
+	outcome wire.Outcome
+	bytes   int
+	at      time.Time
+	entry   *entry
+	element *list.Element
+}
+
+// Start decides on one start. received is when the message arrived, for the
+// time left in it; now is the time of the decision.
+//
+// If it returns true, the task now holds its slot and must be run and ended by
+// Finish or Detach. Otherwise the task must not be run and the outcome is the
+// answer: StateRefused if the attempt did not run and never will, or, for an
+// identity that was or may have been started before, what is known about it.
+//
+// A start that names a live grant uses one slot of it even if it is refused,
+// since the entry counts it as used; only the repeat of an accepted start does
+// not. A start under a grant of an earlier agent incarnation is answered as
+// unknown: it may be the repeat of a start that the earlier incarnation accepted.
+func (t *Table) Start(name string, s *wire.Start, received, now time.Time) (bool, wire.Outcome) {
+	t.advance(now)
+	sender := t.find(name)
+	owner := t.owner(s.Task.Job.Entry)
+	if sender == nil || owner == nil {
+		return false, unknown(s.Task, result.OutcomeUnknown, "the entry's incarnation is not known to this agent")
+	}
+	rec, seen := owner.ids.get(s.Task)
+	if rec != nil && rec.state != stateBarred && rec.attempt == s.Task.Attempt {
+		return false, answer(rec, s.Task)
+	}
+	g := t.lookupGrant(sender, s.Grant)
+	if g != nil {
+		t.use(g)
+	}
+	t.updateDemand(sender, s, g)
+	if s.Grant.Agent != t.agent {
+		return false, unknown(s.Task, result.OutcomeUnknown, "the grant is from an earlier incarnation of this agent")
+	}
+	if seen {
+		return false, unknown(s.Task, result.OutcomeUnknown, "the job is below the low-water mark of its entry")
+	}
+	if rec != nil && !startable(rec, s.Task) {
+		return false, notStartable(rec, s.Task)
+	}
+	if code, reason := t.refusal(sender, owner, g, s, received); code != 0 {
+		t.bar(owner, s.Task)
+		return false, refused(s.Task, code, reason)
+	}
+	t.begin(owner, s)
+	return true, wire.Outcome{}
+}
+
+// updateDemand takes the demand in a start, or counts the start off the last.
+func (t *Table) updateDemand(e *entry, s *wire.Start, g *grant) {
+	switch {
+	case s.Demand != nil && e.up:
+		e.demand = *s.Demand
+	case g != nil && e.demand.Waiting > 0:
+		e.demand.Waiting--
+	}
+}
+
+// startable reports whether an identity with a record may start under a task's
+// attempt: no earlier attempt ran, and the attempt is a later one.
+func startable(rec *record, task wire.TaskID) bool {
+	if rec.attempt >= task.Attempt {
+		return false
+	}
+	return rec.state == stateBarred || rec.refusedByTarget()
+}
+
+func (rec *record) refusedByTarget() bool {
+	return rec.state == stateRetained && rec.kept.outcome.State == wire.StateRefused
+}
+
+// notStartable returns the answer to a start of an identity that may not start.
+func notStartable(rec *record, task wire.TaskID) wire.Outcome {
+	if rec.state == stateBarred || rec.refusedByTarget() {
+		return refused(task, result.IdentityBarred, "")
+	}
+	return unknown(task, result.DuplicateStart, "")
+}
+
+// refusal returns the first fence that a start fails, or 0.
+func (t *Table) refusal(sender, owner *entry, g *grant, s *wire.Start, received time.Time) (result.Code, string) {
+	switch {
+	case sender != owner:
+		return result.IdentityBarred, "the task belongs to another entry"
+	case t.draining:
+		return result.Draining, ""
+	case s.Revision < t.revision:
+		return result.OldRevision, ""
+	case g == nil:
+		return result.GrantExpired, ""
+	case t.clock.Sub(received) >= s.TimeLeft:
+		return result.StartTooLate, ""
+	case len(t.running)+t.occupied >= t.opts.Slots:
+		return result.SlotsFull, ""
+	case g.shortOnly && s.Class == wire.ClassLong:
+		return result.SlotsFull, "the grant is for short work only"
+	}
+	return 0, ""
+}
+
+func (t *Table) begin(e *entry, s *wire.Start) {
+	if rec, _ := e.ids.get(s.Task); rec != nil && rec.kept != nil {
+		t.drop(rec.kept)
+	}
+	rec := e.ids.put(s.Task, stateRunning)
+	t.running[s.Task.Identity()] = &run{task: s.Task, entry: e, rec: rec, class: s.Class}
+	e.running++
+	t.sweep(e)
+}
+
+// bar prevents every attempt up to the task's from starting.
+func (t *Table) bar(e *entry, task wire.TaskID) {
+	if rec, _ := e.ids.get(task); rec != nil && rec.kept != nil {
+		t.drop(rec.kept)
+	}
+	e.ids.put(task, stateBarred)
+	t.sweep(e)
+}
+
+func (t *Table) sweep(e *entry) {
+	if e.ids.full() {
+		e.ids.sweep(t.drop)
+	}
+}
+
+// Running reports whether a task's identity holds a slot.
+func (t *Table) Running(task wire.TaskID) bool {
+	return t.running[task.Identity()] != nil
+}
+
+// Finish ends a running task: its slot is free and its outcome is retained until
+// it is acknowledged or over the bounds. An outcome with StateRefused says that
+// the target did not run the task; a later attempt may then start here. Finish
+// returns false if the task is not running.
+func (t *Table) Finish(task wire.TaskID, out wire.Outcome, now time.Time) bool {
+	t.advance(now)
+	r := t.running[task.Identity()]
+	if r == nil {
+		return false
+	}
+	delete(t.running, task.Identity())
+	r.entry.running--
+	t.prefer = r.entry
+	if rec, _ := r.entry.ids.get(task); r.entry.incarnation != task.Job.Entry || rec != r.rec {
+		return true
+	}
+	out.Grant = nil
+	k := &kept{
+		rec:     r.rec,
+		outcome: out,
+		bytes:   outcomeOverhead + len(out.Result) + len(out.Reason),
+		at:      t.clock,
+		entry:   r.entry,
+	}
+	r.rec.state = stateRetained
+	r.rec.kept = k
+	k.element = t.retained.PushBack(k)
+	t.bytes += k.bytes
+	t.expireOutcomes()
+	return true
+}
+
+// Detach ends a running task whose work may go on at the target: the outcome is
+// retained as by Finish, and the slot counts as occupied until SetOccupied
+// lowers the number.
+func (t *Table) Detach(task wire.TaskID, out wire.Outcome, now time.Time) bool {
+	if !t.Finish(task, out, now) {
+		return false
+	}
+	t.occupied++
+	return true
+}
+
+// Query answers for tasks that were out when a link was lost: running, the
+// retained outcome, or never seen. Never seen also bars the attempt and all
+// lower ones from starting later. Where the agent can no longer tell, the answer
+// is unknown; so it is for every task of a query to an earlier agent incarnation.
+func (t *Table) Query(name string, q *wire.Query, now time.Time) []wire.Outcome {
+	t.advance(now)
+	out := make([]wire.Outcome, 0, len(q.Tasks))
+	for _, task := range q.Tasks {
+		if q.Agent != 0 && q.Agent != t.agent {
+			out = append(out, unknown(task, result.TargetLost, "sent to an earlier incarnation of this agent"))
+			continue
+		}
+		out = append(out, t.query(name, task))
+	}
+	return out
+}
+
+func (t *Table) query(name string, task wire.TaskID) wire.Outcome {
+	e := t.find(name)
+	if e == nil || e.incarnation != task.Job.Entry {
+		return unknown(task, result.OutcomeUnknown, "the entry's incarnation is not known to this agent")
+	}
+	rec, seen := e.ids.get(task)
+	switch {
+	case seen && t.Running(task):
+		return wire.Outcome{Task: task, State: wire.StateRunning}
+	case seen:
+		return unknown(task, result.OutcomeUnknown, "the outcome is no longer kept")
+	case rec == nil, startable(rec, task):
+		t.bar(e, task)
+		return wire.Outcome{Task: task, State: wire.StateNeverSeen}
+	case rec.attempt == task.Attempt && rec.state != stateBarred:
+		return answer(rec, task)
+	case rec.state == stateBarred, rec.refusedByTarget():
+		return wire.Outcome{Task: task, State: wire.StateNeverSeen}
+	}
+	return unknown(task, result.DuplicateStart, "")
+}
+
+// Ack drops outcomes that the entry has.
+func (t *Table) Ack(name string, ack *wire.Ack, now time.Time) {
+	t.advance(now)
+	e := t.find(name)
+	if e == nil {
+		return
+	}
+	for _, task := range ack.Tasks {
+		if e.incarnation != task.Job.Entry {
+			continue
+		}
+		if rec, _ := e.ids.get(task); rec != nil && rec.kept != nil && rec.attempt == task.Attempt {
+			t.drop(rec.kept)
+		}
+	}
+	e.ids.below = max(e.ids.below, ack.Below)
+	t.sweep(e)
+}
+
+// drop forgets a retained outcome. The attempt of an outcome that says refused
+// stays known as one that did not run.
+func (t *Table) drop(k *kept) {
+	k.rec.state = stateSettled
+	if k.outcome.State == wire.StateRefused {
+		k.rec.state = stateBarred
+	}
+	k.rec.kept = nil
+	t.retained.Remove(k.element)
+	t.bytes -= k.bytes
+}
+
+// dropOutcomes forgets the retained outcomes of an entry.
+func (t *Table) dropOutcomes(e *entry) {
+	for el := t.retained.Front(); el != nil; {
+		next := el.Next()
+		if k := el.Value.(*kept); k.entry == e {
+			t.drop(k)
+		}
+		el = next
+	}
+}
+
+// expireOutcomes applies the bounds on age and bytes, oldest first.
+func (t *Table) expireOutcomes() {
+	for front := t.retained.Front(); front != nil; front = t.retained.Front() {
+		k := front.Value.(*kept)
+		if t.bytes <= t.opts.RetentionBytes && t.clock.Before(k.at.Add(t.opts.Retention)) {
+			return
+		}
+		t.drop(k)
+	}
+}
+
+// answer returns what is known about the attempt of a record.
+func answer(rec *record, task wire.TaskID) wire.Outcome {
+	switch rec.state {
+	case stateRunning:
+		return wire.Outcome{Task: task, State: wire.StateRunning}
+	case stateRetained:
+		return rec.kept.outcome
+	}
+	return unknown(task, result.OutcomeUnknown, "the outcome is no longer kept")
+}
+
+func refused(task wire.TaskID, code result.Code, detail string) wire.Outcome {
+	return outcome(task, wire.StateRefused, code, detail)
+}
+
+func unknown(task wire.TaskID, code result.Code, detail string) wire.Outcome {
+	return outcome(task, wire.StateUnknown, code, detail)
+}
+
+func outcome(task wire.TaskID, state wire.OutcomeState, code result.Code, detail string) wire.Outcome {
+	return wire.Outcome{Task: task, State: state, Code: code, Reason: result.New(code, detail).Reason}
+}
--- /dev/null
+++ b/slots/table.go
@@ -0,0 +1,293 @@
+// Package slots is the agent's slot table: which slots are running, granted or
+// free, which starts are allowed, and which outcomes are kept for entries.
+//
+// The package is pure: it does no I/O, starts no goroutines and takes the time
+// as an argument. One owner calls a Table under its own lock.
+package slots
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Defaults of Options.
+const (
+	// DefaultSlots is the number of tasks that a target runs at once.
+	DefaultSlots = 8
+	// DefaultGrantTTL is several heartbeat intervals, so that one late
+	// heartbeat costs nothing, and short enough that the slots of a paused
+	// entry are idle for a few seconds only.
+	DefaultGrantTTL = 3 * time.Second
+	// DefaultRetentionBytes leaves most of an agent's 128 MB to running work.
+	DefaultRetentionBytes = 32 << 20
+	// DefaultRetention covers a reconnect after a lost switch or a restart of
+	// the network; entries ask within seconds of a reconnect.
+	DefaultRetention = 2 * time.Minute
+	// DefaultSilence is well above the time for which a job can wait in an
+	// entry, since jobs older than it are answered as unknown afterwards.
+	DefaultSilence = 15 * time.Minute
+	// DefaultIdentities is the bound on remembered identities of one entry:
+	// about 3 MB, and several minutes of the shortest tasks on eight slots.
+	DefaultIdentities = 1 << 15
+	// maxEntries bounds the remembered entry names. A service has a few entries;
+	// the bound only matters if names are generated.
+	maxEntries = 256
+)
+
+// Options configure a Table. Zero fields take the defaults.
+type Options struct {
+	Slots          int             // tasks at once
+	GrantTTL       time.Duration   // life of a grant after it was made or renewed
+	RetentionBytes int             // bound on retained outcomes, in bytes of results and reasons
+	Retention      time.Duration   // bound on the age of a retained outcome
+	Silence        time.Duration   // an entry without a link for longer is forgotten
+	Identities     int             // bound on remembered identities of one entry
+	Policy         settings.Policy // Grants and Reserve are used
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Slots, DefaultSlots)
+	setDefault(&o.GrantTTL, DefaultGrantTTL)
+	setDefault(&o.RetentionBytes, DefaultRetentionBytes)
+	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.Identities, DefaultIdentities)
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// run is one running task.
+type run struct {
+	task  wire.TaskID
+	entry *entry
+	rec   *record
+	class wire.Class
+}
+
+// Table is the slot table of one agent incarnation.
+//
+// Invariants:
+//   - Running tasks, occupied slots and unused slots of unexpired grants
+//     together never exceed the slots, unless SetOccupied raised the occupied
+//     slots while grants were out; then Start refuses what does not fit.
+//   - An identity starts at most once. It can start again only if the target
+//     itself refused it without running it, and then only under a higher attempt.
+//   - An outcome with StateRefused or StateNeverSeen is given only for an attempt
+//     that did not run and that the table will not start later.
+type Table struct {
+	opts     Options
+	agent    wire.Incarnation
+	seq      uint64   // last grant
+	turn     uint64   // last turn given to an entry
+	entries  []*entry // sorted by name
+	floor    wire.Incarnation
+	grants   []*grant // unexpired and not used up, in order of issue
+	running  map[wire.TaskID]*run
+	occupied int
+	revision uint64
+	draining bool
+	retained *list.List // of *kept, oldest first
+	bytes    int        // of retained outcomes
+	prefer   *entry     // the entry that is about to be sent an outcome
+	reserve  reserve
+	clock    time.Time
+	counters counters
+}
+
+type counters struct {
+	expired int
+	unused  int
+	idle    time.Duration
+}
+
+// New returns the table of an agent incarnation without entries.
+func New(agent wire.Incarnation, opts Options) *Table {
+	opts = opts.withDefaults()
+	return &Table{
+		opts:     opts,
+		agent:    agent,
+		running:  map[wire.TaskID]*run{},
+		retained: list.New(),
+		reserve:  reserve{mode: opts.Policy.Reserve, slots: opts.Slots},
+	}
+}
+
+// Stats is a snapshot of the table. The last three fields only grow.
+type Stats struct {
+	Running       int
+	Occupied      int
+	Granted       int // unused slots of unexpired grants
+	Free          int
+	Reserve       int // slots kept for short work
+	Retained      int // outcomes
+	RetainedBytes int
+	Identities    int           // remembered, over all entries
+	GrantsExpired int           // slots of grants that expired unused
+	GrantsUnused  int           // slots of grants that were returned or withdrawn
+	IdleWaiting   time.Duration // idle slot time that waiting work could have used
+}
+
+// Stats returns a snapshot at now.
+func (t *Table) Stats(now time.Time) Stats {
+	t.advance(now)
+	s := Stats{
+		Running:       len(t.running),
+		Occupied:      t.occupied,
+		Granted:       t.granted(),
+		Free:          max(0, t.free()),
+		Reserve:       t.reserve.size(),
+		Retained:      t.retained.Len(),
+		RetainedBytes: t.bytes,
+		GrantsExpired: t.counters.expired,
+		GrantsUnused:  t.counters.unused,
+		IdleWaiting:   t.counters.idle,
+	}
+	for _, e := range t.entries {
+		s.Identities += len(e.ids.records)
+	}
+	return s
+}
+
+// Revision returns the highest configuration revision that the table knows.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// SetRevision raises the known configuration revision; a lower one is ignored.
+// Starts under an older revision are refused from now on.
+func (t *Table) SetRevision(revision uint64) {
+	t.revision = max(t.revision, revision)
+}
+
+// SetDraining sets the draining flag. While it is set every start is refused
+// and no slot is granted; setting it withdraws all unused grants.
+func (t *Table) SetDraining(draining bool, now time.Time) {
+	t.advance(now)
+	t.draining = draining
+	if draining {
+		t.withdraw(func(*grant) bool { return true })
+	}
+}
+
+// Occupied returns the slots that are in use without a running task.
+func (t *Table) Occupied() int { return t.occupied }
+
+// SetOccupied sets the number of slots that are in use without a running task:
+// work of an earlier agent, and tasks that were detached.
+func (t *Table) SetOccupied(n int, now time.Time) {
+	t.advance(now)
+	t.occupied = max(0, n)
+}
+
+// Expire applies everything that is due at now.
+func (t *Table) Expire(now time.Time) { t.advance(now) }
+
+// NextDeadline returns when Expire has something to do next, or the zero time.
+func (t *Table) NextDeadline() time.Time {
+	var next time.Time
+	earliest := func(at time.Time) {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	for _, g := range t.grants {
+		earliest(g.expiry)
+	}
+	if front := t.retained.Front(); front != nil {
+		earliest(front.Value.(*kept).at.Add(t.opts.Retention))
+	}
+	for _, e := range t.entries {
+		if !e.up && !e.forgotten {
+			earliest(e.downSince.Add(t.opts.Silence))
+		}
+	}
+	return next
+}
+
+// advance moves the table's clock to now. Every operation calls it first, so
+// that a grant that expired while the process was paused is gone before a
+// buffered heartbeat could renew it or a buffered start could use it.
+func (t *Table) advance(now time.Time) {
+	if !now.After(t.clock) {
+		return
+	}
+	if !t.clock.IsZero() {
+		t.account(now.Sub(t.clock))
+	}
+	t.clock = now
+	t.expireGrants()
+	t.expireOutcomes()
+	for _, e := range t.entries {
+		if !e.up && !e.forgotten && !now.Before(e.downSince.Add(t.opts.Silence)) {
+			t.forget(e)
+		}
+	}
+}
+
+// account adds the time since the last operation to the measures. An idle slot
+// counts only while a waiting task could use it: one waiting task makes one of
+// several idle slots a lost one.
+func (t *Table) account(d time.Duration) {
+	long := t.runningLong()
+	t.reserve.observe(d, len(t.running)-long, long)
+	if t.draining {
+		return
+	}
+	waiting := 0
+	for _, e := range t.entries {
+		waiting += e.waiting()
+	}
+	idle := max(0, t.opts.Slots-t.occupied-len(t.running))
+	t.counters.idle += time.Duration(min(idle, waiting)) * d
+}
+
+func (t *Table) runningLong() int {
+	n := 0
+	for _, r := range t.running {
+		if r.class == wire.ClassLong {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Table) granted() int {
+	n := 0
+	for _, g := range t.grants {
+		n += g.left
+	}
+	return n
+}
+
+// free returns the slots that are neither running, occupied nor granted. It is
+// negative after SetOccupied took slots that were granted.
+func (t *Table) free() int {
+	return t.opts.Slots - t.occupied - len(t.running) - t.granted()
+}
+
+func (t *Table) find(name string) *entry {
+	i, ok := t.search(name)
+	if !ok {
+		return nil
+	}
+	return t.entries[i]
+}
+
+func (t *Table) search(name string) (int, bool) {
+	return slices.BinarySearchFunc(t.entries, name, func(e *entry, name string) int {
+		switch {
+		case e.name < name:
+			return -1
+		case e.name > name:
+			return 1
+		}
+		return 0
+	})
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -136,9 +136,11 @@
 	ShortOnly bool          `cbor:"4,keyasint,omitempty"`
 }
 
-// Revoke asks for the unused slots of a grant back.
+// Revoke asks for unused slots of a grant back: at most Slots of them, or all
+// where Slots is 0. The entry answers with one Return, also when it has none.
 type Revoke struct {
-	ID GrantID `cbor:"1,keyasint"`
+	ID    GrantID `cbor:"1,keyasint"`
+	Slots uint32  `cbor:"2,keyasint,omitempty"`
 }
 
 // Return gives back unused slots of a grant. The sender will not use them.
@@ -189,15 +191,20 @@
 	Grant   *Grant        `cbor:"7,keyasint,omitempty"`
 }
 
-// Ack lets the agent forget outcomes.
+// Ack lets the agent forget outcomes. Below, where set, says that the sender
+// will send no Start and no Query for a job with a lower sequence number, so
+// that the agent can forget these jobs' identities.
 type Ack struct {
 	Tasks []TaskID `cbor:"1,keyasint"`
+	Below uint64   `cbor:"2,keyasint,omitempty"`
 }
 
 // Query asks for the outcome of tasks that were out when a link was lost. A
-// task that the agent never saw is barred from starting later.
+// task that the agent never saw is barred from starting later. Agent is the
+// agent incarnation that the tasks were sent to; any other answers unknown.
 type Query struct {
-	Tasks []TaskID `cbor:"1,keyasint"`
+	Tasks []TaskID    `cbor:"1,keyasint"`
+	Agent Incarnation `cbor:"2,keyasint,omitempty"`
 }
 
 // Cancel asks the agent to stop tasks. Each still gets its outcome.
