Add the stand-in store

An in-memory key-value store with compare-and-swap, leases, watches and a store-wide revision, over HTTP and as a view in the same process. Both views pass every call through the same faults, so that a test in virtual time and a test with processes meet the same behaviour. Added latency delays the processing and not only the answer: a write whose caller gave up still lands later, which is the case that a read after a lost answer cannot rule out. Leases go on expiring while the store is down, which is the harder case.

--- /dev/null
+++ b/standin/store_test.go
@@ -0,0 +1,253 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/platform/httpstore"
+)
+
+func want(t *testing.T, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("%s: %v, want %v", what, got, want)
+	}
+}
+
+func inStore(t *testing.T, run func(*testing.T, *Store, *LocalStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewStore(StoreOptions{})
+		run(t, s, s.Local())
+	})
+}
+
+func put(t *testing.T, l platform.Store, key, value string, expected uint64, lease platform.LeaseID) uint64 {
+	t.Helper()
+	v, err := l.CompareAndSwap(t.Context(), key, expected, []byte(value), lease)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// Guards against a lost update and against versions that do not grow over a
+// deletion.
+func TestStoreCompareAndSwap(t *testing.T) {
+	inStore(t, func(t *testing.T, _ *Store, l *LocalStore) {
+		ctx := t.Context()
+		v := put(t, l, "k", "a", 0, 0)
+		_, err := l.CompareAndSwap(ctx, "k", 0, nil, 0)
+		want(t, "create over a value", err, platform.ErrConflict)
+		want(t, "delete an old version", l.Delete(ctx, "k", v+1), platform.ErrConflict)
+		want(t, "delete", l.Delete(ctx, "k", v), nil)
+		want(t, "delete an absent key", l.Delete(ctx, "k", 0), platform.ErrConflict)
+		if next := put(t, l, "k", "b", 0, 0); next <= v {
+			t.Errorf("version %d after %d", next, v)
+		}
+		_, err = l.CompareAndSwap(ctx, "big", 0, make([]byte, platform.MaxValueBytes+1), 0)
+		want(t, "too large", err, platform.ErrTooLarge)
+	})
+}
+
+// Guards against a lease that outlives its time, that ends although it was
+// renewed, or that takes a key along which has moved to another lease.
+func TestStoreLeases(t *testing.T) {
+	inStore(t, func(t *testing.T, s *Store, l *LocalStore) {
+		ctx := t.Context()
+		first, _ := l.GrantLease(ctx, 10*time.Second)
+		second, _ := l.GrantLease(ctx, 30*time.Second)
+		put(t, l, "stays", "", put(t, l, "stays", "", 0, first), second)
+		put(t, l, "goes", "", 0, first)
+		time.Sleep(8 * time.Second)
+		want(t, "renewal", l.KeepAlive(ctx, first), nil)
+		time.Sleep(8 * time.Second)
+		_, err := l.Get(ctx, "goes")
+		want(t, "key of a renewed lease", err, nil)
+		s.Change(StoreFaultChange{Down: new(true)})
+		time.Sleep(3 * time.Second)
+		s.Change(StoreFaultChange{Down: new(false)})
+		_, err = l.Get(ctx, "goes")
+		want(t, "key of a lease that lapsed while down", err, platform.ErrNotFound)
+		_, err = l.Get(ctx, "stays")
+		want(t, "key on another lease", err, nil)
+		want(t, "renewal of a lapsed lease", l.KeepAlive(ctx, first), platform.ErrLeaseNotFound)
+		want(t, "expire now", s.Change(StoreFaultChange{ExpireLeaseOf: "stays"}), nil)
+		_, err = l.Get(ctx, "stays")
+		want(t, "key of an expired lease", err, platform.ErrNotFound)
+	})
+}
+
+// Guards against a watch that misses a change, gets one of another prefix or
+// returns nothing when the store no longer knows the changes.
+func TestStoreWatch(t *testing.T) {
+	inStore(t, func(t *testing.T, s *Store, l *LocalStore) {
+		ctx := t.Context()
+		v := put(t, l, "a/1", "x", 0, 0)
+		time.AfterFunc(time.Second, func() { put(t, l, "b/1", "", 0, 0) })
+		time.AfterFunc(1500*time.Millisecond, func() { l.Delete(ctx, "a/1", v) })
+		changes, revision, err := l.Watch(ctx, "a/", v)
+		if err != nil || len(changes) != 1 || !changes[0].Deleted || revision != v+2 {
+			t.Errorf("%+v at %d, %v", changes, revision, err)
+		}
+		changes, _, err = l.Watch(ctx, "a/", revision)
+		if err != nil || len(changes) != 0 {
+			t.Errorf("quiet watch: %+v, %v", changes, err)
+		}
+		_, _, err = l.Watch(ctx, "a/", revision+1)
+		want(t, "revision of another run", err, platform.ErrUnavailable)
+		time.AfterFunc(time.Second, func() { s.Change(StoreFaultChange{Down: new(true)}) })
+		_, _, err = l.Watch(ctx, "a/", revision)
+		want(t, "watch across the start of an outage", err, platform.ErrUnavailable)
+	})
+}
+
+// Guards against a fault switch without its effect, which would make the tests
+// that use it prove nothing.
+func TestStoreFaults(t *testing.T) {
+	inStore(t, func(t *testing.T, s *Store, l *LocalStore) {
+		ctx := t.Context()
+		s.Change(StoreFaultChange{DropWriteAnswers: new(1)})
+		_, err := l.CompareAndSwap(ctx, "dropped", 0, nil, 0)
+		want(t, "dropped answer", err, platform.ErrUnknown)
+		_, err = l.Get(ctx, "dropped")
+		want(t, "write with a dropped answer", err, nil)
+
+		s.Change(StoreFaultChange{LatencyMS: new(1500)})
+		_, err = l.CompareAndSwap(ctx, "late", 0, nil, 0)
+		want(t, "write slower than the timeout", err, platform.ErrUnknown)
+		s.Change(StoreFaultChange{LatencyMS: new(0)})
+		_, err = l.Get(ctx, "late")
+		want(t, "late write before it lands", err, platform.ErrNotFound)
+		time.Sleep(time.Second)
+		_, err = l.Get(ctx, "late")
+		want(t, "late write after it landed", err, nil)
+
+		s.Change(StoreFaultChange{Hang: new(true)})
+		_, err = l.Get(ctx, "late")
+		want(t, "hanging read", err, platform.ErrUnavailable)
+		want(t, "hanging write", l.Delete(ctx, "late", 2), platform.ErrUnknown)
+		s.Change(StoreFaultChange{Hang: new(false)})
+
+		l.Cut(true)
+		want(t, "cut view", l.Delete(ctx, "late", 2), platform.ErrUnavailable)
+		_, err = s.Local().Get(ctx, "late")
+		want(t, "other view", err, nil)
+	})
+}
+
+// Guards against stale reads that mix two points in time: the entries and the
+// revision of a list must fit together, or a watch from there misses changes.
+func TestStoreStaleReads(t *testing.T) {
+	inStore(t, func(t *testing.T, s *Store, l *LocalStore) {
+		ctx := t.Context()
+		first := put(t, l, "k", "old", 0, 0)
+		time.Sleep(time.Minute)
+		put(t, l, "k", "new", first, 0)
+		put(t, l, "other", "", 0, 0)
+		s.Change(StoreFaultChange{StaleReadsMS: new(1000)})
+		entries, revision, _ := l.List(ctx, "")
+		if len(entries) != 1 || string(entries[0].Value) != "old" || revision != first {
+			t.Errorf("%+v at %d", entries, revision)
+		}
+		time.Sleep(2 * time.Second)
+		if e, err := l.Get(ctx, "k"); err != nil || string(e.Value) != "new" {
+			t.Errorf("%s, %v", e.Value, err)
+		}
+		// Long after, the superseded versions are dropped.
+		time.Sleep(time.Minute)
+		put(t, l, "third", "", 0, 0)
+		if n := len(s.state.keys["k"]); n != 1 {
+			t.Errorf("%d versions kept", n)
+		}
+	})
+}
+
+// Guards against a rate cap that lets more through or applies what it refuses.
+func TestStoreRateCap(t *testing.T) {
+	inStore(t, func(t *testing.T, s *Store, l *LocalStore) {
+		s.Change(StoreFaultChange{WritesPerSecond: new(100)})
+		applied := 0
+		for range 1000 {
+			_, err := l.CompareAndSwap(t.Context(), "k", s.Revision(), nil, 0)
+			if err == nil {
+				applied++
+			} else {
+				want(t, "over the cap", err, platform.ErrUnavailable)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if applied < 100 || applied > 110 || s.Revision() != uint64(applied) {
+			t.Errorf("%d writes applied, revision %d, want the cap of 100 and its burst of 10", applied, s.Revision())
+		}
+	})
+}
+
+// Guards against the two sides of the HTTP protocol drifting apart.
+func TestStoreOverHTTP(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	bound := make(chan string, 1)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- RunStore(ctx, "127.0.0.1:0", RunStoreOptions{Listening: func(a net.Addr) { bound <- "http://" + a.String() }})
+	}()
+	url := <-bound
+	// No call waits for this timeout; it keeps a busy machine from failing one.
+	l, err := httpstore.New(url, httpstore.Options{Timeout: time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lease, err := l.GrantLease(ctx, time.Minute)
+	want(t, "grant", err, nil)
+	v := put(t, l, "a/1", "x", 0, lease)
+	want(t, "renewal", l.KeepAlive(ctx, lease), nil)
+	e, err := l.Get(ctx, "a/1")
+	if err != nil || string(e.Value) != "x" || e.Version != v || e.Lease != lease {
+		t.Errorf("get: %+v, %v", e, err)
+	}
+	_, err = l.Get(ctx, "absent")
+	want(t, "absent", err, platform.ErrNotFound)
+	want(t, "conflict", l.Delete(ctx, "a/1", v-1), platform.ErrConflict)
+	want(t, "revoke", l.RevokeLease(ctx, lease), nil)
+	want(t, "revoke again", l.RevokeLease(ctx, lease), platform.ErrLeaseNotFound)
+	changes, revision, err := l.Watch(ctx, "a/", v-1)
+	if err != nil || len(changes) != 2 || !changes[1].Deleted || revision != v+1 {
+		t.Errorf("watch: %+v at %d, %v", changes, revision, err)
+	}
+	post(t, url, `{"drop_write_answers":1}`, http.StatusOK)
+	_, err = l.CompareAndSwap(ctx, "b", 0, nil, 0)
+	want(t, "dropped answer", err, platform.ErrUnknown)
+	if entries, _, err := l.List(ctx, ""); err != nil || len(entries) != 1 {
+		t.Errorf("list: %+v, %v", entries, err)
+	}
+	post(t, url, `{"down":true}`, http.StatusOK)
+	want(t, "down", l.Delete(ctx, "b", revision+1), platform.ErrUnavailable)
+	post(t, url, `{"down":false,"writes_per_second":1}`, http.StatusOK)
+	post(t, url, `{"dwon":true}`, http.StatusBadRequest)
+	limited := func() bool { return errors.Is(l.Delete(ctx, "absent", 1), platform.ErrUnavailable) }
+	for tries := 0; !limited(); tries++ {
+		if tries == 1000 {
+			t.Fatal("no write is refused over the cap")
+		}
+	}
+	cancel()
+	want(t, "end", <-ended, nil)
+}
+
+func post(t *testing.T, url, body string, status int) {
+	t.Helper()
+	r, err := http.Post(url+PathFaults, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Body.Close()
+	if r.StatusCode != status {
+		t.Errorf("%s: status %d, want %d", body, r.StatusCode, status)
+	}
+}
