Add entry leases and the list of live entries

An entry renews its lease on its own schedule with jitter and gets a new one when the old one lapsed in a pause. Peers come from the store, from links and from reports of others; only the first two may be reported on, or processes would keep a dead entry listed for each other.

An entry that was listed before an outage stays listed for a minute after it without its key, because all leases lapse while no one can renew them and the entries come back one by one.

Ruled out: reading the key before writing it, since the first attempt expects none and a conflict is rare; overwriting the key of a later incarnation, since of two processes with one name the later start is the one that is wanted.

--- /dev/null
+++ b/member/backoff.go
@@ -0,0 +1,38 @@
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// backoff gives the waits between failed attempts: doubling from firstBackoff
+// to a bound, each drawn from the upper half so that entries spread out and
+// none comes back at once.
+type backoff struct {
+	bound    time.Duration
+	random   *rand.Rand
+	failures int
+	limit    time.Duration
+}
+
+func newBackoff(bound time.Duration, random *rand.Rand) *backoff {
+	return &backoff{bound: bound, random: random, limit: firstBackoff}
+}
+
+func (b *backoff) reset() {
+	b.failures = 0
+	b.limit = firstBackoff
+}
+
+func (b *backoff) next() time.Duration {
+	limit := min(b.limit, b.bound)
+	b.failures++
+	b.limit = 2 * limit
+	half := limit / 2
+	return half + time.Duration(b.random.Int64N(int64(half)+1))
+}
+
+// jitter returns d changed by up to a share of it either way.
+func jitter(random *rand.Rand, d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * (1 + share*(2*random.Float64()-1)))
+}
--- /dev/null
+++ b/member/directory.go
@@ -0,0 +1,211 @@
+package member
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Snapshot is an immutable list of the other live entries, in the order of
+// their names. Each name is listed once, with its latest incarnation.
+type Snapshot struct {
+	Peers []wire.Peer
+	// Direct is the part of Peers that the store or a link shows. Only these
+	// may be reported to others: if processes passed on what they only heard,
+	// they would keep a dead entry listed for each other.
+	Direct  []wire.Peer
+	changed chan struct{}
+}
+
+// Changed returns a channel that is closed when a later snapshot replaces this
+// one.
+func (s *Snapshot) Changed() <-chan struct{} { return s.changed }
+
+func (s *Snapshot) has(i wire.Incarnation) bool {
+	return slices.ContainsFunc(s.Peers, func(p wire.Peer) bool { return p.Incarnation == i })
+}
+
+// expiring is a peer that is listed until a time, or without end if it is zero.
+type expiring struct {
+	peer  wire.Peer
+	until time.Time
+}
+
+// directory merges what is known of the other entries, by name.
+type directory struct {
+	self     wire.Peer
+	grace    time.Duration
+	heardTTL time.Duration
+
+	mu     sync.Mutex
+	stored map[string]expiring
+	linked map[string]wire.Peer
+	heard  map[string]expiring
+
+	snapshot atomic.Pointer[Snapshot]
+}
+
+func newDirectory(self wire.Peer, grace, heardTTL time.Duration) *directory {
+	d := &directory{
+		self:     self,
+		grace:    grace,
+		heardTTL: heardTTL,
+		stored:   map[string]expiring{},
+		linked:   map[string]wire.Peer{},
+		heard:    map[string]expiring{},
+	}
+	d.snapshot.Store(&Snapshot{changed: make(chan struct{})})
+	return d
+}
+
+// replace takes over a complete list from the store and reports whether the
+// entry's own key is in it. After an outage, entries that are missing get the
+// grace, since their leases may only have lapsed for want of a store.
+func (d *directory) replace(entries []platform.Entry, now time.Time, outage bool) (own bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := map[string]expiring{}
+	for _, e := range entries {
+		if p, ok := decodePeer(e); ok {
+			listed[p.Name] = expiring{peer: p}
+		}
+	}
+	own = d.takeOwn(listed)
+	for name, s := range d.stored {
+		if _, ok := listed[name]; ok {
+			continue
+		}
+		if s.until.IsZero() && outage {
+			s.until = now.Add(d.grace)
+		}
+		if !s.until.IsZero() {
+			listed[name] = s
+		}
+	}
+	d.stored = listed
+	d.publish()
+	return own
+}
+
+// takeOwn removes the entry's own key and reports whether it was there.
+func (d *directory) takeOwn(listed map[string]expiring) bool {
+	_, own := listed[d.self.Name]
+	delete(listed, d.self.Name)
+	return own
+}
+
+// change applies the changes of a watch and returns whether the entry's own key
+// is there after them.
+func (d *directory) change(changes []platform.Change, own bool) bool {
+	if len(changes) == 0 {
+		return own
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range changes {
+		name := strings.TrimPrefix(c.Entry.Key, Prefix)
+		if name == d.self.Name {
+			own = !c.Deleted
+			continue
+		}
+		delete(d.stored, name)
+		if p, ok := decodePeer(c.Entry); ok && !c.Deleted {
+			d.stored[name] = expiring{peer: p}
+		}
+	}
+	d.publish()
+	return own
+}
+
+// decodePeer returns the peer of a key; a value of another name is ignored.
+func decodePeer(e platform.Entry) (wire.Peer, bool) {
+	var p wire.Peer
+	err := json.Unmarshal(e.Value, &p)
+	return p, err == nil && Prefix+p.Name == e.Key
+}
+
+func (d *directory) link(p wire.Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.linked[p.Name].Incarnation > p.Incarnation {
+		return
+	}
+	d.linked[p.Name] = p
+	d.publish()
+}
+
+func (d *directory) unlink(p wire.Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.linked[p.Name].Incarnation != p.Incarnation {
+		return
+	}
+	delete(d.linked, p.Name)
+	d.publish()
+}
+
+func (d *directory) hear(peers []wire.Peer, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range peers {
+		if d.heard[p.Name].peer.Incarnation <= p.Incarnation {
+			d.heard[p.Name] = expiring{peer: p, until: now.Add(d.heardTTL)}
+		}
+	}
+	d.publish()
+}
+
+// expire drops the peers whose time is over.
+func (d *directory) expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	over := func(_ string, e expiring) bool { return !e.until.IsZero() && !now.Before(e.until) }
+	maps.DeleteFunc(d.stored, over)
+	maps.DeleteFunc(d.heard, over)
+	d.publish()
+}
+
+// publish replaces the snapshot if it differs. The mutex is held.
+func (d *directory) publish() {
+	latest := map[string]wire.Peer{}
+	for _, p := range d.linked {
+		d.add(latest, p)
+	}
+	for _, s := range d.stored {
+		d.add(latest, s.peer)
+	}
+	direct := sorted(latest)
+	for _, h := range d.heard {
+		d.add(latest, h.peer)
+	}
+	next := &Snapshot{Peers: sorted(latest), Direct: direct, changed: make(chan struct{})}
+	old := d.snapshot.Load()
+	if slices.Equal(old.Peers, next.Peers) && slices.Equal(old.Direct, next.Direct) {
+		return
+	}
+	d.snapshot.Store(next)
+	close(old.changed)
+}
+
+// add keeps the latest incarnation of a name and leaves the entry itself out.
+func (d *directory) add(latest map[string]wire.Peer, p wire.Peer) {
+	if p.Name == d.self.Name {
+		return
+	}
+	if known, ok := latest[p.Name]; !ok || p.Incarnation > known.Incarnation {
+		latest[p.Name] = p
+	}
+}
+
+func sorted(peers map[string]wire.Peer) []wire.Peer {
+	out := slices.Collect(maps.Values(peers))
+	slices.SortFunc(out, func(a, b wire.Peer) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,281 @@
+// Package member keeps an entry's lease in the store and publishes which other
+// entries are live.
+package member
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Prefix is where entries keep their keys: Prefix + name.
+const Prefix = "entries/"
+
+// Defaults of Options.
+const (
+	// DefaultLeaseTTL is how long a dead entry stays listed.
+	DefaultLeaseTTL = 10 * time.Second
+	// DefaultRenew leaves time for two more attempts before the lease ends.
+	DefaultRenew = 3 * time.Second
+	// DefaultMaxBackoff spreads the entries' calls after a long outage: each
+	// comes back at a time of its own within this span, and a fleet of 50 then
+	// makes some 30 calls a second of the several hundred that the store takes.
+	DefaultMaxBackoff = 10 * time.Second
+	// DefaultRecoveryGrace is how long an entry that was listed before an
+	// outage stays listed after it without its key. It is a multiple of the
+	// longest backoff, within which live entries write their keys again.
+	DefaultRecoveryGrace = time.Minute
+	// DefaultHeardTTL is how long an entry stays listed that only others
+	// reported.
+	DefaultHeardTTL = 30 * time.Second
+)
+
+const (
+	firstBackoff = 500 * time.Millisecond
+	// watchSpacing is the least time between two watch calls. When many entries
+	// register at once, every watch would otherwise return for each of them.
+	watchSpacing   = 500 * time.Millisecond
+	expireInterval = time.Second
+	// renewJitter is the share by which a renewal comes early or late, so that
+	// entries started together do not stay in step.
+	renewJitter = 0.2
+)
+
+// Options are the parameters of Members. Zero fields take the defaults.
+type Options struct {
+	LeaseTTL      time.Duration
+	Renew         time.Duration // mean time between renewals
+	MaxBackoff    time.Duration // longest wait between attempts while the store fails
+	RecoveryGrace time.Duration
+	HeardTTL      time.Duration
+	// Observe publishes the entries without registering as one.
+	Observe bool
+	Log     *zap.Logger
+}
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.LeaseTTL, DefaultLeaseTTL)
+	orDefault(&o.Renew, DefaultRenew)
+	orDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	orDefault(&o.RecoveryGrace, DefaultRecoveryGrace)
+	orDefault(&o.HeardTTL, DefaultHeardTTL)
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	return o
+}
+
+func orDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Members holds one entry's membership.
+type Members struct {
+	store     platform.Store
+	self      wire.Peer
+	options   Options
+	directory *directory
+	register  *registration
+	// lost asks the register loop to write the entry's key again.
+	lost chan struct{}
+	tomb tomb.Tomb
+}
+
+// New returns the membership of an entry. Without a store (nil), the entries
+// are only those that are linked or heard of.
+func New(store platform.Store, self wire.Peer, o Options) *Members {
+	o = o.withDefaults()
+	return &Members{
+		store:     store,
+		self:      self,
+		options:   o,
+		directory: newDirectory(self, o.RecoveryGrace, o.HeardTTL),
+		register:  newRegistration(store, self, o.LeaseTTL),
+		lost:      make(chan struct{}, 1),
+	}
+}
+
+// Start starts the loops. It does not wait for the store.
+func (m *Members) Start() {
+	ctx := m.tomb.Context(context.Background())
+	m.tomb.Go(m.expireLoop)
+	if m.store == nil {
+		return
+	}
+	m.tomb.Go(func() error { return m.watchLoop(ctx) })
+	if !m.options.Observe {
+		m.tomb.Go(func() error { return m.registerLoop(ctx) })
+	}
+}
+
+// Stop ends the loops and removes the entry's key by revoking its lease. If
+// that fails, the key goes when the lease ends.
+func (m *Members) Stop(ctx context.Context) error {
+	m.tomb.Kill(nil)
+	if err := m.tomb.Wait(); err != nil {
+		return err
+	}
+	return m.register.end(ctx)
+}
+
+// Snapshot returns the entries that are live now. It does not block.
+func (m *Members) Snapshot() *Snapshot { return m.directory.snapshot.Load() }
+
+// Linked lists a peer for as long as it is linked.
+func (m *Members) Linked(p wire.Peer) { m.directory.link(p) }
+
+// Unlinked ends what Linked began, for the same incarnation.
+func (m *Members) Unlinked(p wire.Peer) { m.directory.unlink(p) }
+
+// Heard lists peers that another process reported. They stay listed for the
+// heard time to live.
+func (m *Members) Heard(peers []wire.Peer) { m.directory.hear(peers, time.Now()) }
+
+// Live reports whether an incarnation is this entry or a listed one.
+func (m *Members) Live(i wire.Incarnation) bool {
+	return i == m.self.Incarnation || m.Snapshot().has(i)
+}
+
+// random returns a source for one loop. The incarnation as seed keeps entries
+// apart.
+func (m *Members) random(loop uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(m.self.Incarnation), loop))
+}
+
+const (
+	registerSeed = iota + 1
+	watchSeed
+)
+
+// registerLoop keeps the entry's key under a live lease.
+func (m *Members) registerLoop(ctx context.Context) error {
+	wait := newBackoff(m.options.MaxBackoff, m.random(registerSeed))
+	for {
+		err := m.register.refresh(ctx)
+		m.noteRegistered(err, wait.failures)
+		delay := jitter(wait.random, m.options.Renew, renewJitter)
+		if err != nil {
+			delay = wait.next()
+		} else {
+			wait.reset()
+		}
+		if !m.sleep(delay, m.lost) {
+			return nil
+		}
+	}
+}
+
+func (m *Members) noteRegistered(err error, failures int) {
+	switch {
+	case err != nil && failures == 0 && m.tomb.Alive():
+		m.options.Log.Warn("entry lease is not renewed", zap.Error(err))
+	case err == nil && failures > 0:
+		m.options.Log.Info("entry lease is renewed again", zap.Int("failed_attempts", failures))
+	}
+}
+
+// watchLoop follows the other entries' keys with one pending call.
+func (m *Members) watchLoop(ctx context.Context) error {
+	wait := newBackoff(m.options.MaxBackoff, m.random(watchSeed))
+	w := watcher{store: m.store, directory: m.directory, contact: time.Now(), outage: m.options.LeaseTTL / 2}
+	for {
+		held := m.register.held.Load()
+		err := w.step(ctx)
+		delay := jitter(wait.random, watchSpacing, renewJitter)
+		if err != nil {
+			delay = wait.next()
+		} else {
+			wait.reset()
+			m.checkOwnKey(held, w.ownKey)
+		}
+		if !m.sleep(delay, nil) {
+			return nil
+		}
+	}
+}
+
+// checkOwnKey asks for the entry's key to be written again when it is gone
+// although its lease may live, for example because it was deleted by hand. Held
+// is from before the call that showed whether the key is present.
+func (m *Members) checkOwnKey(held, present bool) {
+	if present || !held {
+		return
+	}
+	m.register.held.Store(false)
+	select {
+	case m.lost <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Members) expireLoop() error {
+	for m.sleep(expireInterval, nil) {
+		m.directory.expire(time.Now())
+	}
+	return nil
+}
+
+// sleep waits and reports whether to go on; wake ends the wait early.
+func (m *Members) sleep(d time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-m.tomb.Dying():
+		return false
+	case <-wake:
+	case <-t.C:
+	}
+	return true
+}
+
+// watcher is the state of the watch loop.
+type watcher struct {
+	store     platform.Store
+	directory *directory
+	listed    bool
+	revision  uint64
+	ownKey    bool          // the entry's own key is there
+	contact   time.Time     // of the last answer
+	outage    time.Duration // silence after which leases may have lapsed for want of renewal
+}
+
+// step makes one call: a list at first and after every error, else a watch.
+func (w *watcher) step(ctx context.Context) error {
+	if !w.listed {
+		return w.list(ctx)
+	}
+	changes, revision, err := w.store.Watch(ctx, Prefix, w.revision)
+	if err != nil {
+		w.listed = false
+		return err
+	}
+	w.revision = revision
+	w.contact = time.Now()
+	w.ownKey = w.directory.change(changes, w.ownKey)
+	return nil
+}
+
+func (w *watcher) list(ctx context.Context) error {
+	entries, revision, err := w.store.List(ctx, Prefix)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	w.ownKey = w.directory.replace(entries, now, now.Sub(w.contact) >= w.outage)
+	w.listed = true
+	w.revision = revision
+	w.contact = now
+	return nil
+}
+
+// errSuperseded is a registration under a name that a later incarnation holds.
+var errSuperseded = errors.New("member: a later incarnation holds the entry's name")
