--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/catkinline/catkinline/queue"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -26,23 +25,30 @@
 
 // sendDemand tells agents without a grant for this entry what waits here.
 func (s *Scheduler) sendDemand(now time.Time) {
+	if s.queue.Waiting() == 0 && s.demanding == 0 {
+		return
+	}
 	told := 0
-	for _, t := range s.targets {
+	heads := make(map[string]wire.Demand, 1)
+	for _, t := range s.ordered {
 		if !t.usable() {
 			continue
 		}
-		d := s.demandFor(t)
+		d := s.demandFor(t, heads)
 		if d.Waiting > 0 && told >= demandSpread*int(d.Waiting) && t.demand.Waiting == 0 {
 			continue
 		}
 		if d.Waiting > 0 {
 			told++
 		}
-		if !t.demandDue(d, now) {
-			continue
+		if t.demandDue(d, now) {
+			if t.unanswered {
+				s.waste(1) // the demand before led to no grant
+			}
+			s.noteDemand(t, d, now)
+			t.unanswered = d.Waiting > 0
+			s.send(t, &d)
 		}
-		s.conveyDemand(t, d, now)
-		s.send(t, &d)
 	}
 }
 
@@ -61,53 +67,39 @@
 	return fewer || more || d.Class != last.Class || math.Abs(float64(d.Key-last.Key)) > demandKeyStep
 }
 
-func (s *Scheduler) conveyDemand(t *target, d wire.Demand, now time.Time) {
-	if t.unanswered {
-		s.waste(1) // the demand before led to no grant
+// noteDemand records what a target was told, and how many targets believe that
+// work waits here.
+func (s *Scheduler) noteDemand(t *target, d wire.Demand, now time.Time) {
+	if t.demand.Waiting > 0 {
+		s.demanding--
+	}
+	if d.Waiting > 0 {
+		s.demanding++
 	}
-	t.unanswered = d.Waiting > 0
 	t.demand = d
 	t.demandAt = now
 }
 
-// demandFor describes the work that waits here for a target.
-func (s *Scheduler) demandFor(t *target) wire.Demand {
-	groups := s.groupsOf(t)
-	head, ok := s.queue.HeadKey(groups, s.allow)
-	if !ok {
-		return wire.Demand{}
+// demandFor describes the work that waits here for a target. Targets that can
+// run the same groups share the answer in heads.
+func (s *Scheduler) demandFor(t *target, heads map[string]wire.Demand) wire.Demand {
+	if d, ok := heads[t.groupsKey]; ok {
+		return d
 	}
-	return wire.Demand{
-		Waiting: uint32(min(head.Waiting, math.MaxUint32)),
-		Key:     head.Key,
-		Class:   head.Class,
-	}
-}
-
-func (s *Scheduler) groupsOf(t *target) []queue.Group {
-	var groups []queue.Group
-	for _, g := range s.byGroup {
-		if g.has(t) {
-			groups = append(groups, g.id)
-		}
+	var d wire.Demand
+	if head, ok := s.queue.HeadKey(t.groups, s.allow); ok {
+		d = wire.Demand{Waiting: uint32(min(head.Waiting, math.MaxUint32)), Key: head.Key, Class: head.Class}
 	}
-	return groups
-}
-
-func (g *group) has(t *target) bool {
-	for _, other := range g.targets {
-		if other == t {
-			return true
-		}
+	if heads != nil {
+		heads[t.groupsKey] = d
 	}
-	return false
+	return d
 }
 
 // demandOnStart returns the demand that a start carries.
 func (s *Scheduler) demandOnStart(t *target, now time.Time) *wire.Demand {
-	d := s.demandFor(t)
+	d := s.demandFor(t, nil)
+	s.noteDemand(t, d, now)
 	t.unanswered = false
-	t.demand = d
-	t.demandAt = now
 	return &d
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,9 +61,11 @@
 // until they are forgotten, so that a short loss of a link refuses no job.
 func (s *Scheduler) fill(g *group) {
 	g.targets = g.targets[:0]
-	for _, t := range s.targets {
+	for _, t := range s.ordered {
 		if t.announced && !t.announce.Draining && !t.drained && s.reachable(t) && g.filter.Eligible(t.labels) {
 			g.targets = append(g.targets, t)
+			t.groups = append(t.groups, g.id)
+			t.groupsKey += strconv.Itoa(int(g.id)) + ","
 		}
 	}
 }
@@ -102,11 +108,31 @@
 
 // regroup fills every group again after a change of a target or of the rules.
 func (s *Scheduler) regroup() {
-	for _, g := range s.groups {
+	for _, t := range s.targets {
+		t.groups, t.groupsKey = nil, ""
+	}
+	for _, g := range s.byGroup {
 		s.fill(g)
 	}
 }
 
+// addTarget keeps the targets in the order of their names, so that the order of
+// messages does not depend on a map.
+func (s *Scheduler) addTarget(name string) *target {
+	t := newTarget(name)
+	s.targets[name] = t
+	at, _ := slices.BinarySearchFunc(s.ordered, name, func(t *target, name string) int {
+		return strings.Compare(t.name, name)
+	})
+	s.ordered = slices.Insert(s.ordered, at, t)
+	return t
+}
+
+func (s *Scheduler) removeTarget(t *target) {
+	delete(s.targets, t.name)
+	s.ordered = slices.DeleteFunc(s.ordered, func(other *target) bool { return other == t })
+}
+
 // SetRules takes a newer configuration into force.
 func (s *Scheduler) SetRules(rules *config.Snapshot, now time.Time) {
 	s.mu.Lock()
@@ -119,7 +145,8 @@
 	}
 	s.groups = make(map[string]*group)
 	s.byGroup = nil
-	for _, j := range s.jobs {
+	s.regroup()
+	for _, j := range s.jobsInOrder() {
 		s.rebind(j, now)
 	}
 	s.pump(now)
@@ -149,3 +176,11 @@
 		s.enqueue(j)
 	}
 }
+
+// jobsInOrder returns the jobs by arrival: the queue breaks ties by the order of
+// addition.
+func (s *Scheduler) jobsInOrder() []*activeJob {
+	jobs := slices.Collect(maps.Values(s.jobs))
+	slices.SortFunc(jobs, func(a, b *activeJob) int { return cmp.Compare(a.seq, b.seq) })
+	return jobs
+}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -23,8 +23,7 @@
 	defer s.mu.Unlock()
 	t := s.targets[name]
 	if t == nil {
-		t = newTarget(name)
-		s.targets[name] = t
+		t = s.addTarget(name)
 	}
 	if incarnation < t.incarnation {
 		return false
@@ -38,7 +37,8 @@
 	t.link = link
 	t.stale = false
 	t.lostAt = time.Time{}
-	t.demand, t.unanswered = wire.Demand{}, false
+	s.noteDemand(t, wire.Demand{}, now)
+	t.unanswered = false
 	if len(t.out) > 0 {
 		s.send(t, &wire.Query{Tasks: t.outstanding()})
 	}
@@ -55,6 +55,7 @@
 		return
 	}
 	s.dropGrants(t)
+	s.noteDemand(t, wire.Demand{}, now)
 	t.link = nil
 	t.lostAt = now
 	t.acks = nil
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -58,16 +58,18 @@
 	opts   Options
 	record Recorder
 
-	mu       sync.Mutex
-	rules    *config.Snapshot
-	jobs     map[uint64]*activeJob
-	expiry   expiryHeap
-	targets  map[string]*target
-	groups   map[string]*group
-	byGroup  []*group // by queue.Group
-	queue    *queue.Queue
-	tasksOut int
-	bytes    int64
+	mu        sync.Mutex
+	rules     *config.Snapshot
+	jobs      map[uint64]*activeJob
+	expiry    expiryHeap
+	targets   map[string]*target
+	ordered   []*target // by name
+	groups    map[string]*group
+	byGroup   []*group // by queue.Group
+	queue     *queue.Queue
+	tasksOut  int
+	demanding int // targets whose last demand from here is not empty
+	bytes     int64
 }
 
 // activeJob is a job that was accepted and has not ended.
--- /dev/null
+++ b/dispatch/scheduler_test.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+)
+
+// Guards against an answer that is partial, out of order or doubled.
+func TestJobIsAnsweredWholeAndInOrder(t *testing.T) {
+	f := newFleet(t, 2, 3, 8, settings.Policy{})
+	ticket := f.submit(0, spec(100, 50*time.Millisecond))
+	f.advance(2 * time.Second)
+	a, ok := answer(ticket)
+	if !ok || a.Err != nil || len(a.Results) != 100 {
+		t.Fatalf("answer %v, %d results, error %v", ok, len(a.Results), a.Err)
+	}
+	for i, r := range a.Results {
+		id := ticket.ID()
+		if want := (taskID(id, i)).String(); string(r) != want {
+			t.Errorf("result %d is %s, want %s", i, r, want)
+		}
+	}
+	f.checkStarts()
+}
+
+// Guards against a start that is sent again although its first message arrived,
+// and against one that is given up although it never arrived.
+func TestLostStartsAreResolvedByQuery(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, settings.Policy{})
+	f.agents[0].lose = true
+	ticket := f.submit(0, spec(4, 300*time.Millisecond))
+	f.advance(100 * time.Millisecond)
+	f.agents[0].lose = false
+	f.agents[0].disconnect(f.entries[0])
+	f.advance(time.Second)
+	f.agents[0].connect(f.entries[0])
+	f.advance(2 * time.Second)
+	if a, ok := answer(ticket); !ok || a.Err != nil {
+		t.Fatalf("answered %v, error %v", ok, a.Err)
+	}
+	f.checkStarts()
+}
+
+// Guards against a task that is run again because its link was lost while it
+// ran.
+func TestRunningTaskSurvivesReconnect(t *testing.T) {
+	f := newFleet(t, 1, 2, 8, settings.Policy{})
+	ticket := f.submit(0, spec(16, 3*time.Second))
+	f.advance(500 * time.Millisecond)
+	f.agents[0].disconnect(f.entries[0])
+	f.advance(time.Second)
+	f.agents[0].connect(f.entries[0])
+	f.advance(3 * time.Second)
+	if a, ok := answer(ticket); !ok || a.Err != nil {
+		t.Fatalf("answered %v, error %v", ok, a.Err)
+	}
+	f.checkStarts()
+}
+
+// Guards against an answer that claims "not run", or that comes only at the
+// deadline, when an agent dies with tasks out.
+func TestLostAgentEndsItsJobsAsUnknown(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, settings.Policy{})
+	ticket := f.submit(0, spec(2, 20*time.Second))
+	f.advance(100 * time.Millisecond)
+	f.agents[0].down = true
+	f.agents[0].disconnect(f.entries[0])
+	f.advance(lossLimit + time.Second)
+	a, ok := answer(ticket)
+	if !ok || a.Err == nil || a.Err.Code != result.TargetLost || a.Err.Ran != result.RanUnknown {
+		t.Fatalf("answered %v, error %+v", ok, a.Err)
+	}
+}
+
+// Guards against a job that waits for its deadline although nothing can run it.
+func TestJobThatMatchesNoTargetFailsAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 2, 8, settings.Policy{})
+	_, refusal := f.entries[0].s.Submit(labelled(spec(1, time.Second), "kind", "panorama"), false, f.now)
+	if refusal == nil || refusal.Code != result.NoMatchingTarget || refusal.Ran != result.NotRun {
+		t.Fatalf("got %v", refusal)
+	}
+}
+
+// Guards against slots that are held by entries without work while another
+// entry's work waits.
+func TestUnusedGrantsMoveToTheEntryWithWork(t *testing.T) {
+	f := newFleet(t, 3, 4, 8, settings.Policy{})
+	ticket := f.submit(1, spec(32, time.Second))
+	f.advance(1500 * time.Millisecond)
+	if a, ok := answer(ticket); !ok || a.Err != nil {
+		t.Fatalf("32 tasks on 32 slots: answered %v, error %v", ok, a.Err)
+	}
+	f.checkStarts()
+}
+
+// Guards against long work that holds up short work which arrives later.
+func TestShortJobPassesWaitingLongWork(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, settings.Policy{})
+	long := f.submit(0, spec(64, 2*time.Second))
+	f.advance(100 * time.Millisecond)
+	short := f.submit(0, spec(1, 100*time.Millisecond))
+	f.advance(2500 * time.Millisecond)
+	if _, ok := answer(short); !ok {
+		t.Error("the short job waits behind the long one")
+	}
+	f.advance(20 * time.Second)
+	if _, ok := answer(long); !ok {
+		t.Error("the long job was not answered")
+	}
+}
+
+// Guards against a wave of cancellations that leaks jobs, slots or grants.
+func TestCancellationWaveLeavesNothingBehind(t *testing.T) {
+	f := newFleet(t, 1, 2, 8, settings.Policy{})
+	var tickets []*Ticket
+	for range 10_000 {
+		tickets = append(tickets, f.submit(0, spec(2, 200*time.Millisecond)))
+	}
+	f.advance(100 * time.Millisecond)
+	for _, ticket := range tickets {
+		ticket.Cancel(f.now)
+	}
+	f.advance(2 * time.Second)
+	s := f.entries[0].s
+	if len(s.jobs) != 0 || s.queue.Len() != 0 || s.tasksOut != 0 || len(s.expiry) > compactMinimum {
+		t.Errorf("left: %d jobs, %d queued, %d out, %d in the heap", len(s.jobs), s.queue.Len(), s.tasksOut, len(s.expiry))
+	}
+	after := f.submit(0, spec(16, 100*time.Millisecond))
+	f.advance(500 * time.Millisecond)
+	if a, ok := answer(after); !ok || a.Err != nil {
+		t.Errorf("a job after the wave: answered %v, error %v", ok, a.Err)
+	}
+	f.checkStarts()
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/queue"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -45,10 +46,12 @@
 	link        Sender // nil while there is no link
 	announce    wire.Announce
 	announced   bool
-	labels      label.Set // announced labels with the operators' overrides
-	drained     bool      // by the operators' configuration
-	stale       bool      // refused a start for its revision; a newer one is on its way
-	distance    int       // 0 same failure domain, 1 same region, 2 other region
+	labels      label.Set     // announced labels with the operators' overrides
+	drained     bool          // by the operators' configuration
+	stale       bool          // refused a start for its revision; a newer one is on its way
+	distance    int           // 0 same failure domain, 1 same region, 2 other region
+	groups      []queue.Group // groups that the target can run
+	groupsKey   string        // equal for targets with the same groups
 	grants      []grant
 	out         map[taskKey]*attempt
 	lostAt      time.Time
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/catkinline/catkinline/result"
@@ -40,7 +41,7 @@
 // expireTargets gives up on agents that stay away, and forgets them.
 func (s *Scheduler) expireTargets(now time.Time) {
 	changed := false
-	for name, t := range s.targets {
+	for _, t := range slices.Clone(s.ordered) {
 		if t.link != nil || now.Sub(t.lostAt) < lossLimit {
 			continue
 		}
@@ -50,7 +51,7 @@
 			changed = true
 		}
 		if now.Sub(t.lostAt) > forgetLimit {
-			delete(s.targets, name)
+			s.removeTarget(t)
 		}
 	}
 	if changed {
@@ -65,7 +66,7 @@
 // expireGroups ends queued jobs whose selectors have matched no target for too
 // long.
 func (s *Scheduler) expireGroups(now time.Time) {
-	for _, g := range s.groups {
+	for _, g := range s.byGroup {
 		if len(g.targets) > 0 {
 			g.emptySince = time.Time{}
 			continue
@@ -80,7 +81,7 @@
 }
 
 func (s *Scheduler) failGroup(g *group, now time.Time) {
-	for _, j := range s.jobs {
+	for _, j := range s.jobsInOrder() {
 		if j.group == g && j.job.Waiting() > 0 && j.job.Fail(result.New(result.NoMatchingTarget, "")) {
 			s.finish(j, now)
 		}
@@ -91,7 +92,7 @@
 const ackDelay = 200 * time.Millisecond
 
 func (s *Scheduler) flushAcks(now time.Time) {
-	for _, t := range s.targets {
+	for _, t := range s.ordered {
 		if len(t.acks) == 0 {
 			t.acksSince = now
 			continue
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkinline/catkinline/claim"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/dispatch"
 	"github.com/catkinline/catkinline/job"
@@ -41,10 +40,10 @@
 	config      *config.Holder
 	watcher     *config.Watcher // nil without a store
 	members     *member.Members
-	claims      *claim.Claims // nil without a store
-	quotas      *quotaBook
-	tomb        tomb.Tomb
-	started     time.Time
+
+	quotas  *quotaBook
+	tomb    tomb.Tomb
+	started time.Time
 
 	schedulers atomic.Pointer[map[string]*dispatch.Scheduler]
 	jobs       atomic.Uint64
@@ -52,7 +51,7 @@
 	refusing   atomic.Bool // new jobs are refused
 	counts     counts
 	requests   atomic.Int64 // job requests being served
-	dialling   sync.Map // addresses of peers that a loop dials
+	dialling   sync.Map     // addresses of peers that a loop dials
 
 	mu         sync.RWMutex
 	agents     map[*transport.Link]*agentLink
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,19 @@
+package entry
+
+import (
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/member"
+)
+
+// startMembers starts what follows the store. Without a store the directory
+// holds only peers that links have shown.
+func (e *Entry) startMembers() error {
+	if e.store == nil {
+		e.members = member.New(nil, e.self(), member.Options{Log: e.log})
+		return nil
+	}
+	e.members = member.New(e.store, e.self(), member.Options{Log: e.log})
+	e.members.Start()
+	e.watcher = config.StartWatcher(e.store, e.config, e.log)
+	return nil
+}
