Add the order of waiting jobs

The order key is the time at which a job's patience ends: its arrival plus a time that grows with its expected remaining work, bounded by MaxPatience and half its time to the deadline. The key changes only when the remaining work does, so that heaps stay valid as time passes, and keys of different entries compare. Ruled out: a key of remaining work minus waiting time times a rate, which is as stable but lets a large job wait in proportion to its size.

Teams compete by key while they are within one window of slot time of the least served team. Ruled out: strict order by virtual time, which is processor sharing between teams and delays every answer, and a penalty in the key, which bounds no team's lead when waits grow. A team that cannot use its share forfeits what is over a window.

Select walks sorted buckets, one per group, team and class.

--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,241 @@
+// Package queue orders the waiting jobs of one service in one entry: the job
+// with the least expected remaining work first, with aging, and with weighted
+// fairness between teams by slot time.
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Order is the name of an order.
+type Order string
+
+// Orders. FIFO is a baseline for measurements: by arrival, without fairness.
+const (
+	Remaining Order = "remaining"
+	FIFO      Order = "fifo"
+)
+
+// Group names a requirement group: jobs that the same set of targets can run.
+type Group uint32
+
+// Item is a job as the queue sees it.
+type Item struct {
+	Job       wire.JobID
+	Team      string
+	Group     Group
+	Class     wire.Class    // of the next task
+	Remaining time.Duration // slot time that waiting and running tasks are expected to take, summed
+	Waiting   int           // tasks that wait to be sent
+	Arrived   time.Time
+	Deadline  time.Time // zero: none
+}
+
+// Options set the order. Zero fields take the defaults.
+type Options struct {
+	Order       Order
+	MaxPatience time.Duration
+	HalfWork    time.Duration
+	Window      time.Duration
+}
+
+// Defaults of Options.
+const (
+	// DefaultMaxPatience bounds aging: no job that arrives this much later
+	// passes a waiting one of its team. It is the longest usual task.
+	DefaultMaxPatience = 30 * time.Second
+	// DefaultHalfWork is the remaining work at which a job has half of the
+	// longest patience: about fifty typical tasks of 0.3 s.
+	DefaultHalfWork = 15 * time.Second
+	// DefaultWindow is the slot time per unit of weight by which a team may be
+	// ahead of the least served team. It lets a job of a hundred typical tasks
+	// end without a pause; a smaller window turns the order between teams into
+	// processor sharing, which delays every team's answer.
+	DefaultWindow = 30 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Order == "" {
+		o.Order = Remaining
+	}
+	if o.MaxPatience <= 0 {
+		o.MaxPatience = DefaultMaxPatience
+	}
+	if o.HalfWork <= 0 {
+		o.HalfWork = DefaultHalfWork
+	}
+	if o.Window <= 0 {
+		o.Window = DefaultWindow
+	}
+	return o
+}
+
+// Key returns the order key of an item: the time at which its patience ends, in
+// seconds since the epoch. Patience grows with remaining work and is at most
+// MaxPatience and half the time to the deadline, so a waiting job is passed only
+// by jobs of its team that arrive within its patience. Keys of two entries
+// compare as far as their clocks agree.
+func (o Options) Key(it Item) wire.OrderKey {
+	o = o.withDefaults()
+	arrived := float64(it.Arrived.UnixNano()) / float64(time.Second)
+	if o.Order == FIFO {
+		return wire.OrderKey(arrived)
+	}
+	longest := o.MaxPatience
+	if !it.Deadline.IsZero() {
+		longest = min(longest, max(0, it.Deadline.Sub(it.Arrived)/2))
+	}
+	work := max(0, it.Remaining.Seconds())
+	share := work / (work + o.HalfWork.Seconds())
+	return wire.OrderKey(arrived + longest.Seconds()*share)
+}
+
+// rank orders items: by key, then in the order of their addition.
+type rank struct {
+	key wire.OrderKey
+	seq uint64
+}
+
+func (r rank) compare(other rank) int {
+	switch {
+	case r.key < other.key:
+		return -1
+	case r.key > other.key:
+		return 1
+	case r.seq < other.seq:
+		return -1
+	case r.seq > other.seq:
+		return 1
+	}
+	return 0
+}
+
+// entry is an item and its place. Its bucket is nil while no task waits.
+type entry struct {
+	item   Item
+	rank   rank
+	bucket *bucket
+	index  int
+}
+
+// Queue holds the jobs of one service. It is not safe for concurrent use.
+type Queue struct {
+	options Options
+	seq     uint64
+	entries map[wire.JobID]*entry
+	groups  map[Group]*group
+	teams   map[string]*team
+	active  []*team // teams with waiting tasks, by virtual time
+	weights map[string]float64
+	floor   float64 // virtual time at which a team that was idle starts
+	waiting int
+}
+
+// New returns an empty queue.
+func New(o Options) *Queue {
+	return &Queue{
+		options: o.withDefaults(),
+		entries: map[wire.JobID]*entry{},
+		groups:  map[Group]*group{},
+		teams:   map[string]*team{},
+	}
+}
+
+// Len returns the number of jobs, including those without a waiting task.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Waiting returns the number of waiting tasks.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// Add puts a job in the queue. It reports false for a job that is there.
+func (q *Queue) Add(it Item) bool {
+	if _, dup := q.entries[it.Job]; dup {
+		return false
+	}
+	q.seq++
+	e := &entry{item: it, rank: rank{q.options.Key(it), q.seq}}
+	q.entries[it.Job] = e
+	q.place(e)
+	return true
+}
+
+// Update changes what a job still needs and the class of its next task. It
+// reports false for an unknown job.
+func (q *Queue) Update(job wire.JobID, remaining time.Duration, waiting int, class wire.Class) bool {
+	e, ok := q.entries[job]
+	if !ok {
+		return false
+	}
+	if e.bucket != nil && waiting > 0 && class == e.item.Class {
+		q.updateInPlace(e, remaining, waiting)
+		return true
+	}
+	q.displace(e)
+	e.item.Remaining, e.item.Waiting, e.item.Class = remaining, waiting, class
+	e.rank.key = q.options.Key(e.item)
+	q.place(e)
+	return true
+}
+
+func (q *Queue) updateInPlace(e *entry, remaining time.Duration, waiting int) {
+	b := e.bucket
+	q.count(e, -1)
+	e.item.Remaining, e.item.Waiting = remaining, waiting
+	e.rank.key = q.options.Key(e.item)
+	q.count(e, 1)
+	heap.Fix(b, e.index)
+	b.group.reposition(b)
+}
+
+// Remove takes a job out. It reports false for an unknown job.
+func (q *Queue) Remove(job wire.JobID) bool {
+	e, ok := q.entries[job]
+	if !ok {
+		return false
+	}
+	delete(q.entries, job)
+	q.displace(e)
+	return true
+}
+
+// place makes an entry with waiting tasks selectable.
+func (q *Queue) place(e *entry) {
+	if e.item.Waiting <= 0 {
+		return
+	}
+	b := q.bucketFor(e.item)
+	e.bucket = b
+	heap.Push(b, e)
+	q.count(e, 1)
+	b.group.reposition(b)
+}
+
+// displace is the reverse of place.
+func (q *Queue) displace(e *entry) {
+	b := e.bucket
+	if b == nil {
+		return
+	}
+	q.count(e, -1)
+	heap.Remove(b, e.index)
+	e.bucket = nil
+	b.group.reposition(b)
+	if b.Len() == 0 {
+		q.dropBucket(b)
+	}
+}
+
+// count adds an entry to the sums, or takes it off.
+func (q *Queue) count(e *entry, sign int) {
+	b := e.bucket
+	tasks := sign * e.item.Waiting
+	work := time.Duration(sign) * e.item.Remaining
+	q.waiting += tasks
+	b.waiting += tasks
+	b.work += work
+	b.group.waiting += tasks
+	b.group.profile.add(e.rank.key, work, sign)
+}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,232 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+var (
+	epoch = time.Unix(1_700_000_000, 0)
+	all   = []Group{0, 1}
+)
+
+func id(n int) wire.JobID { return wire.JobID{Entry: 1, Seq: uint64(n)} }
+
+func item(n int, team string, remaining time.Duration, after time.Duration) Item {
+	return Item{Job: id(n), Team: team, Remaining: remaining, Waiting: 10, Arrived: epoch.Add(after)}
+}
+
+func (q *Queue) mustSelect(t *testing.T, allow Allow) int {
+	t.Helper()
+	job, ok := q.Select(all, allow)
+	if !ok {
+		t.Fatal("nothing selected")
+	}
+	return int(job.Seq)
+}
+
+// Guards against a short job that waits behind a long one that came first, and
+// against a job whose remaining work fell but whose place stays.
+func TestLeastRemainingFirst(t *testing.T) {
+	q := New(Options{})
+	q.Add(item(1, "a", 100*time.Second, 0))
+	q.Add(item(2, "b", 2*time.Second, time.Second))
+	if got := q.mustSelect(t, nil); got != 2 {
+		t.Fatalf("job %d first", got)
+	}
+	q.Update(id(1), time.Second, 1, wire.ClassShort)
+	if got := q.mustSelect(t, nil); got != 1 {
+		t.Fatalf("after the update job %d first", got)
+	}
+	fifo := New(Options{Order: FIFO})
+	fifo.Add(item(2, "b", 2*time.Second, time.Second))
+	fifo.Add(item(1, "a", 100*time.Second, 0))
+	fifo.Charge("a", time.Hour)
+	if got := fifo.mustSelect(t, nil); got != 1 {
+		t.Fatalf("fifo: job %d first", got)
+	}
+}
+
+// Guards against a long job that never ends under a steady stream of short ones,
+// and against one that is passed until after its deadline.
+func TestPatienceBoundsWaiting(t *testing.T) {
+	for _, c := range []struct{ deadline, bound time.Duration }{{0, DefaultMaxPatience}, {20 * time.Second, 10 * time.Second}} {
+		q := New(Options{})
+		long := item(0, "a", time.Hour, 0)
+		if c.deadline > 0 {
+			long.Deadline = epoch.Add(c.deadline)
+		}
+		q.Add(long)
+		passed := time.Duration(0)
+		for n := 1; ; n++ {
+			at := time.Duration(n) * 100 * time.Millisecond
+			q.Add(item(n, "a", 50*time.Millisecond, at))
+			if q.mustSelect(t, nil) == 0 {
+				break
+			}
+			passed = at
+			q.Remove(id(n))
+		}
+		if passed > c.bound || passed < c.bound-time.Second {
+			t.Errorf("deadline %v: passed by jobs that arrived %v later, bound %v", c.deadline, passed, c.bound)
+		}
+	}
+}
+
+// run starts n tasks of a second each and returns the slot seconds by job.
+func run(t *testing.T, q *Queue, n int, allow Allow) map[int]int {
+	used := map[int]int{}
+	for range n {
+		got := q.mustSelect(t, allow)
+		used[got]++
+		q.Charge(q.entries[id(got)].item.Team, time.Second)
+	}
+	return used
+}
+
+// Guards against a team that gets more than its weight's share because its jobs
+// are shorter or arrive in a flood.
+func TestWeightedFairness(t *testing.T) {
+	q := New(Options{})
+	q.SetWeights(map[string]float64{"b": 3})
+	q.Add(item(1, "a", time.Second, 0))
+	q.Add(item(2, "b", time.Hour, 0))
+	used := run(t, q, 4000, nil)
+	lead := float64(used[1]) - float64(used[2])/3
+	if lead < 0 || lead > DefaultWindow.Seconds()+1 {
+		t.Fatalf("a used %d, b with weight 3 used %d", used[1], used[2])
+	}
+}
+
+// Guards against a returning team that waits for its share, and against a team
+// that is made to pay for idle shares it was lent.
+func TestIdleShareIsLent(t *testing.T) {
+	q := New(Options{})
+	q.Add(item(1, "a", time.Second, 0))
+	q.Add(item(3, "c", time.Second, 0))
+	q.Remove(id(3))
+	run(t, q, 1000, nil)
+	q.Add(item(2, "c", time.Hour, 0))
+	used := run(t, q, 200, nil)
+	if used[1] < 100 || used[1] > 100+int(DefaultWindow.Seconds()) {
+		t.Fatalf("a used %d and the returning team %d of 200", used[1], used[2])
+	}
+}
+
+// Guards against a team that saves up its share while its quota blocks it, and
+// then holds up all others.
+func TestBlockedTeamSavesAtMostAWindow(t *testing.T) {
+	q := New(Options{})
+	q.Add(item(1, "a", time.Hour, 0))
+	q.Add(item(2, "b", time.Second, 0))
+	run(t, q, 1000, func(team string, _ wire.Class) bool { return team == "a" })
+	used := run(t, q, 200, nil)
+	if most := 100 + int(1.5*DefaultWindow.Seconds()) + 1; used[2] > most {
+		t.Fatalf("the team that was blocked used %d of 200, at most %d expected", used[2], most)
+	}
+}
+
+// Guards against admission that counts work which the order puts behind the job
+// or which another team's share keeps behind it.
+func TestAhead(t *testing.T) {
+	q := New(Options{})
+	for n := range 100 {
+		q.Add(item(n, "flood", time.Minute, 0))
+	}
+	q.Add(item(100, "b", 2*time.Second, 0))
+	if got := q.Ahead(item(101, "b", 4*time.Second, time.Second), all); got != 2*time.Second {
+		t.Errorf("ahead of a short job: %v", got)
+	}
+	late := item(102, "b", time.Minute, time.Minute)
+	if got := q.Ahead(late, all); got != 2*time.Second+DefaultWindow+62*time.Second {
+		t.Errorf("ahead of a late job: %v", got)
+	}
+	late.Team = "flood"
+	if got := q.Ahead(late, all); got != 6002*time.Second {
+		t.Errorf("ahead of a late job of the same team: %v", got)
+	}
+	if got := q.Ahead(late, []Group{1}); got != 0 {
+		t.Errorf("ahead in another group: %v", got)
+	}
+}
+
+// Guards against a wave of cancellations that leaves state behind.
+func TestRemovalWave(t *testing.T) {
+	q := New(Options{})
+	for n := range 10_000 {
+		it := item(n, fmt.Sprint(n%390), time.Duration(n)*time.Millisecond, 0)
+		it.Group, it.Class = Group(n%7), wire.Class(n%2)
+		q.Add(it)
+	}
+	for n := range 10_000 {
+		q.Remove(id(n))
+	}
+	if q.Len()+q.Waiting()+len(q.groups)+len(q.active) != 0 {
+		t.Fatalf("%d jobs, %d tasks, %d groups, %d teams left", q.Len(), q.Waiting(), len(q.groups), len(q.active))
+	}
+}
+
+// naive returns what Select must return, from a look at every job.
+func (q *Queue) naive(groups []Group, allow Allow) (best *entry, waiting int) {
+	var can []*entry
+	for _, e := range q.entries {
+		if e.item.Waiting > 0 && e.item.Group == groups[0] && allow(e.item.Team, e.item.Class) {
+			can = append(can, e)
+			waiting += e.item.Waiting
+		}
+	}
+	for _, e := range can {
+		in := true
+		for _, other := range can {
+			in = in && q.teams[e.item.Team].virtual <= q.teams[other.item.Team].virtual+q.options.Window.Seconds()
+		}
+		if in && (best == nil || e.rank.compare(best.rank) < 0) {
+			best = e
+		}
+	}
+	return best, waiting
+}
+
+// Guards against an index that disagrees with the jobs after any sequence of
+// additions, updates, removals and charges.
+func TestAgainstNaiveSelection(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(4)
+	p.MinSuccessfulTests = 300
+	props := gopter.NewProperties(p)
+	props.Property("Select returns the naive choice", prop.ForAll(func(steps []int) bool {
+		q := New(Options{})
+		for i, n := range steps {
+			team, class := fmt.Sprint(n%5), wire.Class(n/5%2)
+			work := time.Duration(n/7%40) * time.Second
+			switch n % 4 {
+			case 0, 1:
+				q.Add(Item{Job: id(i), Team: team, Group: Group(n / 3 % 2), Class: class, Remaining: work, Waiting: n / 11 % 3, Arrived: epoch.Add(time.Duration(i) * time.Second)})
+			case 2:
+				q.Update(id(n%(i+1)), work, n/13%3, class)
+				q.Charge(team, work)
+			case 3:
+				q.Remove(id(n / 17 % (i + 1)))
+			}
+			allow := func(t string, c wire.Class) bool { return t != team || c != class }
+			groups := []Group{Group(n / 19 % 2)}
+			want, waiting := q.naive(groups, allow)
+			head, headOK := q.HeadKey(groups, allow)
+			got, ok := q.Select(groups, allow)
+			if ok != (want != nil) || headOK != ok {
+				return false
+			}
+			if ok && (got != want.item.Job || head.Key != want.rank.key || head.Waiting != waiting) {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(80, gen.IntRange(0, 1<<20))))
+	props.TestingRun(t)
+}
--- /dev/null
+++ b/queue/select.go
@@ -0,0 +1,190 @@
+package queue
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Allow says whether a task of a team and class may start now. It must be quick
+// and must not change the queue. A nil Allow allows everything.
+type Allow func(team string, class wire.Class) bool
+
+func (a Allow) ok(b *bucket) bool { return a == nil || a(b.team.name, b.class) }
+
+// Head describes the work that a target could get next.
+type Head struct {
+	Key     wire.OrderKey
+	Class   wire.Class
+	Waiting int // tasks that wait in the groups and are allowed
+}
+
+// Select returns the job whose next task a target should start. Groups are the
+// requirement groups that the target can run. Among the teams that are at most
+// one window ahead of the least served team with allowed work, the job with the
+// lowest order key wins.
+//
+// Over any time in which two teams have allowed work for the same targets, their
+// slot time per unit of weight differs by at most one window for what they saved
+// up before, one window of lead, and one task.
+func (q *Queue) Select(groups []Group, allow Allow) (wire.JobID, bool) {
+	limit, ok := q.limit(groups, allow)
+	if !ok {
+		return wire.JobID{}, false
+	}
+	least := limit - q.options.Window.Seconds()
+	q.forfeit(least)
+	q.floor = max(q.floor, least)
+	b := q.best(groups, allow, limit)
+	return b.entries[0].item.Job, true
+}
+
+// HeadKey describes what Select would return, without a change of any state. Its
+// cost grows with the number of teams only if allow is set.
+func (q *Queue) HeadKey(groups []Group, allow Allow) (Head, bool) {
+	limit, ok := q.limit(groups, allow)
+	if !ok {
+		return Head{}, false
+	}
+	b := q.best(groups, allow, limit)
+	return Head{Key: b.rank.key, Class: b.class, Waiting: q.waitingIn(groups, allow)}, true
+}
+
+// limit returns the greatest virtual time that may be selected. It reports false
+// if no work is allowed.
+func (q *Queue) limit(groups []Group, allow Allow) (float64, bool) {
+	for _, t := range q.active {
+		if t.allowed(groups, allow) {
+			return t.virtual + q.options.Window.Seconds(), true
+		}
+	}
+	return 0, false
+}
+
+func (t *team) allowed(groups []Group, allow Allow) bool {
+	for _, b := range t.buckets {
+		if slices.Contains(groups, b.group.id) && allow.ok(b) {
+			return true
+		}
+	}
+	return false
+}
+
+// forfeit raises teams that are more than a window behind the least served team
+// with allowed work to half a window behind it. A quota or their requirements
+// keep them from running; they would save up their share without bound and later
+// hold up every other team. Half a window keeps the work per selection small.
+func (q *Queue) forfeit(least float64) {
+	window := q.options.Window.Seconds()
+	raised := 0
+	for _, t := range q.active {
+		if t.virtual >= least-window {
+			break
+		}
+		raised++
+	}
+	if raised == 0 {
+		return
+	}
+	for _, t := range q.active[:raised] {
+		t.virtual = least - window/2
+	}
+	slices.SortFunc(q.active, (*team).compare)
+}
+
+// best returns the allowed bucket with the lowest rank among the teams within
+// the limit. The team that set the limit is always among them.
+func (q *Queue) best(groups []Group, allow Allow, limit float64) *bucket {
+	if q.options.Order == FIFO {
+		limit = math.Inf(1)
+	}
+	var best *bucket
+	for _, id := range groups {
+		g, ok := q.groups[id]
+		if !ok {
+			continue
+		}
+		for _, b := range g.buckets {
+			if best != nil && best.rank.compare(b.rank) <= 0 {
+				break
+			}
+			if b.team.virtual <= limit && allow.ok(b) {
+				best = b
+				break
+			}
+		}
+	}
+	return best
+}
+
+func (q *Queue) waitingIn(groups []Group, allow Allow) int {
+	n := 0
+	for _, id := range groups {
+		g, ok := q.groups[id]
+		if !ok {
+			continue
+		}
+		if allow == nil {
+			n += g.waiting
+			continue
+		}
+		for _, b := range g.buckets {
+			if allow.ok(b) {
+				n += b.waiting
+			}
+		}
+	}
+	return n
+}
+
+// Ahead returns the expected work of waiting jobs that run before an item that
+// is not in the queue yet. Groups are those that compete for the item's targets.
+// It is the work with a lower key, and no more than the other teams' shares
+// allow while the item's own team works off what it has ahead of the item.
+func (q *Queue) Ahead(it Item, groups []Group) time.Duration {
+	key := q.options.Key(it)
+	var ahead time.Duration
+	for _, id := range groups {
+		if g, ok := q.groups[id]; ok {
+			ahead += g.profile.before(key)
+		}
+	}
+	if q.options.Order == FIFO {
+		return ahead
+	}
+	return min(ahead, q.fairAhead(it, groups, ahead))
+}
+
+// fairAhead sums what each team can run before the item. A team other than the
+// item's gets what it is behind the item's team, one window, and its share of
+// the time in which the item's team runs its own work.
+func (q *Queue) fairAhead(it Item, groups []Group, ahead time.Duration) time.Duration {
+	var own time.Duration
+	virtual := q.floor
+	if t, ok := q.teams[it.Team]; ok {
+		own = min(t.workIn(groups), ahead)
+		virtual = max(virtual, t.virtual)
+	}
+	virtual += q.options.Window.Seconds() + (own+it.Remaining).Seconds()/q.weight(it.Team)
+	sum := own
+	for _, t := range q.active {
+		if t.name == it.Team {
+			continue
+		}
+		share := max(0, virtual-t.virtual) * q.weight(t.name)
+		sum += min(t.workIn(groups), time.Duration(share*float64(time.Second)))
+	}
+	return sum
+}
+
+func (t *team) workIn(groups []Group) time.Duration {
+	var sum time.Duration
+	for _, b := range t.buckets {
+		if slices.Contains(groups, b.group.id) {
+			sum += b.work
+		}
+	}
+	return sum
+}
