Add run-time estimates

Statistics are of the logarithm of run times, decayed by time and bounded in weight, per key and for the whole service; a key's own data replace the service's average after a few tasks. Declared run times enter through a regression of actual on declared values: a constant factor is learnt, also for keys not seen before, and declarations that do not correlate lose their effect. Ruled out: a mean ratio of observed to declared time, which multiplies the noise of a useless declaration into every estimate.

The boundary between short and long work separates slot time, not counts: by count the few long tasks that block others would not be seen. An overrun is observed while the task runs, so that further jobs of the same kind are not taken for short until the first of them ends.

Keys are bounded, least recently used first out. Estimates carry whether they rest on enough observations to refuse a job for.

--- /dev/null
+++ b/estimate/estimate.go
@@ -0,0 +1,241 @@
+// Package estimate learns how long the tasks of one service run, by key, and
+// where the boundary between short and long work lies.
+//
+// All statistics are of the logarithm of run times: run times span four orders
+// of magnitude, and one straggler must not move a mean by itself. Only tasks that
+// were done are observed; a task that fails says nothing about its run time.
+package estimate
+
+import (
+	"container/list"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Options set the estimator. Zero fields take the defaults.
+type Options struct {
+	MaxKeys     int           // keys kept, the least recently used goes first; default 4096
+	HalfLife    time.Duration // after which an observation counts half; default 10 min
+	MinBoundary time.Duration // lower bound of the boundary between short and long; default 1.5 s
+	MaxBoundary time.Duration // upper bound; default 8 s
+	Declared    bool          // baseline: use declared run times as they are
+}
+
+func (o Options) withDefaults() Options {
+	if o.MaxKeys <= 0 {
+		o.MaxKeys = 4096 // about 1 MB
+	}
+	if o.HalfLife <= 0 {
+		o.HalfLife = 10 * time.Minute
+	}
+	if o.MinBoundary <= 0 {
+		o.MinBoundary = 1500 * time.Millisecond // above the usual 50 ms to 1 s
+	}
+	if o.MaxBoundary <= 0 {
+		o.MaxBoundary = 8 * time.Second // below the rare tasks of 10 to 30 s
+	}
+	return o
+}
+
+const (
+	// typicalRun is expected where nothing is known: the geometric middle of
+	// the usual range of 50 ms to 1 s, rounded up.
+	typicalRun = 300 * time.Millisecond
+	minRun     = time.Millisecond
+	maxRun     = time.Hour
+	// priorWeight is the number of observations that a key needs to count as
+	// much as the service's average.
+	priorWeight = 3
+	// confidentWeight is the number of recent observations from which an
+	// estimate may be a reason to refuse a job.
+	confidentWeight = 8
+	// maxSpread bounds the variance of the logarithm in the step from the
+	// median to the mean, a factor of e at most.
+	maxSpread = 2
+)
+
+// Key returns the key of tasks with a canonical label text and a declared size.
+// Sizes share a bucket within a factor of four; zero is a bucket of its own.
+func Key(labels string, sizeBytes int64) string {
+	if sizeBytes <= 0 {
+		return labels
+	}
+	bucket := int(math.Log2(float64(sizeBytes)) / 2)
+	return labels + "#" + strconv.Itoa(bucket)
+}
+
+// KeyOf is Key for a label set.
+func KeyOf(set label.Set, sizeBytes int64) string { return Key(set.Key(), sizeBytes) }
+
+// Estimate is what is known about a task before it runs.
+type Estimate struct {
+	Expected  time.Duration // mean
+	High      time.Duration // 95th percentile
+	Class     wire.Class
+	Samples   float64 // recent observations of the key, decayed
+	Confident bool    // enough observations to refuse a job for
+}
+
+// Estimator holds the statistics of one service. It is not safe for concurrent
+// use.
+type Estimator struct {
+	options Options
+	service *series
+	keys    map[string]*list.Element // of *series
+	recent  *list.List               // front: most recently used
+	shape   *shape
+}
+
+// New returns an estimator that knows nothing.
+func New(o Options) *Estimator {
+	o = o.withDefaults()
+	return &Estimator{
+		options: o,
+		service: &series{},
+		keys:    map[string]*list.Element{},
+		recent:  list.New(),
+		shape:   newShape(o),
+	}
+}
+
+// Keys returns the number of keys kept.
+func (e *Estimator) Keys() int { return len(e.keys) }
+
+// Boundary returns the run time from which a task is long.
+func (e *Estimator) Boundary() time.Duration { return e.shape.boundary }
+
+// LongShare returns the share of recent slot time that was used by tasks that
+// ran at least as long as the boundary; 0 before any observation.
+func (e *Estimator) LongShare() float64 { return e.shape.longShare() }
+
+// Expect returns the mean run time of a task. Declared is the caller's hint;
+// zero means none.
+func (e *Estimator) Expect(key string, declared time.Duration) time.Duration {
+	return e.Estimate(key, declared).Expected
+}
+
+// Class returns the class that a task is expected to have.
+func (e *Estimator) Class(key string, declared time.Duration) wire.Class {
+	return e.Estimate(key, declared).Class
+}
+
+// Estimate returns all that is known about a task.
+func (e *Estimator) Estimate(key string, declared time.Duration) Estimate {
+	if e.options.Declared {
+		return e.declared(declared)
+	}
+	guess := e.service.refine(prior(), declared)
+	samples := 0.0
+	if s := e.lookup(key); s != nil {
+		guess = s.refine(guess, declared)
+		samples = s.all.weight
+	}
+	mu := guess.at(declared)
+	spread := min(guess.variance, maxSpread)
+	out := Estimate{
+		Expected:  fromLog(mu + spread/2),
+		High:      fromLog(mu + 1.645*math.Sqrt(guess.variance)),
+		Samples:   samples,
+		Confident: samples >= confidentWeight,
+	}
+	out.Class = e.classOf(out.Expected)
+	return out
+}
+
+func (e *Estimator) declared(d time.Duration) Estimate {
+	if d <= 0 {
+		d = typicalRun
+	}
+	return Estimate{Expected: d, High: d, Class: e.classOf(d), Confident: true}
+}
+
+func (e *Estimator) classOf(d time.Duration) wire.Class {
+	if d >= e.shape.boundary {
+		return wire.ClassLong
+	}
+	return wire.ClassShort
+}
+
+// Observe takes in the run time of a task that was done.
+func (e *Estimator) Observe(key string, declared, actual time.Duration, now time.Time) {
+	e.learn(key, declared, actual, now)
+	e.shape.add(actual, now)
+}
+
+// ObserveOverrun takes in a task that still runs, once per task, when Overrun
+// first holds. Without it, further jobs with the same key would be taken for
+// short until the first such task ends. The expected run time of a task with a
+// heavy-tailed run time is about twice what has passed.
+func (e *Estimator) ObserveOverrun(key string, declared, elapsed time.Duration, now time.Time) {
+	e.learn(key, declared, 2*elapsed, now)
+}
+
+func (e *Estimator) learn(key string, declared, actual time.Duration, now time.Time) {
+	e.service.observe(declared, actual, now, e.options.HalfLife)
+	s := e.lookup(key)
+	if s == nil {
+		s = e.insert(key)
+	}
+	s.observe(declared, actual, now, e.options.HalfLife)
+}
+
+// earlyOverrun is the number of standard deviations above the expected run time
+// beyond which a task is taken for long before it reaches the boundary.
+const earlyOverrun = 3
+
+// Overrun reports whether a running task must be long: it has reached the
+// boundary, or half of it and far more than tasks of a well-known key take. Its
+// waiting siblings are then to be taken for long as well.
+func (e *Estimator) Overrun(key string, declared, elapsed time.Duration) bool {
+	if elapsed >= e.shape.boundary {
+		return true
+	}
+	s := e.lookup(key)
+	if e.options.Declared || s == nil || s.all.weight < confidentWeight || elapsed < e.shape.boundary/2 {
+		return false
+	}
+	guess := s.refine(e.service.refine(prior(), declared), declared)
+	return elapsed > fromLog(guess.at(declared)+earlyOverrun*math.Sqrt(guess.variance))
+}
+
+// Residual returns the time that a running task is expected to need further. A
+// task past its expectation needs about as long as it has run.
+func Residual(expected, elapsed time.Duration) time.Duration {
+	if elapsed < expected {
+		return max(expected-elapsed, minRun)
+	}
+	return elapsed
+}
+
+func (e *Estimator) lookup(key string) *series {
+	el, ok := e.keys[key]
+	if !ok {
+		return nil
+	}
+	e.recent.MoveToFront(el)
+	return el.Value.(*series)
+}
+
+func (e *Estimator) insert(key string) *series {
+	if len(e.keys) >= e.options.MaxKeys {
+		oldest := e.recent.Back()
+		delete(e.keys, oldest.Value.(*series).key)
+		e.recent.Remove(oldest)
+	}
+	s := &series{key: key}
+	e.keys[key] = e.recent.PushFront(s)
+	return s
+}
+
+func toLog(d time.Duration) float64 {
+	return math.Log(min(max(d, minRun), maxRun).Seconds())
+}
+
+func fromLog(l float64) time.Duration {
+	d := time.Duration(math.Exp(min(l, 10)) * float64(time.Second))
+	return min(max(d, minRun), maxRun)
+}
