--- /dev/null
+++ b/entry/claims.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/catkinline/catkinline/claim"
+	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/job"
+	"github.com/catkinline/catkinline/result"
+)
+
+// claimed claims a non-idempotent job's request key, lets the job start, and
+// records its end. The job's place in the bounds is taken before, so that a job
+// that would be refused anyway costs the store nothing.
+func (e *Entry) claimed(ctx context.Context, service string, spec *job.Spec, t *dispatch.Ticket) <-chan job.Answer {
+	answered := make(chan job.Answer, 1)
+	e.tomb.Go(func() error {
+		answered <- e.runClaimed(ctx, service, spec, t)
+		return nil
+	})
+	return answered
+}
+
+func (e *Entry) runClaimed(ctx context.Context, service string, spec *job.Spec, t *dispatch.Ticket) job.Answer {
+	held, refusal := e.claim(ctx, service, spec, t)
+	if refusal != nil {
+		t.Fail(refusal, time.Now())
+		return <-t.Done()
+	}
+	t.Release(time.Now())
+	answer := <-t.Done()
+	held.Finish(endState(answer))
+	return answer
+}
+
+func (e *Entry) claim(ctx context.Context, service string, spec *job.Spec, t *dispatch.Ticket) (*claim.Claim, *result.Error) {
+	if e.claims == nil {
+		return nil, result.New(result.ClaimUnavailable, "this entry has no store")
+	}
+	held, err := e.claims.Claim(ctx, claim.Request{
+		Scope: claim.Scope{Service: service, Team: spec.Team},
+		Key:   spec.Key,
+		Job:   t.ID(),
+	})
+	if err == nil {
+		return held, nil
+	}
+	var refusal *result.Error
+	if errors.As(err, &refusal) {
+		return nil, refusal
+	}
+	return nil, result.New(result.ClaimUnavailable, err.Error())
+}
+
+// endState is what the claim of an ended job says. Only a job of which
+// certainly no task ran may be submitted again under its key.
+func endState(a job.Answer) claim.State {
+	switch {
+	case a.Err == nil:
+		return claim.Complete
+	case a.Err.Ran == result.NotRun:
+		return claim.FailedNotRun
+	}
+	return claim.Failed
+}
+
+// claimScopes lists the services and teams whose old claims are swept.
+func (e *Entry) claimScopes() []claim.Scope {
+	current := e.config.Current()
+	var scopes []claim.Scope
+	for service, s := range current.Document().Services {
+		if !s.NonIdempotent {
+			continue
+		}
+		for team := range current.Teams() {
+			scopes = append(scopes, claim.Scope{Service: service, Team: team})
+		}
+	}
+	return scopes
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/catkinline/catkinline/claim"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/dispatch"
 	"github.com/catkinline/catkinline/job"
@@ -40,6 +41,7 @@
 	config      *config.Holder
 	watcher     *config.Watcher // nil without a store
 	members     *member.Members
+	claims      *claim.Claims // nil without a store
 
 	quotas  *quotaBook
 	tomb    tomb.Tomb
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/catkinline/catkinline/claim"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/member"
 )
@@ -15,5 +16,7 @@
 	e.members = member.New(e.store, e.self(), member.Options{Log: e.log})
 	e.members.Start()
 	e.watcher = config.StartWatcher(e.store, e.config, e.log)
+	e.claims = claim.New(e.store, e.incarnation, claim.Options{Live: e.members.Live, Scopes: e.claimScopes, Log: e.log})
+	e.claims.Start()
 	return nil
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -51,6 +51,7 @@
 		time.Sleep(pollInterval)
 	}
 	e.leave()
+	time.Sleep(5 * pollInterval) // lets the messages leave before the links close
 }
 
 // unanswered counts the requests that are being read, run or answered.
@@ -60,15 +61,22 @@
 func (e *Entry) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := e.members.Stop(ctx); err != nil {
-		e.log.Warn("the entry's key could not be removed from the store", zap.Error(err))
-	}
 	e.mu.RLock()
 	for l := range e.agents {
 		_ = l.Send(&wire.Leave{})
 	}
 	e.mu.RUnlock()
-	time.Sleep(5 * pollInterval) // lets the messages leave before the links close
+	if e.claims != nil {
+		if err := e.claims.Stop(ctx); err != nil {
+			e.log.Warn("the end of some claims could not be recorded", zap.Error(err))
+		}
+	}
+	if e.store == nil {
+		return
+	}
+	if err := e.members.Stop(ctx); err != nil {
+		e.log.Warn("the entry's key could not be removed from the store", zap.Error(err))
+	}
 }
 
 // stop ends everything that Run started.
