Add admission by bounds, team shares and deadlines

A job is refused when the work that the order puts ahead of it and its own work cannot be done by its deadline at the measured rate. The rate is the slots held while work waits, corrected by how much faster than expected tasks finish; time without waiting work does not count, since slots in use say nothing then about what is possible. Ruled out: the rate of finished work alone, which is zero for as long as the first long tasks run.

A team may hold a multiple of what stays free, so that one team alone leaves room and many teams share evenly; a fixed share per team either leaves the queue unused or overfills it, depending on how many teams are active.

In the test's peak of three times the rate for 20 s, all 1,000 jobs are accepted in time with at most 1,000 refusals and none later than 130 s after the peak. Ruled out: the same jittered hint for all, which brings the next peak.

Estimates without confidence count as zero, so a wrong declared run time refuses nothing by itself.

--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,217 @@
+// Package admission decides whether an entry accepts a job: bounds on its queue,
+// the teams' shares of it, and whether the job can be answered within its
+// deadline.
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/catkinline/catkinline/result"
+)
+
+// Use is an amount of queue. All of an entry's accepted jobs count as Jobs,
+// their waiting tasks as Tasks and those tasks' payloads as Bytes.
+type Use struct {
+	Jobs  int
+	Tasks int
+	Bytes int64
+}
+
+func (u Use) plus(d Use) Use {
+	return Use{u.Jobs + d.Jobs, u.Tasks + d.Tasks, u.Bytes + d.Bytes}
+}
+
+func (u Use) minus(d Use) Use {
+	return Use{u.Jobs - d.Jobs, u.Tasks - d.Tasks, u.Bytes - d.Bytes}
+}
+
+func (u Use) scale(f float64) Use {
+	return Use{int(float64(u.Jobs) * f), int(float64(u.Tasks) * f), int64(float64(u.Bytes) * f)}
+}
+
+func (u Use) fits(bound Use) bool {
+	return u.Jobs <= bound.Jobs && u.Tasks <= bound.Tasks && u.Bytes <= bound.Bytes
+}
+
+// Options set the controller. Zero fields take the defaults.
+type Options struct {
+	Bound      Use     // of one entry; default 20,000 jobs, 400,000 tasks, 256 MiB
+	TeamFactor float64 // a team may hold this many times what is free; default 2
+	BoundsOnly bool    // baseline: no check of deadlines
+}
+
+func (o Options) withDefaults() Options {
+	if o.Bound.Jobs <= 0 {
+		o.Bound.Jobs = 20_000
+	}
+	if o.Bound.Tasks <= 0 {
+		o.Bound.Tasks = 400_000
+	}
+	if o.Bound.Bytes <= 0 {
+		o.Bound.Bytes = 256 << 20
+	}
+	if o.TeamFactor <= 0 {
+		o.TeamFactor = 2
+	}
+	return o
+}
+
+const (
+	// reopenAt is the fill at which a full queue accepts jobs again. Without the
+	// gap, single places that come free go to small jobs only.
+	reopenAt = 0.8
+	// minTeamShare keeps a full queue from being reported to a small team as the
+	// team's own fault.
+	minTeamShare = 0.5
+	// strainedShare is the share of its deadline that a job may be expected to
+	// need for strainedTime after a refusal. Work accepted with no margin expires
+	// in the queue when the rate falls, and its resubmission adds load.
+	strainedShare = 0.8
+	strainedTime  = 5 * time.Second
+)
+
+// Request describes a job that asks to be accepted.
+type Request struct {
+	Team      string
+	Use       Use
+	Deadline  time.Duration // time left until the answer is due
+	Work      time.Duration // expected slot time of all its tasks
+	Longest   time.Duration // expected run time of its longest task
+	Ahead     time.Duration // expected slot time of running work and of waiting work that the order puts first
+	Share     float64       // share of the service's slots that can run it; zero means all
+	Confident bool          // Work and Longest rest on observations, not on declarations
+}
+
+// Controller holds what one entry has accepted for one service or for all of
+// them. It is not safe for concurrent use.
+type Controller struct {
+	options  Options
+	rate     *Rate
+	random   *rand.Rand
+	use      Use
+	teams    map[string]Use
+	closed   bool      // the queue was full and has not reached reopenAt
+	strained time.Time // until when deadlines are checked with a margin
+	horizon  time.Time // to which resubmissions are promised a place
+}
+
+// New returns a controller without accepted jobs. The rate is the caller's to
+// feed; random is the source of jitter.
+func New(o Options, rate *Rate, random *rand.Rand) *Controller {
+	return &Controller{options: o.withDefaults(), rate: rate, random: random, teams: map[string]Use{}}
+}
+
+// Use returns what is accepted and not released.
+func (c *Controller) Use() Use { return c.use }
+
+// TeamUse returns one team's part of Use.
+func (c *Controller) TeamUse(team string) Use { return c.teams[team] }
+
+// Admit accepts a job and counts it, or returns the reason not to: QueueFull,
+// TeamQueueFull or DeadlineInfeasible, with a time after which to retry. A
+// deadline that no wait can make feasible has none.
+func (c *Controller) Admit(r Request, now time.Time) *result.Error {
+	if err := c.checkBounds(r, now); err != nil {
+		return err
+	}
+	if !c.options.BoundsOnly {
+		if err := c.checkDeadline(r, now); err != nil {
+			return err
+		}
+	}
+	c.Adjust(r.Team, r.Use)
+	return nil
+}
+
+// Adjust changes what a team is counted with: less when tasks are sent and jobs
+// end, more when a task waits again. It never refuses.
+func (c *Controller) Adjust(team string, d Use) {
+	c.use = c.use.plus(d)
+	u := c.teams[team].plus(d)
+	if u == (Use{}) {
+		delete(c.teams, team)
+		return
+	}
+	c.teams[team] = u
+}
+
+func (c *Controller) checkBounds(r Request, now time.Time) *result.Error {
+	bound := c.options.Bound
+	if c.closed && c.use.fits(bound.scale(reopenAt)) {
+		c.closed = false
+	}
+	after := c.use.plus(r.Use)
+	if c.closed || !after.fits(bound) {
+		c.closed = c.closed || !c.use.fits(bound.scale(reopenAt))
+		return result.New(result.QueueFull, "").WithRetryAfter(c.retryAfter(r, now))
+	}
+	if !c.teamFits(r, bound.minus(after)) {
+		return result.New(result.TeamQueueFull, "").WithRetryAfter(c.retryAfter(r, now))
+	}
+	return nil
+}
+
+// teamFits reports whether a team may hold what it asks for: a multiple of what
+// stays free, so that one team alone leaves room and many teams share evenly,
+// and in any case minTeamShare of an equal share.
+func (c *Controller) teamFits(r Request, free Use) bool {
+	held, known := c.teams[r.Team]
+	teams := len(c.teams)
+	if !known {
+		teams++
+	}
+	after := held.plus(r.Use)
+	if after.fits(free.scale(c.options.TeamFactor)) {
+		return true
+	}
+	return after.fits(c.options.Bound.scale(minTeamShare / float64(teams)))
+}
+
+// checkDeadline compares the time to the deadline with the time that the work
+// ahead and the job's own work take at the measured rate. An estimate without
+// confidence counts as zero: it never refuses by itself.
+func (c *Controller) checkDeadline(r Request, now time.Time) *result.Error {
+	rate := c.rateFor(r)
+	if rate <= 0 {
+		return nil
+	}
+	if !r.Confident {
+		r.Work, r.Longest = 0, 0
+	}
+	alone := max(r.Longest, scaled(r.Work, 1/rate))
+	if alone > r.Deadline {
+		return result.Newf(result.DeadlineInfeasible, "the job alone is expected to take %v", alone.Round(time.Millisecond))
+	}
+	wait := scaled(r.Ahead, 1/rate)
+	finish := max(wait+r.Longest, scaled(r.Ahead+r.Work, 1/rate))
+	if finish > r.Deadline {
+		c.strained = now.Add(strainedTime)
+	}
+	if finish <= r.Deadline && (now.After(c.strained) || finish <= c.margin(r, alone)) {
+		return nil
+	}
+	err := result.Newf(result.DeadlineInfeasible, "the answer is expected after %v", finish.Round(time.Millisecond))
+	return err.WithRetryAfter(c.retryAfter(r, now))
+}
+
+// margin returns the time within which a job must be expected to end while the
+// controller is strained. The time that the job needs alone takes no cut, or a
+// job could be refused with no work ahead of it.
+func (c *Controller) margin(r Request, alone time.Duration) time.Duration {
+	return alone + scaled(r.Deadline-alone, strainedShare)
+}
+
+// rateFor returns the slot seconds per second that the job's targets work off.
+func (c *Controller) rateFor(r Request) float64 {
+	share := r.Share
+	if share <= 0 || share > 1 {
+		share = 1
+	}
+	return c.rate.Value() * share
+}
+
+func scaled(d time.Duration, f float64) time.Duration {
+	const longest = float64(24 * time.Hour)
+	return time.Duration(min(float64(d)*f, longest))
+}
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,257 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/result"
+)
+
+const second = time.Second
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func controller(o Options, slots float64) *Controller {
+	rate := NewRate()
+	rate.SetPrior(slots)
+	return New(o, rate, rand.New(rand.NewPCG(1, 2)))
+}
+
+// ask is a job of ten one-second tasks that is due in ten seconds.
+func ask(team string, ahead time.Duration) Request {
+	return Request{
+		Team: team, Use: Use{1, 10, 100}, Deadline: 10 * second,
+		Work: 10 * second, Longest: second, Ahead: ahead, Confident: true,
+	}
+}
+
+func code(err *result.Error) result.Code {
+	if err == nil {
+		return 0
+	}
+	return err.Code
+}
+
+// Guards against a queue that grows past its bound in any of the three measures,
+// and against one that flaps at the bound instead of draining.
+func TestBounds(t *testing.T) {
+	for _, bound := range []Use{{100, 1 << 30, 1 << 40}, {1 << 30, 1000, 1 << 40}, {1 << 30, 1 << 30, 10_000}} {
+		c := controller(Options{Bound: bound}, 1000)
+		c.Adjust("a", Use{100, 1000, 10_000})
+		err := c.Admit(ask("b", 0), epoch)
+		if code(err) != result.QueueFull || err.Ran != result.NotRun || err.RetryAfter < minRetry {
+			t.Fatalf("bound %v: %+v", bound, err)
+		}
+		c.Adjust("a", Use{-10, -100, -1000})
+		if got := code(c.Admit(ask("b", 0), epoch)); got != result.QueueFull {
+			t.Errorf("bound %v: reopened at 90%%: %v", bound, got)
+		}
+		c.Adjust("a", Use{-10, -100, -1000})
+		if got := code(c.Admit(ask("b", 0), epoch)); got != 0 {
+			t.Errorf("bound %v: not reopened at 80%%: %v", bound, got)
+		}
+	}
+}
+
+// Guards against one team that fills the queue and locks the others out, and
+// against teams that stay on the books.
+func TestTeamShare(t *testing.T) {
+	c := controller(Options{Bound: Use{90, 1 << 30, 1 << 40}}, 1000)
+	n := 0
+	for ; c.Admit(ask("flood", 0), epoch) == nil; n++ {
+	}
+	if n != 60 {
+		t.Errorf("one team holds %d of 90, want two thirds", n)
+	}
+	if got := code(c.Admit(ask("flood", 0), epoch)); got != result.TeamQueueFull {
+		t.Errorf("flood: %v", got)
+	}
+	c.Adjust("filler", Use{Jobs: 29})
+	if err := c.Admit(ask("other", 0), epoch); err != nil {
+		t.Errorf("other: %v", err)
+	}
+	if got := code(c.Admit(ask("other", 0), epoch)); got != result.QueueFull {
+		t.Errorf("other, full queue: %v", got)
+	}
+	c.Adjust("filler", Use{Jobs: -29})
+	c.Adjust("flood", Use{-60, -600, -6000})
+	c.Adjust("other", Use{-1, -10, -100})
+	if len(c.teams) != 0 || c.Use() != (Use{}) {
+		t.Errorf("left: %v, %v", c.teams, c.Use())
+	}
+}
+
+// Guards against work that is accepted and then expires, and against a refusal
+// of work that can be done.
+func TestDeadline(t *testing.T) {
+	alone := ask("a", 0)
+	alone.Longest = 11 * second
+	wide := ask("a", 0)
+	wide.Work = 101 * second
+	narrow := ask("a", 30*second)
+	narrow.Share = 0.25
+	behind := ask("a", 91*second)
+	behind.Work = second
+	cases := map[string]struct {
+		r     Request
+		code  result.Code
+		retry bool
+	}{
+		"idle":                       {ask("a", 0), 0, false},
+		"just in time":               {ask("a", 90*second), 0, false},
+		"too much ahead":             {ask("a", 91*second), result.DeadlineInfeasible, true},
+		"longest task after a wait":  {behind, result.DeadlineInfeasible, true},
+		"longest task too long":      {alone, result.DeadlineInfeasible, false},
+		"more work than slots allow": {wide, result.DeadlineInfeasible, false},
+		"few targets":                {narrow, result.DeadlineInfeasible, true},
+	}
+	for name, tc := range cases {
+		err := controller(Options{}, 10).Admit(tc.r, epoch)
+		if code(err) != tc.code || err != nil && (err.RetryAfter > 0) != tc.retry {
+			t.Errorf("%s: %+v", name, err)
+		}
+		if err := controller(Options{BoundsOnly: true}, 10).Admit(tc.r, epoch); err != nil {
+			t.Errorf("%s, bounds only: %v", name, err)
+		}
+	}
+}
+
+// Guards against a refusal on an idle system because of a wrong declared run
+// time, and for want of any measurement.
+func TestLowConfidenceDoesNotRefuse(t *testing.T) {
+	r := ask("a", 0)
+	r.Work, r.Longest, r.Confident = 1000*time.Hour, 100*time.Hour, false
+	if err := controller(Options{}, 10).Admit(r, epoch); err != nil {
+		t.Errorf("wrong declaration: %v", err)
+	}
+	r.Ahead = 101 * second
+	if got := code(controller(Options{}, 10).Admit(r, epoch)); got != result.DeadlineInfeasible {
+		t.Errorf("work ahead: %v", got)
+	}
+	if err := controller(Options{}, 0).Admit(ask("a", 0), epoch); err != nil {
+		t.Errorf("no prior: %v", err)
+	}
+}
+
+// Guards against acceptance without a margin right after a refusal, when work
+// ahead was underestimated, and against a margin that never ends or that refuses
+// with nothing ahead.
+func TestMarginAfterRefusal(t *testing.T) {
+	c := controller(Options{}, 10)
+	c.Admit(ask("a", 91*second), epoch)
+	for _, step := range []struct {
+		ahead time.Duration
+		after time.Duration
+		code  result.Code
+	}{
+		{85 * second, 0, result.DeadlineInfeasible},
+		{85 * second, 4 * second, result.DeadlineInfeasible},
+		{70 * second, 4 * second, 0},
+		{85 * second, 6 * second, 0},
+	} {
+		if got := code(c.Admit(ask("a", step.ahead), epoch.Add(step.after))); got != step.code {
+			t.Errorf("%v ahead after %v: %v", step.ahead, step.after, got)
+		}
+	}
+	c.Admit(ask("a", 91*second), epoch)
+	long := ask("a", 0)
+	long.Longest = 9900 * time.Millisecond
+	if err := c.Admit(long, epoch); err != nil {
+		t.Errorf("nothing ahead: %v", err)
+	}
+}
+
+// Guards against refused jobs that all come back at once and make the next peak,
+// and against hints without a bound.
+func TestResubmissionsArePaced(t *testing.T) {
+	c := controller(Options{}, 100)
+	var hints []time.Duration
+	for range 200 {
+		err := c.Admit(ask("a", 2000*second), epoch)
+		hints = append(hints, err.RetryAfter)
+	}
+	slices.Sort(hints)
+	if hints[0] < 20*second || hints[0] > 25*second {
+		t.Errorf("first resubmission after %v, work ahead is gone after 20 s", hints[0])
+	}
+	// A job has 10 slot seconds, so 100 slots do 50 jobs in 5 s.
+	for i := range hints {
+		if i >= 50 && hints[i]-hints[i-50] < 5*second {
+			t.Errorf("50 jobs come back within %v", hints[i]-hints[i-50])
+			break
+		}
+	}
+	if last := hints[199]; last > maxRetry {
+		t.Errorf("hint of %v", last)
+	}
+	for range 2000 {
+		c.Admit(ask("a", 2000*second), epoch)
+	}
+	if err := c.Admit(ask("a", 2000*second), epoch.Add(maxRetry)); err.RetryAfter > 26*second {
+		t.Errorf("hint of %v a minute after the last refusal", err.RetryAfter)
+	}
+}
+
+// Guards against a peak whose refused jobs keep the system full of work that
+// expires, or that come back again and again for nothing. Thirty jobs a second
+// arrive for 20 s, then four; the slots do ten. A refused caller follows the hint.
+func TestRecoveryAfterPeak(t *testing.T) {
+	const tick = 100 * time.Millisecond
+	c := controller(Options{}, 100)
+	due := map[int]int{} // jobs by the tick at which they are sent
+	for i := range 1200 {
+		due[i] = map[bool]int{true: 3, false: i % 5 / 2 % 2}[i < 200]
+	}
+	var backlog time.Duration
+	var accepted, refused, lastRefusal int
+	for i := range 2400 {
+		now := epoch.Add(time.Duration(i) * tick)
+		backlog = max(0, backlog-100*tick)
+		for range due[i] {
+			if err := c.Admit(ask("a", backlog), now); err != nil {
+				refused++
+				lastRefusal = i
+				due[i+1+int(err.RetryAfter/tick)]++
+				continue
+			}
+			accepted++
+			backlog += 10 * second
+			if backlog > 1000*second {
+				t.Fatalf("accepted at tick %d, done after %v", i, backlog/100)
+			}
+		}
+	}
+	if accepted != 1000 || refused > 1000 || lastRefusal > 1500 {
+		t.Errorf("%d accepted, %d refusals, the last at tick %d", accepted, refused, lastRefusal)
+	}
+}
+
+// Guards against a rate that takes an idle system for a slow one, that misses a
+// loss of slots under load, or that does not see tasks run faster than expected.
+func TestRate(t *testing.T) {
+	r := NewRate()
+	r.SetPrior(80)
+	r.Track(2, false, epoch)
+	now := epoch.Add(time.Hour)
+	r.Track(2, true, now)
+	if v := r.Value(); v < 79 || v > 81 {
+		t.Errorf("idle: %v", v)
+	}
+	now = now.Add(10 * second)
+	r.Track(20, true, now)
+	if v := r.Value(); v > 10 {
+		t.Errorf("two slots under load: %v", v)
+	}
+	now = now.Add(30 * second)
+	r.Finished(1000*second, 10*second, now)
+	if v := r.Value(); v < 20*50 {
+		t.Errorf("tasks a hundred times quicker than expected: %v", v)
+	}
+	r.Track(0, false, now)
+	r.Track(0, false, now.Add(2*time.Minute))
+	if v := r.Value(); v < 79 || v > 81 {
+		t.Errorf("idle again: %v", v)
+	}
+}
--- /dev/null
+++ b/admission/rate.go
@@ -0,0 +1,91 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rateHalfLife is how fast the measured rate follows a change, and how fast
+	// it returns to the prior when no work waits.
+	rateHalfLife = 5 * time.Second
+	// priorSeconds is the time under load after which the measured rate counts
+	// as much as the prior.
+	priorSeconds = 0.5
+	// priorWork is the slot time of finished tasks after which the measured
+	// correction counts as much as none.
+	priorWork = 2.0
+	// minCorrection and maxCorrection bound what a few tasks with a wrong
+	// estimate do to the rate.
+	minCorrection = 0.2
+	maxCorrection = 100.0
+)
+
+// Rate measures how fast an entry's work is done, in expected slot seconds per
+// second: the slots it holds while work waits, times how much faster than
+// expected tasks finish. While no work waits the slots in use say nothing about
+// the rate that is possible, so that time does not count.
+type Rate struct {
+	prior      float64
+	slots      int
+	backlogged bool
+	last       time.Time
+	slotTime   float64 // decayed slot seconds while backlogged
+	time       float64 // decayed seconds while backlogged
+	expected   float64 // decayed slot seconds of finished tasks, as expected
+	actual     float64 // and as measured
+}
+
+// NewRate returns a rate without measurements.
+func NewRate() *Rate { return &Rate{} }
+
+// SetPrior sets the number of slots that the entry can expect to get: its share
+// of the slots of the service's targets.
+func (r *Rate) SetPrior(slots float64) { r.prior = slots }
+
+// Track records the slots that the entry holds from now on, in use or granted,
+// and whether work waits for more.
+func (r *Rate) Track(slots int, backlogged bool, now time.Time) {
+	r.advance(now)
+	r.slots = slots
+	r.backlogged = backlogged
+}
+
+// Finished records a task that was done, with the run time that its job's
+// remaining work was reckoned with.
+func (r *Rate) Finished(expected, actual time.Duration, now time.Time) {
+	r.advance(now)
+	r.expected += expected.Seconds()
+	r.actual += actual.Seconds()
+}
+
+// advance integrates up to now.
+func (r *Rate) advance(now time.Time) {
+	if r.last.IsZero() {
+		r.last = now
+	}
+	gap := now.Sub(r.last)
+	if gap <= 0 {
+		return
+	}
+	r.last = now
+	keep := math.Exp2(-float64(gap) / float64(rateHalfLife))
+	r.slotTime *= keep
+	r.time *= keep
+	r.expected *= keep
+	r.actual *= keep
+	if !r.backlogged {
+		return
+	}
+	seen := rateHalfLife.Seconds() / math.Ln2 * (1 - keep)
+	r.time += seen
+	r.slotTime += seen * float64(r.slots)
+}
+
+// Value returns expected slot seconds per second; 0 if neither a prior nor a
+// measurement is there.
+func (r *Rate) Value() float64 {
+	slots := (r.slotTime + r.prior*priorSeconds) / (r.time + priorSeconds)
+	correction := (r.expected + priorWork) / (r.actual + priorWork)
+	return slots * min(max(correction, minCorrection), maxCorrection)
+}
