--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -83,6 +83,9 @@
 // demandFor describes the work that waits here for a target. Targets that can
 // run the same groups share the answer in heads.
 func (s *Scheduler) demandFor(t *target, heads map[string]wire.Demand) wire.Demand {
+	if s.pushes() {
+		return t.boundDemand()
+	}
 	if d, ok := heads[t.groupsKey]; ok {
 		return d
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -126,6 +126,9 @@
 	switch o.State {
 	case wire.StateRefused:
 		s.refused(t, a, o)
+		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
+	case wire.StateNeverSeen:
+		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateDone, wire.StateFailed, wire.StateUnknown:
 		s.observe(t, a, o, now)
 	}
@@ -135,6 +138,9 @@
 		return
 	}
 	s.updateItem(a.job)
+	if s.pushes() && a.job.job.IsWaiting(int(key.index)) {
+		s.bind(a.job, int(key.index))
+	}
 }
 
 // charge corrects the slot time that the team was charged at the start.
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinline/catkinline/job"
@@ -9,17 +10,15 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// defaultExpected is the expected run time of a task about which nothing is
-// known: the middle of the usual 50 ms to 1 s.
-const defaultExpected = 300 * time.Millisecond
-
 func (s *Scheduler) newJob(spec *job.Spec, g *group, now time.Time) *activeJob {
 	id := wire.JobID{Entry: s.opts.Incarnation, Seq: s.opts.NextJob()}
 	j := &activeJob{
 		job:      job.New(id, spec, now),
 		seq:      id.Seq,
 		group:    g,
+		labels:   spec.Labels.Key(),
 		expected: make([]time.Duration, len(spec.Tasks)),
+		classes:  make([]wire.Class, len(spec.Tasks)),
 		at:       make([]*target, len(spec.Tasks)),
 		bytes:    spec.PayloadBytes(),
 		done:     make(chan job.Answer, 1),
@@ -31,7 +30,6 @@
 
 func (s *Scheduler) accept(j *activeJob) {
 	s.jobs[j.seq] = j
-	s.bytes += j.bytes
 	s.expiry.push(j)
 }
 
@@ -40,16 +38,10 @@
 		return
 	}
 	j.queued = true
-	s.queue.Add(queue.Item{
-		Job:       j.job.ID(),
-		Team:      j.job.Spec().Team,
-		Group:     j.group.id,
-		Class:     j.class,
-		Remaining: j.left,
-		Waiting:   j.job.Waiting(),
-		Arrived:   j.job.Arrived(),
-		Deadline:  j.job.Deadline(),
-	})
+	s.queue.Add(j.item())
+	if s.pushes() {
+		s.bindAll(j)
+	}
 }
 
 func (s *Scheduler) dequeue(j *activeJob) {
@@ -62,15 +54,20 @@
 // updateItem tells the queue what a job still needs.
 func (s *Scheduler) updateItem(j *activeJob) {
 	if j.queued {
-		s.queue.Update(j.job.ID(), max(0, j.left), j.job.Waiting(), j.class)
+		s.queue.Update(j.job.ID(), max(0, j.left), j.job.Waiting(), j.nextClass())
 	}
 }
 
 // pump starts waiting tasks as long as grants allow, then tells the agents what
 // still waits.
 func (s *Scheduler) pump(now time.Time) {
-	for s.startNext(now) {
+	if s.pushes() {
+		s.pumpBound(now)
+	} else {
+		for s.startNext(now) {
+		}
 	}
+	s.trackRate(now)
 	s.sendDemand(now)
 }
 
@@ -144,8 +141,9 @@
 // least loaded one among equally near.
 func (s *Scheduler) chooseTarget(j *activeJob) *target {
 	var best *target
+	class := j.nextClass()
 	for _, t := range j.group.targets {
-		if !s.mayStart(t) || t.credit(j.class) == 0 {
+		if !s.mayStart(t) || t.credit(class) == 0 {
 			continue
 		}
 		if best == nil || s.better(t, best) {
@@ -177,7 +175,8 @@
 }
 
 func (s *Scheduler) startTask(j *activeJob, index int, t *target, now time.Time) bool {
-	grantID, ok := t.take(j.class)
+	class := j.classes[index]
+	grantID, ok := t.take(class)
 	if !ok {
 		return false
 	}
@@ -186,7 +185,7 @@
 		return false
 	}
 	spec := j.job.Spec()
-	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: j.class, grant: grantID}
+	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: class, grant: grantID}
 	t.out[taskKey{j.seq, id.Index}] = a
 	j.at[index] = t
 	s.tasksOut++
@@ -194,6 +193,7 @@
 		s.opts.Quotas.Started(spec.Team)
 	}
 	s.queue.Charge(spec.Team, a.expected)
+	s.adjust(j, -1, -int64(len(spec.Tasks[index].Payload)))
 	s.updateItem(j)
 	s.recordStart(j, now)
 	s.send(t, &wire.Start{
@@ -201,7 +201,7 @@
 		Grant:    grantID,
 		Revision: s.rules.RevisionFor(s.opts.Service, t.announce.Target),
 		Team:     spec.Team,
-		Class:    j.class,
+		Class:    class,
 		TimeLeft: s.timeLeft(j, now),
 		Payload:  spec.Tasks[index].Payload,
 		Demand:   s.demandOnStart(t, now),
@@ -227,7 +227,7 @@
 	}
 	j.started = true
 	s.record.Duration(metrics.QueueSeconds, now.Sub(j.job.Arrived()),
-		metrics.TagTeam, j.job.Spec().Team, metrics.TagClass, j.class.String())
+		metrics.TagTeam, j.job.Spec().Team, metrics.TagClass, j.longestClass().String())
 }
 
 func (t *target) takeAcks() []wire.TaskID {
@@ -235,3 +235,8 @@
 	t.acks = nil
 	return acks
 }
+
+// longestClass is the class of the job as a whole, for metrics.
+func (j *activeJob) longestClass() wire.Class {
+	return slices.Max(j.classes)
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/catkinline/catkinline/admission"
 	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/estimate"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/queue"
@@ -48,6 +50,8 @@
 	Quotas        Quotas
 	// NextJob returns a job number that is unique within the entry.
 	NextJob func() uint64
+	// Entries returns the number of live entries, this one included; nil is one.
+	Entries func() int
 	// Ended is called once for each job that ends, under the scheduler's lock.
 	Ended func(answer job.Answer)
 }
@@ -67,38 +71,48 @@
 	groups    map[string]*group
 	byGroup   []*group // by queue.Group
 	queue     *queue.Queue
+	unbound   []boundTask // push baselines only
 	tasksOut  int
 	demanding int // targets whose last demand from here is not empty
-	bytes     int64
+	estimates *estimate.Estimator
+	admission *admission.Controller
+	rate      *admission.Rate
 }
 
 // activeJob is a job that was accepted and has not ended.
 type activeJob struct {
-	job      *job.Job
-	seq      uint64
-	group    *group
-	class    wire.Class
-	expected []time.Duration // by task
-	left     time.Duration   // expected work of tasks that are not done
-	at       []*target       // by task: where it is out
-	bytes    int64
-	held     bool
-	queued   bool
-	started  bool
-	longest  time.Duration // longest run time of a finished task
-	done     chan job.Answer
+	job       *job.Job
+	seq       uint64
+	group     *group
+	labels    string          // canonical text of the labels
+	expected  []time.Duration // by task
+	classes   []wire.Class    // by task
+	confident bool            // every estimate rests on observations
+	use       admission.Use   // counted in the bounds
+	left      time.Duration   // expected work of tasks that are not done
+	at        []*target       // by task: where it is out
+	bytes     int64
+	held      bool
+	queued    bool
+	started   bool
+	longest   time.Duration // longest run time of a finished task
+	done      chan job.Answer
 }
 
 // New returns a scheduler without configuration, which refuses every job until
 // SetRules.
 func New(o Options) *Scheduler {
+	rate := admission.NewRate()
 	return &Scheduler{
-		opts:    o,
-		record:  o.Recorder,
-		jobs:    make(map[uint64]*activeJob),
-		targets: make(map[string]*target),
-		groups:  make(map[string]*group),
-		queue:   queue.New(queue.Options{Order: queue.Order(o.Policy.Order)}),
+		estimates: newEstimator(o.Policy),
+		admission: admission.New(admissionOptions(o), rate, o.Random),
+		rate:      rate,
+		opts:      o,
+		record:    o.Recorder,
+		jobs:      make(map[uint64]*activeJob),
+		targets:   make(map[string]*target),
+		groups:    make(map[string]*group),
+		queue:     queue.New(queue.Options{Order: queue.Order(o.Policy.Order)}),
 	}
 }
 
@@ -140,7 +154,7 @@
 		return nil, result.New(result.NoMatchingTarget, "")
 	}
 	j := s.newJob(spec, g, now)
-	if refusal := s.admit(j); refusal != nil {
+	if refusal := s.admit(j, now); refusal != nil {
 		return nil, refusal
 	}
 	s.accept(j)
@@ -178,7 +192,7 @@
 	s.dequeue(j)
 	s.cancelOut(j)
 	delete(s.jobs, j.seq)
-	s.bytes -= j.bytes
+	s.releaseUse(j)
 	s.recordEnd(j, answer, now)
 	if s.opts.Ended != nil {
 		s.opts.Ended(answer)
@@ -205,7 +219,7 @@
 }
 
 func (s *Scheduler) recordEnd(j *activeJob, a job.Answer, now time.Time) {
-	team, class := j.job.Spec().Team, j.class.String()
+	team, class := j.job.Spec().Team, j.longestClass().String()
 	if a.Err != nil {
 		s.record.Add(metrics.JobsFailed, 1, metrics.TagCode, a.Err.Code.String())
 		return
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -57,6 +57,7 @@
 	lostAt      time.Time
 	load        uint32 // tasks running and waiting at the target, as last heard
 	acks        []wire.TaskID
+	bound       []boundTask // push baselines only
 	acksSince   time.Time
 	demand      wire.Demand // last sent
 	demandAt    time.Time
