Add ejection of failing and slow targets

A target is ejected for failures beyond those that the same keys have on other targets, counted over every number of its latest 32 outcomes, so that a good record does not hide a target that now fails everything: four failures in a row suffice where the key succeeds elsewhere. A key that ran nowhere else counts as half the target's fault, and a target is restored when the key turns out to fail elsewhere too.

Rates elsewhere are averaged over targets. Ruled out: an average over tasks, in which one target that fails at once excuses the next, since it gets through the most tasks.

Speed is the ratio of observed to expected run time relative to the median target, which cancels an error that all estimates share.

--- /dev/null
+++ b/outlier/outlier_test.go
@@ -0,0 +1,197 @@
+package outlier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func at(i int) time.Time { return epoch.Add(time.Duration(i) * 10 * time.Millisecond) }
+
+// healthy returns a detector with n targets "0", "1"... that did ten tasks each,
+// of keys "a" and "b".
+func healthy(o Options, n int) *Detector {
+	d := New(o)
+	for i := range 10 * n {
+		d.Observe(fmt.Sprint(i%n), string(rune('a'+i/n%2)), true, second, second, at(i))
+	}
+	return d
+}
+
+// fail observes n failures of a target and returns how many it took to eject it.
+func fail(d *Detector, name, key string, n int, now time.Time) int {
+	for i := range n {
+		d.Observe(name, key, false, time.Millisecond, second, now)
+		if d.State(name, now) == Ejected {
+			return i + 1
+		}
+	}
+	return n + 1
+}
+
+// Guards against a target that fails everything at once and draws more and more
+// work, whatever its record before, and against a detector that is not off.
+func TestFailingTargetIsEjected(t *testing.T) {
+	if n := fail(healthy(Options{}, 10), "3", "a", 32, at(200)); n > 4 {
+		t.Errorf("ejected after %d failures", n)
+	}
+	if n := fail(healthy(Options{}, 10), "new", "a", 32, at(200)); n > 4 {
+		t.Errorf("new target ejected after %d failures", n)
+	}
+	if n := fail(healthy(Options{Disabled: true}, 10), "3", "a", 32, at(200)); n != 33 {
+		t.Errorf("ejected by a detector that is off")
+	}
+	spread := healthy(Options{}, 10)
+	for i := range 4 {
+		fail(spread, "3", "a", 1, at(200).Add(time.Duration(i)*2*time.Minute))
+	}
+	if got := spread.State("3", at(200)); got != Healthy {
+		t.Errorf("%v after rare failures", got)
+	}
+}
+
+// Guards against ejection because a caller's own tasks are bad, also where one
+// target happens to run the first of them, and against a target that fails
+// everything and is excused by another one like it.
+func TestBadTasksEjectNoTarget(t *testing.T) {
+	d := healthy(Options{}, 10)
+	for i := range 640 {
+		d.Observe(fmt.Sprint(i%10), "bad", false, second, second, at(200+i))
+		d.Observe(fmt.Sprint(i*3%10), "a", true, second, second, at(200+i))
+	}
+	for i := range 10 {
+		if got := d.State(fmt.Sprint(i), at(900)); got != Healthy {
+			t.Errorf("target %d is %v", i, got)
+		}
+	}
+	first := healthy(Options{}, 10)
+	if fail(first, "3", "bad", 8, at(200)) > 8 {
+		t.Fatal("not ejected for a key that ran nowhere else")
+	}
+	for i := 4; i < 10; i++ {
+		first.Observe(fmt.Sprint(i), "bad", false, second, second, at(201))
+	}
+	if got := first.State("3", at(202)); got != Healthy {
+		t.Errorf("%v after the key failed on six others", got)
+	}
+	two := healthy(Options{}, 10)
+	for range 8 {
+		fail(two, "3", "a", 4, at(200))
+		fail(two, "4", "a", 4, at(200))
+	}
+	if two.State("3", at(201)) != Ejected || two.State("4", at(201)) != Ejected {
+		t.Errorf("targets are %v and %v", two.State("3", at(201)), two.State("4", at(201)))
+	}
+}
+
+// Guards against a target that comes back at full use without proof or never,
+// and against a bad caller that keeps it out.
+func TestProbation(t *testing.T) {
+	d := healthy(Options{}, 10)
+	now := at(200)
+	fail(d, "3", "a", 8, now)
+	for _, backoff := range []time.Duration{2 * second, 4 * second, 8 * second} {
+		d.Observe("3", "a", true, second, second, now.Add(backoff/2))
+		if got := d.State("3", now.Add(backoff-1)); got != Ejected {
+			t.Fatalf("%v within the backoff of %v", got, backoff)
+		}
+		now = now.Add(backoff)
+		if got := d.State("3", now); got != Probation {
+			t.Fatalf("%v after the backoff of %v", got, backoff)
+		}
+		d.Observe("3", "a", false, second, second, now)
+	}
+	now = now.Add(16 * second)
+	d.Observe("5", "bad", false, second, second, now)
+	d.Observe("6", "bad", false, second, second, now)
+	d.Observe("3", "bad", false, second, second, now)
+	if got := d.State("3", now); got != Probation {
+		t.Fatalf("%v after a failure of a key that fails elsewhere", got)
+	}
+	d.Observe("3", "a", true, second, second, now)
+	if got := d.State("3", now); got != Healthy {
+		t.Fatalf("%v after a success", got)
+	}
+	if n := fail(d, "3", "a", 8, now); n < 4 || n > 5 {
+		t.Errorf("ejected again after %d failures", n)
+	}
+	if d.State("3", now.Add(31*second)) != Ejected {
+		t.Error("the backoff did not grow")
+	}
+}
+
+// Guards against ejection of more targets than the rest can stand in for, and
+// against a removed target that still counts.
+func TestShareOfEjectedTargets(t *testing.T) {
+	d := healthy(Options{MaxEjected: 0.3}, 10)
+	for i := range 6 {
+		fail(d, fmt.Sprint(i), "a", 4, at(200))
+	}
+	if d.out != 3 {
+		t.Errorf("%d of 10 ejected", d.out)
+	}
+	d.Remove("0")
+	d.Remove("1")
+	if d.out != 1 {
+		t.Errorf("%d counted after removal", d.out)
+	}
+	for i := range 10 {
+		d.Remove(fmt.Sprint(i))
+	}
+	if len(d.keys)+len(d.targets)+d.out != 0 {
+		t.Errorf("left: %d keys, %d targets, %d out", len(d.keys), len(d.targets), d.out)
+	}
+	one := New(Options{})
+	if n := fail(one, "only", "a", 40, epoch); n != 41 {
+		t.Error("the only target was ejected")
+	}
+	if n := len(one.targets["only"].window); n != windowTasks {
+		t.Errorf("a window of %d", n)
+	}
+}
+
+// Guards against placement on slow targets, against an error of all estimates
+// that is taken for slowness, and against one straggler that ejects a target.
+func TestSpeed(t *testing.T) {
+	d := healthy(Options{}, 10)
+	d.Observe("3", "a", true, 1000*second, second, at(100))
+	d.Observe("new", "a", true, 1000*second, second, at(100))
+	if d.State("3", at(100)) != Healthy || d.State("new", at(100)) != Healthy {
+		t.Error("ejected for one straggler")
+	}
+	d.Remove("new")
+	for i := range 400 {
+		run := 3 * second
+		switch i % 10 {
+		case 3:
+			run = 6 * second
+		case 4:
+			run = 30 * second
+		}
+		d.Observe(fmt.Sprint(i%10), "a", true, run, second, at(200+i))
+	}
+	now := at(610)
+	if w := d.Weight("3"); w < 0.5 || w > 0.7 {
+		t.Errorf("weight %v at half the speed", w)
+	}
+	if w := d.Weight("5"); w < 0.95 || d.Weight("unknown") != 1 {
+		t.Errorf("weight %v at the median", w)
+	}
+	if d.State("4", now) == Healthy || d.State("3", now) != Healthy || d.State("5", now) != Healthy {
+		t.Errorf("states %v, %v, %v", d.State("4", now), d.State("3", now), d.State("5", now))
+	}
+	now = now.Add(2 * time.Minute)
+	d.Observe("4", "a", true, 30*second, second, now)
+	if got := d.State("4", now); got != Ejected {
+		t.Errorf("%v after a task that was slow again", got)
+	}
+	now = now.Add(2 * time.Minute)
+	d.Observe("4", "a", true, 3*second, second, now)
+	if d.State("4", now) != Healthy || d.Weight("4") != 1 {
+		t.Errorf("%v with weight %v after a quick task", d.State("4", now), d.Weight("4"))
+	}
+}
--- /dev/null
+++ b/outlier/window.go
@@ -0,0 +1,114 @@
+package outlier
+
+import "time"
+
+// sample is one outcome.
+type sample struct {
+	key string
+	ok  bool
+	at  time.Time
+}
+
+// tally counts the outcomes of one key in one target's window.
+type tally struct {
+	tasks, failed int
+}
+
+func (t *tally) rate() float64 {
+	if t == nil || t.tasks == 0 {
+		return 0
+	}
+	return float64(t.failed) / float64(t.tasks)
+}
+
+// keyStat holds one key's outcomes by target. Rates are averaged over targets
+// and not over tasks: a target that fails at once gets through the most tasks.
+// Its memory is bounded by the targets' windows.
+type keyStat struct {
+	tallies map[string]*tally
+	rates   float64 // sum of the targets' failure rates
+}
+
+// record adds an outcome to a target's window.
+func (d *Detector) record(t *target, s sample) {
+	if len(t.window) == windowTasks {
+		d.count(t, t.window[0], -1)
+		copy(t.window, t.window[1:])
+		t.window = t.window[:windowTasks-1]
+	}
+	t.window = append(t.window, s)
+	d.count(t, s, 1)
+}
+
+// clear empties a target's window.
+func (d *Detector) clear(t *target) {
+	for _, s := range t.window {
+		d.count(t, s, -1)
+	}
+	t.window = t.window[:0]
+}
+
+func (d *Detector) count(t *target, s sample, sign int) {
+	k, ok := d.keys[s.key]
+	if !ok {
+		k = &keyStat{tallies: map[string]*tally{}}
+		d.keys[s.key] = k
+	}
+	c, ok := k.tallies[t.name]
+	if !ok {
+		c = &tally{}
+		k.tallies[t.name] = c
+	}
+	k.rates -= c.rate()
+	c.tasks += sign
+	if !s.ok {
+		c.failed += sign
+	}
+	k.rates += c.rate()
+	if c.tasks > 0 {
+		return
+	}
+	delete(k.tallies, t.name)
+	if len(k.tallies) == 0 {
+		delete(d.keys, s.key)
+	}
+}
+
+// elsewhere returns the failure rate of a key on targets other than t. A key
+// that ran nowhere else counts as one half: it may be the task's fault or the
+// target's.
+func (d *Detector) elsewhere(t *target, key string) float64 {
+	k := d.keys[key]
+	if k == nil {
+		return 0.5
+	}
+	others, rates := len(k.tallies), k.rates
+	if own, ok := k.tallies[t.name]; ok {
+		others--
+		rates -= own.rate()
+	}
+	return (max(0, rates) + 0.5) / float64(others+1)
+}
+
+// failing reports whether, over some number of a target's latest outcomes, at
+// least limit more tasks failed than would have on other targets. Every number
+// is looked at, so that a long good record does not hide a target that now fails
+// everything.
+func (d *Detector) failing(t *target, limit float64, now time.Time) bool {
+	excess := 0.0
+	for i := len(t.window) - 1; i >= 0; i-- {
+		s := t.window[i]
+		if now.Sub(s.at) > maxAge {
+			return false
+		}
+		excess -= d.elsewhere(t, s.key)
+		if !s.ok {
+			excess++
+		}
+		n := float64(len(t.window) - i)
+		if excess >= limit && excess >= minExcessRate*n {
+			return true
+		}
+	}
+	return false
+}
