Read settings files and report every fault with its place

An operator who corrects a settings file one fault at a time restarts a process once for each. Decode walks the syntax tree of the file, so that syntax errors, unknown and repeated fields, wrong types and values out of range come in one list, each with line, column and field path.

Defaults are set before decoding, by a SetDefaults method on the struct, and fill zero fields only. An explicit zero in a file is therefore kept and then refused by the range check, where it has no meaning; Limits said that zero fields take the defaults, now it is absent fields.

Ruled out: encoding/json after hujson.Standardize. It stops at the first error, matches field names without regard to case and has no offset for unknown fields.

Nesting is checked before parsing because the parser is recursive, and lists of errors are bounded because a document of unknown fields would produce an answer larger than itself.

--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,348 @@
+package settings
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// maxNesting bounds the depth of a text. The parser is recursive; without a
+// bound a text of opening brackets would exhaust the stack.
+const maxNesting = 32
+
+// Defaulter is implemented by pointers to structs whose zero fields stand for
+// other values. Decode calls SetDefaults on each such struct before it decodes
+// the fields, so that only absent fields keep the default. SetDefaults changes
+// zero fields only, so that it can be called on a struct built in code too.
+type Defaulter interface {
+	SetDefaults()
+}
+
+// Decode reads JSON with comments and trailing commas into the struct that v
+// points to and returns every fault: syntax, duplicate and unknown fields, and
+// values of another type. Fields are matched by their json tag, exactly.
+// Fields without a fault are set even if others have one.
+func Decode(data []byte, v any) Errors {
+	_, errs := DecodeSource(data, v)
+	return errs
+}
+
+// DecodeSource is Decode and returns the positions of the fields as well, for
+// checks that follow.
+func DecodeSource(data []byte, v any) (*Source, Errors) {
+	d := decoder{source: newSource(data)}
+	root := reflect.ValueOf(v).Elem()
+	setDefaults(root)
+	if offset, deep := tooDeep(data); deep {
+		d.addAt(offset, "", fmt.Sprintf("nested deeper than %d levels", maxNesting))
+		return d.source, d.errs
+	}
+	tree, err := hujson.Parse(data)
+	if err != nil {
+		return d.source, Errors{syntaxError(err)}
+	}
+	d.value(tree, root, "")
+	return d.source, d.errs.ordered()
+}
+
+// SetDefaults calls SetDefaults on the struct that v points to and on the
+// structs within it.
+func SetDefaults(v any) {
+	setDefaults(reflect.ValueOf(v).Elem())
+}
+
+func setDefaults(v reflect.Value) {
+	if v.Kind() != reflect.Struct {
+		return
+	}
+	if d, ok := v.Addr().Interface().(Defaulter); ok {
+		d.SetDefaults()
+	}
+	for i := range v.NumField() {
+		if v.Type().Field(i).IsExported() {
+			setDefaults(v.Field(i))
+		}
+	}
+}
+
+var parserPosition = regexp.MustCompile(`^hujson: line (\d+), column (\d+): `)
+
+func syntaxError(err error) Error {
+	text := err.Error()
+	m := parserPosition.FindStringSubmatch(text)
+	if m == nil {
+		return Error{Line: 1, Column: 1, Message: text}
+	}
+	line, _ := strconv.Atoi(m[1])
+	column, _ := strconv.Atoi(m[2])
+	return Error{Line: line, Column: column, Message: "syntax: " + text[len(m[0]):]}
+}
+
+// tooDeep returns the offset of the first bracket below maxNesting levels. It
+// skips strings and comments.
+func tooDeep(data []byte) (int, bool) {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		case '"':
+			i = skipString(data, i)
+		case '/':
+			i = skipComment(data, i)
+		}
+		if depth > maxNesting {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func skipString(data []byte, i int) int {
+	for i++; i < len(data) && data[i] != '"'; i++ {
+		if data[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+func skipComment(data []byte, i int) int {
+	rest := data[i:]
+	end := ""
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		end = "\n"
+	case bytes.HasPrefix(rest, []byte("/*")):
+		end = "*/"
+	default:
+		return i
+	}
+	n := bytes.Index(rest[2:], []byte(end))
+	if n < 0 {
+		return len(data)
+	}
+	return i + 2 + n + len(end) - 1
+}
+
+// decoder collects the faults of one text.
+type decoder struct {
+	source *Source
+	errs   Errors
+}
+
+func (d *decoder) addAt(offset int, field, message string) {
+	line, column := d.source.position(offset)
+	d.errs = append(d.errs, Error{Line: line, Column: column, Field: field, Message: message})
+}
+
+// wrongType reports a value that the field cannot hold.
+func (d *decoder) wrongType(in hujson.Value, field, want string) {
+	d.source.failed[field] = true
+	d.addAt(in.StartOffset, field, fmt.Sprintf("must be %s, not %s", want, describe(in.Value)))
+}
+
+func describe(v hujson.ValueTrimmed) string {
+	switch v.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	}
+	const longest = 40
+	text := string(v.(hujson.Literal))
+	if len(text) > longest {
+		return text[:longest] + "..."
+	}
+	return text
+}
+
+var jsonUnmarshaler = reflect.TypeFor[json.Unmarshaler]()
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (d *decoder) value(in hujson.Value, out reflect.Value, field string) {
+	d.source.offsets[field] = in.StartOffset
+	pointer := reflect.PointerTo(out.Type())
+	switch {
+	case pointer.Implements(jsonUnmarshaler):
+		d.custom(in, out, field)
+	case pointer.Implements(textUnmarshaler):
+		d.text(in, out, field)
+	case out.Kind() == reflect.Pointer:
+		d.pointer(in, out, field)
+	case out.Kind() == reflect.Struct:
+		d.structure(in, out, field)
+	case out.Kind() == reflect.Map:
+		d.mapping(in, out, field)
+	case out.Kind() == reflect.Slice:
+		d.slice(in, out, field)
+	default:
+		d.scalar(in, out, field)
+	}
+}
+
+func (d *decoder) custom(in hujson.Value, out reflect.Value, field string) {
+	in = in.Clone()
+	in.Standardize()
+	if err := json.Unmarshal(in.Pack(), out.Addr().Interface()); err != nil {
+		d.source.failed[field] = true
+		d.addAt(in.StartOffset, field, err.Error())
+	}
+}
+
+func (d *decoder) text(in hujson.Value, out reflect.Value, field string) {
+	if in.Value.Kind() != '"' {
+		d.wrongType(in, field, "a string")
+		return
+	}
+	text := in.Value.(hujson.Literal).String()
+	err := out.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(text))
+	if err != nil {
+		d.source.failed[field] = true
+		d.addAt(in.StartOffset, field, err.Error())
+	}
+}
+
+func (d *decoder) pointer(in hujson.Value, out reflect.Value, field string) {
+	if in.Value.Kind() == 'n' {
+		out.SetZero()
+		return
+	}
+	out.Set(reflect.New(out.Type().Elem()))
+	setDefaults(out.Elem())
+	d.value(in, out.Elem(), field)
+}
+
+func (d *decoder) structure(in hujson.Value, out reflect.Value, field string) {
+	object, ok := in.Value.(*hujson.Object)
+	if !ok {
+		d.wrongType(in, field, "an object")
+		return
+	}
+	byName := fieldsOf(out.Type())
+	d.members(object, field, func(name string, m hujson.ObjectMember, path string) {
+		i, known := byName[name]
+		if !known {
+			d.addAt(m.Name.StartOffset, path, "unknown field")
+			d.errs[len(d.errs)-1].unknown = true
+			return
+		}
+		d.value(m.Value, out.Field(i), path)
+	})
+}
+
+// members calls each for every member of an object but repeated ones.
+func (d *decoder) members(object *hujson.Object, field string, each func(name string, m hujson.ObjectMember, path string)) {
+	seen := make(map[string]bool, len(object.Members))
+	for _, m := range object.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		path := Member(field, name)
+		if seen[name] {
+			d.addAt(m.Name.StartOffset, path, "the field is given twice")
+			continue
+		}
+		seen[name] = true
+		each(name, m, path)
+	}
+}
+
+// fieldsOf returns the field numbers of a struct type by json name.
+func fieldsOf(t reflect.Type) map[string]int {
+	out := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" && t.Field(i).IsExported() {
+			out[name] = i
+		}
+	}
+	return out
+}
+
+func (d *decoder) mapping(in hujson.Value, out reflect.Value, field string) {
+	object, ok := in.Value.(*hujson.Object)
+	if !ok {
+		d.wrongType(in, field, "an object")
+		return
+	}
+	t := out.Type()
+	out.Set(reflect.MakeMapWithSize(t, len(object.Members)))
+	d.members(object, field, func(name string, m hujson.ObjectMember, path string) {
+		element := reflect.New(t.Elem()).Elem()
+		setDefaults(element)
+		d.value(m.Value, element, path)
+		out.SetMapIndex(reflect.ValueOf(name).Convert(t.Key()), element)
+	})
+}
+
+func (d *decoder) slice(in hujson.Value, out reflect.Value, field string) {
+	array, ok := in.Value.(*hujson.Array)
+	if !ok {
+		d.wrongType(in, field, "an array")
+		return
+	}
+	out.Set(reflect.MakeSlice(out.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		setDefaults(out.Index(i))
+		d.value(element, out.Index(i), Index(field, i))
+	}
+}
+
+func (d *decoder) scalar(in hujson.Value, out reflect.Value, field string) {
+	literal, ok := in.Value.(hujson.Literal)
+	kind := in.Value.Kind()
+	switch {
+	case out.Kind() == reflect.String:
+		if !ok || kind != '"' {
+			d.wrongType(in, field, "a string")
+			return
+		}
+		out.SetString(literal.String())
+	case out.Kind() == reflect.Bool:
+		if !ok || kind != 't' && kind != 'f' {
+			d.wrongType(in, field, "true or false")
+			return
+		}
+		out.SetBool(literal.Bool())
+	case !ok || kind != '0':
+		d.wrongType(in, field, "a number")
+	default:
+		d.number(in, string(literal), out, field)
+	}
+}
+
+func (d *decoder) number(in hujson.Value, text string, out reflect.Value, field string) {
+	switch {
+	case out.CanInt():
+		n, err := strconv.ParseInt(text, 10, out.Type().Bits())
+		if err != nil {
+			d.wrongType(in, field, fmt.Sprintf("an integer of at most %d bits", out.Type().Bits()))
+			return
+		}
+		out.SetInt(n)
+	case out.CanUint():
+		n, err := strconv.ParseUint(text, 10, out.Type().Bits())
+		if err != nil {
+			d.wrongType(in, field, fmt.Sprintf("an integer of at most %d bits, 0 or more", out.Type().Bits()))
+			return
+		}
+		out.SetUint(n)
+	case out.CanFloat():
+		n, err := strconv.ParseFloat(text, out.Type().Bits())
+		if err != nil {
+			d.wrongType(in, field, "a number within the range of floating point")
+			return
+		}
+		out.SetFloat(n)
+	default:
+		d.wrongType(in, field, "absent: the type "+out.Type().String()+" cannot be read")
+	}
+}
--- /dev/null
+++ b/settings/defaults.go
@@ -0,0 +1,64 @@
+package settings
+
+// Defaults that are not a plain text. The reasons are those of the users'
+// workloads in docs/design.md, section 1.
+const (
+	DefaultDrainSeconds = 2    // a load balancer needs about two probes to notice
+	DefaultTimeoutMS    = 1000 // the store answers in milliseconds when it is well
+	DefaultSlots        = 8
+	DefaultConnections  = 64
+	DefaultBodyBytes    = 32 << 20
+	DefaultPayloadBytes = 1 << 20
+	DefaultResultBytes  = 4 << 20
+	DefaultTasks        = 160
+	DefaultQueuedJobs   = 20_000
+	DefaultQueuedTasks  = 400_000
+	DefaultQueuedBytes  = 256 << 20
+)
+
+// fill sets a zero field to its default.
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// SetDefaults fills zero fields.
+func (t *Target) SetDefaults() {
+	fill(&t.Slots, DefaultSlots)
+	fill(&t.Connections, DefaultConnections)
+}
+
+// SetDefaults fills zero fields.
+func (s *Store) SetDefaults() {
+	fill(&s.TimeoutMS, DefaultTimeoutMS)
+}
+
+// SetDefaults fills zero fields.
+func (l *Log) SetDefaults() {
+	fill(&l.Level, "info")
+	fill(&l.Format, "json")
+}
+
+// SetDefaults fills zero fields.
+func (l *Limits) SetDefaults() {
+	fill(&l.BodyBytes, DefaultBodyBytes)
+	fill(&l.PayloadBytes, DefaultPayloadBytes)
+	fill(&l.ResultBytes, DefaultResultBytes)
+	fill(&l.Tasks, DefaultTasks)
+	fill(&l.QueuedJobs, DefaultQueuedJobs)
+	fill(&l.QueuedTasks, DefaultQueuedTasks)
+	fill(&l.QueuedBytes, DefaultQueuedBytes)
+}
+
+// SetDefaults fills zero fields.
+func (p *Policy) SetDefaults() {
+	fill(&p.Order, "remaining")
+	fill(&p.Binding, "late")
+	fill(&p.Grants, "key")
+	fill(&p.Reserve, "learnt")
+	fill(&p.Estimates, "learnt")
+	fill(&p.Admission, "feasible")
+	fill(&p.Outliers, "eject")
+}
--- /dev/null
+++ b/settings/errors.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// MaxErrors bounds a list of errors: a document of 1 MB of unknown fields
+// would otherwise produce an answer that is larger than the document.
+const MaxErrors = 200
+
+// Error is one fault in a JSON text. Line and Column count from 1, Column in
+// bytes; both are 0 if the value did not come from a text. Field is the path
+// of the value at fault, such as target.labels.zone or rules[0].requests.
+type Error struct {
+	Line    int    `json:"line,omitempty"`
+	Column  int    `json:"column,omitempty"`
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
+
+	unknown bool // the field is not defined
+}
+
+// String returns line:column: field: message, without the parts that are empty.
+func (e Error) String() string {
+	var b strings.Builder
+	if e.Line > 0 {
+		fmt.Fprintf(&b, "%d:%d: ", e.Line, e.Column)
+	}
+	if e.Field != "" {
+		b.WriteString(e.Field + ": ")
+	}
+	b.WriteString(e.Message)
+	return b.String()
+}
+
+// Errors is every fault that was found in one text, in the order of the text.
+type Errors []Error
+
+// Error returns one line for each fault.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, one := range e {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns e as an error, nil if the list is empty.
+func (e Errors) Err() error {
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
+
+// SplitUnknown separates the faults that are only fields without a definition.
+// A reader of data that a newer release wrote may pass over those.
+func (e Errors) SplitUnknown() (unknown, other Errors) {
+	for _, one := range e {
+		if one.unknown {
+			unknown = append(unknown, one)
+		} else {
+			other = append(other, one)
+		}
+	}
+	return unknown, other
+}
+
+// ordered sorts by position and field, and bounds the list.
+func (e Errors) ordered() Errors {
+	slices.SortStableFunc(e, func(a, b Error) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Field, b.Field))
+	})
+	if len(e) <= MaxErrors {
+		return e
+	}
+	more := Error{Message: fmt.Sprintf("%d further errors are not listed", len(e)-MaxErrors)}
+	return append(slices.Clip(e[:MaxErrors]), more)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,156 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// Guards against a default that is documented but not applied, and against one
+// that replaces a value of the file.
+func TestDefaultsFillAbsentFields(t *testing.T) {
+	e, err := LoadEntry("testdata/entry.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e.Limits.Tasks != 100 || e.Limits.QueuedJobs != DefaultQueuedJobs || e.Advertise != "127.0.0.1:7000" {
+		t.Errorf("limits %+v, advertise %q", e.Limits, e.Advertise)
+	}
+	if e.Store.TimeoutMS != DefaultTimeoutMS || e.Policy.Binding != "late" || e.Log.Format != "json" || e.DrainSeconds != DefaultDrainSeconds {
+		t.Errorf("defaults are missing: %+v", e)
+	}
+	a, err := LoadAgent("testdata/agent.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Target.Slots != DefaultSlots || a.Target.Connections != DefaultConnections || a.Target.Labels["gpu"] != "yes" {
+		t.Errorf("target %+v", a.Target)
+	}
+}
+
+// Guards against a report that stops at the first fault, repeats one, or names
+// the wrong place.
+func TestEveryFaultIsReportedWithItsPlace(t *testing.T) {
+	_, err := LoadEntry("testdata/entry_faults.json")
+	var errs Errors
+	if !errors.As(err, &errs) {
+		t.Fatalf("error %v", err)
+	}
+	got := errs.Error() + "\n"
+	const golden = "testdata/entry_faults.golden"
+	if *update {
+		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("got\n%swant\n%s", got, want)
+	}
+}
+
+// Guards against a stack overflow or an endless list of errors on input that
+// is made for it.
+func TestHostileTextsAreBounded(t *testing.T) {
+	for _, text := range []string{
+		strings.Repeat("[", 1<<20),
+		strings.Repeat(`{"a":`, 1<<18),
+		`{"name": "` + strings.Repeat("[", 1<<20),
+		"{" + strings.Repeat(`"x":1,`, 1<<16) + "}",
+		"{" + strings.Repeat("/**/", 1<<18) + "}",
+	} {
+		_, err := ParseEntry([]byte(text))
+		var errs Errors
+		if !errors.As(err, &errs) || len(errs) > MaxErrors+1 {
+			t.Errorf("%d errors for %.20q", len(errs), text)
+		}
+	}
+}
+
+// Guards against a position that points outside the text or to a line that
+// does not hold the field, for fields at any line and with any name.
+func TestPositionsPointAtTheField(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1)) // the same cases on every run
+	properties.Property("an unknown field is reported where it is", prop.ForAll(
+		func(blank int, name string) bool {
+			line := strings.Repeat("\n", blank)
+			var v struct{}
+			errs := Decode([]byte("{"+line+"  \"x"+name+"\": 1}"), &v)
+			column := 3
+			if blank == 0 {
+				column = 4
+			}
+			return len(errs) == 1 && errs[0].Line == blank+1 && errs[0].Column == column && errs[0].Field == "x"+name
+		},
+		gen.IntRange(0, 50), gen.AlphaString(),
+	))
+	properties.Property("every path leads back to the root", prop.ForAll(
+		func(names []string) bool {
+			path := ""
+			for i, n := range names {
+				next := Member(path, n)
+				if back, _ := parent(next); back != path {
+					return false
+				}
+				path = Index(next, i)
+				if back, _ := parent(path); back != next {
+					return false
+				}
+			}
+			return true
+		},
+		gen.SliceOf(gen.AnyString()),
+	))
+	properties.TestingRun(t)
+}
+
+// Guards against a logger that passes over the level or the format.
+func TestLoggerFollowsSettings(t *testing.T) {
+	var out bytes.Buffer
+	log, err := NewLogger(Log{Level: "warn"}, &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Info("quiet")
+	log.Warn("loud")
+	if s := out.String(); strings.Contains(s, "quiet") || !strings.Contains(s, `"msg":"loud"`) {
+		t.Errorf("log %q", s)
+	}
+	if _, err := NewLogger(Log{Format: "xml"}, &out); err == nil {
+		t.Error("an unknown format is accepted")
+	}
+}
+
+// Guards against a panic or an unbounded list on any settings file.
+func FuzzSettings(f *testing.F) {
+	for _, name := range []string{"entry.json", "agent.json", "entry_faults.json"} {
+		data, err := os.ReadFile("testdata/" + name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, parse := range []func([]byte) error{
+			func(b []byte) error { _, err := ParseEntry(b); return err },
+			func(b []byte) error { _, err := ParseAgent(b); return err },
+		} {
+			var errs Errors
+			if errors.As(parse(data), &errs) && len(errs) > MaxErrors+1 {
+				t.Errorf("%d errors", len(errs))
+			}
+		}
+	})
+}
--- a/settings/types.go
+++ b/settings/types.go
@@ -4,15 +4,16 @@
 
 import "github.com/catkinline/catkinline/label"
 
-// Entry is the settings file of an entry.
+// Entry is the settings file of an entry. Names are required, the region is
+// not; without one, all processes are in the same region.
 type Entry struct {
 	Name            string   `json:"name"`
 	FailureDomain   string   `json:"failure_domain"`
 	Region          string   `json:"region"`
-	CallerAddress   string   `json:"caller_address"`   // TCP ip:port for callers, health and metrics
+	CallerAddress   string   `json:"caller_address"`   // TCP ip:port for callers, health and metrics; required
 	OperatorAddress string   `json:"operator_address"` // TCP ip:port for operators, TLS; empty: no operator API
-	LinkAddress     string   `json:"link_address"`     // UDP ip:port for agents and peers
-	Advertise       string   `json:"advertise"`        // UDP ip:port that others dial; default: link_address
+	LinkAddress     string   `json:"link_address"`     // UDP ip:port for agents and peers; required
+	Advertise       string   `json:"advertise"`        // UDP ip:port that others dial; default: link_address, with the bound port if its port is 0
 	Peers           []string `json:"peers"`            // UDP ip:port of other entries
 	Store           Store    `json:"store"`
 	TLS             TLS      `json:"tls"`
@@ -22,12 +23,13 @@
 	DrainSeconds    float64  `json:"drain_seconds"` // how long readiness is false before a planned stop refuses jobs; default 2
 }
 
-// Agent is the settings file of an agent.
+// Agent is the settings file of an agent. At least one of Entries and
+// Store.URL is required.
 type Agent struct {
 	Name          string   `json:"name"`
 	FailureDomain string   `json:"failure_domain"`
 	Region        string   `json:"region"`
-	AdminAddress  string   `json:"admin_address"` // TCP ip:port for health and metrics
+	AdminAddress  string   `json:"admin_address"` // TCP ip:port for health and metrics; required
 	Entries       []string `json:"entries"`       // UDP ip:port of entries to dial
 	Store         Store    `json:"store"`         // optional: a second way to find entries
 	TLS           TLS      `json:"tls"`
@@ -40,10 +42,10 @@
 type Target struct {
 	Name        string    `json:"name"`
 	Service     string    `json:"service"`
-	URL         string    `json:"url"` // http://ip:port of the target
+	URL         string    `json:"url"` // http://ip:port of the target; required
 	Labels      label.Set `json:"labels"`
 	Slots       int       `json:"slots"`       // tasks at once; default 8
-	Connections int       `json:"connections"` // HTTP connections at once; default 64
+	Connections int       `json:"connections"` // HTTP connections at once, not below slots; default 64
 }
 
 // Store says how to reach the platform's store.
@@ -52,9 +54,10 @@
 	TimeoutMS int    `json:"timeout_ms"` // of one call; default 1000
 }
 
-// TLS names the files of a process's identity. In development mode a
-// certificate authority is derived in memory from DevelopmentSecret, so that
-// processes that share the secret trust each other without files.
+// TLS names the files of a process's identity; all three are required. In
+// development mode a certificate authority is derived in memory from
+// DevelopmentSecret, so that processes that share the secret trust each other
+// without files.
 type TLS struct {
 	CA                string `json:"ca"`
 	Certificate       string `json:"certificate"`
@@ -69,7 +72,7 @@
 	Format string `json:"format"`
 }
 
-// Limits bound what one entry accepts. Zero fields take the defaults.
+// Limits bound what one entry accepts. Absent fields take the defaults.
 type Limits struct {
 	BodyBytes    int64 `json:"body_bytes"`    // of one job; default 32 MiB
 	PayloadBytes int   `json:"payload_bytes"` // of one task; default 1 MiB
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,149 @@
+package settings
+
+import (
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Upper bounds of settings. They catch a wrong unit, such as bytes for
+// megabytes, rather than limit what a machine could do.
+const (
+	maxTimeoutMS    = 60_000
+	maxDrainSeconds = 600
+	maxBodyBytes    = 1 << 30
+	maxTasks        = 10_000 // index ranges and acknowledgements stay far below the wire limits
+	maxQueuedJobs   = 1 << 20
+	maxQueuedTasks  = 1 << 24
+	maxQueuedBytes  = 1 << 36
+	maxSlots        = 4096
+	maxConnections  = 1 << 16
+
+	// A payload or a result travels in one message with its header.
+	maxPayloadBytes = wire.MaxMessageBytes - 64<<10
+)
+
+func (e *Entry) check(c *Check) {
+	c.Name("name", e.Name)
+	c.Name("failure_domain", e.FailureDomain)
+	if e.Region != "" {
+		c.Name("region", e.Region)
+	}
+	if c.Required("caller_address", e.CallerAddress) {
+		c.Listen("caller_address", e.CallerAddress)
+	}
+	if e.OperatorAddress != "" {
+		c.Listen("operator_address", e.OperatorAddress)
+	}
+	e.checkLink(c)
+	c.DialList("peers", e.Peers)
+	e.Store.check(c)
+	e.TLS.check(c)
+	e.Log.check(c)
+	e.Limits.check(c)
+	e.Policy.check(c)
+	CheckRange(c, "drain_seconds", e.DrainSeconds, 0, maxDrainSeconds)
+}
+
+// checkLink checks the address for links and the one that others dial. With
+// port 0 the entry advertises the port that it was given.
+func (e *Entry) checkLink(c *Check) {
+	if !c.Required("link_address", e.LinkAddress) {
+		return
+	}
+	link, ok := c.Listen("link_address", e.LinkAddress)
+	if e.Advertise != e.LinkAddress {
+		c.Dial("advertise", e.Advertise)
+		return
+	}
+	if ok && link.Addr().IsUnspecified() {
+		c.Add("advertise", "is required because link_address has no specified IP address")
+	}
+}
+
+func (a *Agent) check(c *Check) {
+	c.Name("name", a.Name)
+	c.Name("failure_domain", a.FailureDomain)
+	if a.Region != "" {
+		c.Name("region", a.Region)
+	}
+	if c.Required("admin_address", a.AdminAddress) {
+		c.Listen("admin_address", a.AdminAddress)
+	}
+	c.DialList("entries", a.Entries)
+	if len(a.Entries) == 0 && a.Store.URL == "" {
+		c.Add("entries", "is required unless store.url is set")
+	}
+	a.Store.check(c)
+	a.TLS.check(c)
+	a.Log.check(c)
+	a.Target.check(c)
+	a.Policy.check(c)
+}
+
+func (t *Target) check(c *Check) {
+	c.Name("target.name", t.Name)
+	c.Name("target.service", t.Service)
+	if c.Required("target.url", t.URL) {
+		c.URL("target.url", t.URL)
+	}
+	c.Labels("target.labels", t.Labels)
+	CheckRange(c, "target.slots", t.Slots, 1, maxSlots)
+	CheckRange(c, "target.connections", t.Connections, 1, maxConnections)
+	if t.Connections < t.Slots {
+		c.Add("target.connections", "%d connections cannot fill %d slots", t.Connections, t.Slots)
+	}
+}
+
+func (s *Store) check(c *Check) {
+	if s.URL != "" {
+		c.URL("store.url", s.URL)
+	}
+	CheckRange(c, "store.timeout_ms", s.TimeoutMS, 1, maxTimeoutMS)
+}
+
+func (t *TLS) check(c *Check) {
+	files := t.CA != "" || t.Certificate != "" || t.Key != ""
+	if t.DevelopmentSecret != "" {
+		if files {
+			c.Add("tls.development_secret", "excludes ca, certificate and key")
+		}
+		return
+	}
+	if !files {
+		c.Add("tls", "needs ca, certificate and key, or development_secret")
+		return
+	}
+	c.Required("tls.ca", t.CA)
+	c.Required("tls.certificate", t.Certificate)
+	c.Required("tls.key", t.Key)
+}
+
+func (l *Log) check(c *Check) {
+	c.OneOf("log.level", l.Level, "debug", "info", "warn", "error")
+	c.OneOf("log.format", l.Format, "json", "console")
+}
+
+func (l *Limits) check(c *Check) {
+	CheckRange(c, "limits.body_bytes", l.BodyBytes, 1, maxBodyBytes)
+	CheckRange(c, "limits.payload_bytes", l.PayloadBytes, 1, maxPayloadBytes)
+	CheckRange(c, "limits.result_bytes", l.ResultBytes, 1, maxPayloadBytes)
+	CheckRange(c, "limits.tasks", l.Tasks, 1, maxTasks)
+	CheckRange(c, "limits.queued_jobs", l.QueuedJobs, 1, maxQueuedJobs)
+	CheckRange(c, "limits.queued_tasks", l.QueuedTasks, 1, maxQueuedTasks)
+	CheckRange(c, "limits.queued_bytes", l.QueuedBytes, 1, maxQueuedBytes)
+	if int64(l.PayloadBytes) > l.BodyBytes {
+		c.Add("limits.payload_bytes", "is over body_bytes")
+	}
+	if l.Tasks > l.QueuedTasks {
+		c.Add("limits.queued_tasks", "is below tasks: no job of full size could wait")
+	}
+}
+
+func (p *Policy) check(c *Check) {
+	c.OneOf("policy.order", p.Order, "remaining", "fifo")
+	c.OneOf("policy.binding", p.Binding, "late", "random", "two-choices")
+	c.OneOf("policy.grants", p.Grants, "key", "turns")
+	c.OneOf("policy.reserve", p.Reserve, "learnt", "none", "fixed")
+	c.OneOf("policy.estimates", p.Estimates, "learnt", "declared")
+	c.OneOf("policy.admission", p.Admission, "feasible", "bounds")
+	c.OneOf("policy.outliers", p.Outliers, "eject", "none")
+}
