Serve the operator API

The handler reads and changes the configuration document and shows the status. Every path, unknown ones included, requires the operator role, which the caller of NewHandler takes from the client's certificate.

An accepted change is answered after every live entry has it in effect, or after 4 s, the bound for a change to take effect, with the entries that are missing. Answering at once was ruled out: an operator who drains a target before switching it off needs to know that no entry still uses it.

A change goes on when its client disconnects. Otherwise a lost answer of the store would stay unresolved, and the accepting entry would learn of its own change only from the watch.

GET /v1/config falls back to the document in memory while the store is down and says so. A target that is not announced can be drained, with a warning: refusing was ruled out since the answering entry may not know it yet.

--- a/config/applier.go
+++ b/config/applier.go
@@ -63,6 +63,19 @@
 	return c.run(ctx)
 }
 
+// ApplyText is Apply of a text as Parse reads it. Faults carry their positions
+// in the text.
+func (a *Applier) ApplyText(ctx context.Context, id string, base uint64, data []byte) Result {
+	if len(data) > platform.MaxValueBytes {
+		return oversized(len(data))
+	}
+	d, faults := decode(data)
+	if len(faults) > 0 {
+		return invalid(faults)
+	}
+	return a.Apply(ctx, id, base, d)
+}
+
 // Edit changes one object of the current document. When another change comes
 // first, it is repeated on the new document, unless the other change gave the
 // same object different content; then the answer is the conflict.
--- a/config/document.go
+++ b/config/document.go
@@ -139,14 +139,20 @@
 // Parse reads a document that an operator wrote: JSON with comments, unknown
 // fields refused. The errors are those of decoding and of Validate.
 func Parse(data []byte) (Document, settings.Errors) {
-	var d Document
 	if len(data) > platform.MaxValueBytes {
-		return d, tooLarge(len(data))
+		return Document{}, tooLarge(len(data))
 	}
+	d, faults := decode(data)
+	return d, d.orSize(faults)
+}
+
+// decode is Parse without the limit on the size.
+func decode(data []byte) (Document, settings.Errors) {
+	var d Document
 	source, errs := settings.DecodeSource(data, &d)
 	c := settings.NewCheck(source, errs)
 	d.check(c)
-	return d, d.orSize(c.Errors())
+	return d, c.Errors()
 }
 
 // Validate returns every fault of a document that was built in code.
--- /dev/null
+++ b/operator/handler.go
@@ -0,0 +1,238 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Times and sizes of the operator API.
+const (
+	// confirmTime is the time within which an accepted change is in effect
+	// everywhere; an entry that has not confirmed by then is reported.
+	confirmTime = 4 * time.Second
+
+	// confirmInterval spaces questions to a Confirmer that returns at once.
+	confirmInterval = 50 * time.Millisecond
+
+	// readTime bounds the read of the store for GET /v1/config. After it the
+	// document in memory is served.
+	readTime = time.Second
+
+	// maxLabelsBytes holds the largest request: label.MaxLabels labels to set
+	// and to remove.
+	maxLabelsBytes = 16 << 10
+)
+
+// Options are what the handler needs from the entry that serves it.
+type Options struct {
+	Applier   *config.Applier
+	Role      RoleFunc
+	Confirmer Confirmer
+	Status    StatusProvider
+	Log       *zap.Logger
+}
+
+type handler struct {
+	Options
+}
+
+// NewHandler returns the handler of the operator API. It answers only clients
+// with the operator role.
+func NewHandler(o Options) http.Handler {
+	h := &handler{o}
+	r := bunrouter.New()
+	r.GET("/v1/config", h.getConfig)
+	r.PUT("/v1/config", h.putConfig)
+	r.GET("/v1/status", h.getStatus)
+	r.POST("/v1/targets/:name/drain", h.edit(drain(true)))
+	r.POST("/v1/targets/:name/undrain", h.edit(drain(false)))
+	r.POST("/v1/targets/:name/labels", h.edit(labels))
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if role, ok := o.Role(req); !ok || role != wire.RoleOperator {
+			h.answer(w, refused(result.NotPermitted, nil))
+			return
+		}
+		r.ServeHTTP(w, req)
+	})
+}
+
+func refused(code result.Code, faults settings.Errors) Change {
+	return Change{Result: config.Result{
+		Outcome: config.Refused,
+		Code:    code,
+		Name:    code.String(),
+		Reason:  result.New(code, "").Reason,
+		Errors:  faults,
+	}}
+}
+
+func invalid(field, message string) Change {
+	return refused(result.ConfigInvalid, settings.Errors{{Field: field, Message: message}})
+}
+
+func (h *handler) answer(w http.ResponseWriter, c Change) {
+	status := http.StatusOK
+	if info, ok := result.Lookup(c.Code); ok {
+		status = info.Status
+	}
+	writeJSON(w, status, c)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error means that the client is gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (h *handler) getConfig(w http.ResponseWriter, req bunrouter.Request) error {
+	ctx, cancel := context.WithTimeout(req.Context(), readTime)
+	defer cancel()
+	source := FromStore
+	snapshot, err := h.Applier.Read(ctx)
+	if err != nil {
+		source, snapshot = FromMemory, h.Applier.Holder.Current()
+	}
+	if err != nil && snapshot.Revision() == 0 {
+		c := refused(result.ConfigUnavailable, nil)
+		c.Reason = "the configuration cannot be read: " + err.Error()
+		h.answer(w, c)
+		return nil
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(snapshot.Revision(), 10)))
+	writeJSON(w, http.StatusOK, Document{snapshot.Revision(), source, snapshot.Document()})
+	return nil
+}
+
+func (h *handler) getStatus(w http.ResponseWriter, req bunrouter.Request) error {
+	writeJSON(w, http.StatusOK, h.Status.Status(req.Context()))
+	return nil
+}
+
+func (h *handler) putConfig(w http.ResponseWriter, req bunrouter.Request) error {
+	base, err := strconv.ParseUint(strings.Trim(req.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		h.answer(w, invalid("If-Match", "the header must have the revision that the document was made from, 0 for the first one"))
+		return nil
+	}
+	// One byte over the limit is enough to see that the body is too large.
+	body, err := io.ReadAll(io.LimitReader(req.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		h.answer(w, invalid("", "the body cannot be read: "+err.Error()))
+		return nil
+	}
+	h.change(w, req, func(ctx context.Context, id string) config.Result {
+		return h.Applier.ApplyText(ctx, id, base, body)
+	})
+	return nil
+}
+
+// parser reads the edit that a request asks for.
+type parser func(target string, body []byte) (config.Edit, settings.Errors)
+
+func drain(on bool) parser {
+	return func(target string, _ []byte) (config.Edit, settings.Errors) {
+		return config.SetDrain(target, on), nil
+	}
+}
+
+func labels(target string, body []byte) (config.Edit, settings.Errors) {
+	var l Labels
+	source, errs := settings.DecodeSource(body, &l)
+	c := settings.NewCheck(source, errs)
+	c.Labels("set", l.Set)
+	for i, k := range l.Remove {
+		c.LabelKey(settings.Index("remove", i), k)
+		if _, both := l.Set[k]; both {
+			c.Add(settings.Index("remove", i), "%q is set and removed", k)
+		}
+	}
+	if len(l.Set)+len(l.Remove) == 0 {
+		c.Add("", "there is no label to set or remove")
+	}
+	return config.SetLabels(target, l.Set, l.Remove), c.Errors()
+}
+
+func (h *handler) edit(parse parser) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, req bunrouter.Request) error {
+		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxLabelsBytes))
+		if err != nil {
+			h.answer(w, invalid("", "the body cannot be read: "+err.Error()))
+			return nil
+		}
+		e, faults := parse(req.Param("name"), body)
+		if len(faults) > 0 {
+			h.answer(w, refused(result.ConfigInvalid, faults))
+			return nil
+		}
+		h.change(w, req, func(ctx context.Context, id string) config.Result {
+			return h.Applier.Edit(ctx, id, e)
+		})
+		return nil
+	}
+}
+
+// change applies a change and answers with its result. It goes on when the
+// client disconnects, so that a change is not left half resolved.
+func (h *handler) change(w http.ResponseWriter, req bunrouter.Request, apply func(context.Context, string) config.Result) {
+	id := req.Header.Get(ChangeIDHeader)
+	c := Change{ChangeID: id, Result: apply(context.WithoutCancel(req.Context()), id)}
+	h.Log.Info("configuration change",
+		zap.String("change_id", id),
+		zap.String("path", req.URL.Path),
+		zap.String("outcome", string(c.Outcome)),
+		zap.Uint64("revision", c.Revision),
+		zap.String("reason", c.Reason))
+	if c.Outcome == config.Accepted {
+		c.Confirmed, c.Missing = h.confirmations(req.Context(), c.Revision)
+		c.Warning = h.warning(req.Context(), req.Param("name"))
+	}
+	h.answer(w, c)
+}
+
+// confirmations waits until every live entry has the revision in effect, at
+// most confirmTime.
+func (h *handler) confirmations(ctx context.Context, revision uint64) (confirmed, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTime)
+	defer cancel()
+	for {
+		confirmed, missing = h.Confirmer.Confirmations(ctx, revision)
+		if len(missing) == 0 {
+			return confirmed, nil
+		}
+		timer := time.NewTimer(confirmInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return confirmed, missing
+		}
+	}
+}
+
+// warning tells about a target that is configured but unknown, most likely a
+// misspelt name. It is no fault: a target may be drained before it announces
+// itself.
+func (h *handler) warning(ctx context.Context, target string) string {
+	known := func(t TargetStatus) bool { return t.Name == target }
+	if target == "" || slices.ContainsFunc(h.Status.Status(ctx).Targets, known) {
+		return ""
+	}
+	return fmt.Sprintf("no target %q is announced at this entry", target)
+}
