Add a fault-injecting UDP and TCP relay

Integration tests and experiments need delay, loss, cuts and links that go silent while new ones work, without privileges on the machine.

One relay per pair of failure domains was ruled out in favour of naming the client of a flow, since processes also learn each other's advertised addresses.

--- /dev/null
+++ b/internal/faultproxy/admin.go
@@ -0,0 +1,103 @@
+package faultproxy
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+)
+
+// Change is the body of POST /relays/{name}. Restore is applied first, then the
+// faults if any is given, then SilenceFlows.
+type Change struct {
+	Restore      bool    `json:"restore"`
+	Faults       *Fields `json:"faults"` // replaces all faults
+	SilenceFlows bool    `json:"silence_flows"`
+}
+
+// Fields is the JSON form of Faults.
+type Fields struct {
+	DelayMS float64  `json:"delay_ms"`
+	Loss    float64  `json:"loss"`
+	Cut     Cut      `json:"cut"`
+	Clients []string `json:"clients,omitempty"`
+}
+
+// State is one relay's entry in the answer of GET /relays.
+type State struct {
+	Address  string   `json:"address"`
+	Faults   Fields   `json:"faults"`
+	Counters Counters `json:"counters"`
+}
+
+// Faults converts to the form that relays take.
+func (f Fields) Faults() Faults {
+	delay := time.Duration(f.DelayMS * float64(time.Millisecond))
+	return Faults{Delay: delay, Loss: f.Loss, Cut: f.Cut, Clients: f.Clients}
+}
+
+func fieldsOf(f Faults) Fields {
+	return Fields{
+		DelayMS: float64(f.Delay) / float64(time.Millisecond),
+		Loss:    f.Loss,
+		Cut:     f.Cut,
+		Clients: f.Clients,
+	}
+}
+
+// Apply makes a change to a relay.
+func Apply(relay Relay, change Change) error {
+	if change.Restore {
+		relay.Restore()
+	}
+	if change.Faults != nil {
+		if err := relay.Set(change.Faults.Faults()); err != nil {
+			return err
+		}
+	}
+	if change.SilenceFlows {
+		relay.SilenceFlows()
+	}
+	return nil
+}
+
+// changeBytes bounds the body of a change.
+const changeBytes = 4096
+
+// Admin serves GET /relays and POST /relays/{name} for a fixed set of relays.
+func Admin(relays map[string]Relay) http.Handler {
+	router := bunrouter.New()
+	router.GET("/relays", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		states := make(map[string]State, len(relays))
+		for name, relay := range relays {
+			states[name] = stateOf(relay)
+		}
+		return bunrouter.JSON(w, states)
+	})
+	router.POST("/relays/:name", func(w http.ResponseWriter, r bunrouter.Request) error {
+		relay, ok := relays[r.Param("name")]
+		if !ok {
+			http.Error(w, "no such relay", http.StatusNotFound)
+			return nil
+		}
+		decoder := json.NewDecoder(io.LimitReader(r.Body, changeBytes))
+		decoder.DisallowUnknownFields()
+		var change Change
+		err := decoder.Decode(&change)
+		if err == nil {
+			err = Apply(relay, change)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return nil
+		}
+		return bunrouter.JSON(w, stateOf(relay))
+	})
+	return router
+}
+
+func stateOf(relay Relay) State {
+	return State{Address: relay.Address(), Faults: fieldsOf(relay.Faults()), Counters: relay.Counters()}
+}
