--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -121,6 +121,7 @@
 func (s *Scheduler) addTarget(name string) *target {
 	t := newTarget(name)
 	s.targets[name] = t
+	s.outliers.Add(name)
 	at, _ := slices.BinarySearchFunc(s.ordered, name, func(t *target, name string) int {
 		return strings.Compare(t.name, name)
 	})
@@ -130,6 +131,7 @@
 
 func (s *Scheduler) removeTarget(t *target) {
 	delete(s.targets, t.name)
+	s.outliers.Remove(t.name)
 	s.ordered = slices.DeleteFunc(s.ordered, func(other *target) bool { return other == t })
 }
 
@@ -139,6 +141,9 @@
 	defer s.mu.Unlock()
 	s.rules = rules
 	s.setWeights()
+	if service, ok := rules.Service(s.opts.Service); ok {
+		s.outliers.SetMaxEjected(service.MaxEjectedShare)
+	}
 	for _, t := range s.targets {
 		t.stale = false
 		s.place(t)
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -5,6 +5,8 @@
 
 	"github.com/catkinline/catkinline/admission"
 	"github.com/catkinline/catkinline/estimate"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/outlier"
 	"github.com/catkinline/catkinline/queue"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
@@ -164,7 +166,16 @@
 
 // observe learns from a task that ran.
 func (s *Scheduler) observe(t *target, a *attempt, o *wire.Outcome, now time.Time) {
-	if o.State != wire.StateDone {
+	done := o.State == wire.StateDone
+	if done || !a.job.job.Ended() { // a cancelled task says nothing about its target
+		key := a.job.job.Spec().Team + " " + a.job.labels
+		before := s.outliers.State(t.name, now)
+		s.outliers.Observe(t.name, key, done, o.RunTime, a.expected, now)
+		if before == outlier.Healthy && s.outliers.State(t.name, now) != outlier.Healthy {
+			s.record.Add(metrics.TargetEjections, 1)
+		}
+	}
+	if !done {
 		return
 	}
 	task := &a.job.job.Spec().Tasks[a.id.Index]
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -6,6 +6,7 @@
 
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/outlier"
 	"github.com/catkinline/catkinline/queue"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -75,13 +76,13 @@
 	if s.queue.Waiting() == 0 {
 		return false
 	}
-	general, shortOnly := s.groupsWithCredit()
+	general, shortOnly := s.groupsWithCredit(now)
 	id, ok := s.selectJob(general, shortOnly)
 	if !ok {
 		return false
 	}
 	j := s.jobs[id.Seq]
-	t := s.chooseTarget(j)
+	t := s.chooseTarget(j, now)
 	if t == nil {
 		return false
 	}
@@ -90,12 +91,12 @@
 
 // groupsWithCredit returns the groups with a free slot for any class, and those
 // with one for short tasks only.
-func (s *Scheduler) groupsWithCredit() (general, shortOnly []queue.Group) {
+func (s *Scheduler) groupsWithCredit(now time.Time) (general, shortOnly []queue.Group) {
 	for _, g := range s.byGroup {
 		short := false
 		long := false
 		for _, t := range g.targets {
-			if !s.mayStart(t) {
+			if !s.mayStart(t, now) {
 				continue
 			}
 			short = short || t.credit(wire.ClassShort) > 0
@@ -135,15 +136,28 @@
 	return class == wire.ClassShort && s.allow(team, class)
 }
 
-func (s *Scheduler) mayStart(t *target) bool { return t.usable() && len(t.grants) > 0 }
+// mayStart reports whether a target may get a task now: it has a free slot for
+// this entry, and it is healthy, or on probation with no task out.
+func (s *Scheduler) mayStart(t *target, now time.Time) bool {
+	if !t.usable() || len(t.grants) == 0 {
+		return false
+	}
+	switch s.outliers.State(t.name, now) {
+	case outlier.Ejected:
+		return false
+	case outlier.Probation:
+		return len(t.out) == 0
+	}
+	return true
+}
 
 // chooseTarget returns the nearest target with a free slot for the job, the
 // least loaded one among equally near.
-func (s *Scheduler) chooseTarget(j *activeJob) *target {
+func (s *Scheduler) chooseTarget(j *activeJob, now time.Time) *target {
 	var best *target
 	class := j.nextClass()
 	for _, t := range j.group.targets {
-		if !s.mayStart(t) || t.credit(class) == 0 {
+		if !s.mayStart(t, now) || t.credit(class) == 0 {
 			continue
 		}
 		if best == nil || s.better(t, best) {
@@ -157,12 +171,13 @@
 	if a.distance != b.distance {
 		return a.distance < b.distance
 	}
-	return a.use() < b.use()
+	return s.use(a) < s.use(b)
 }
 
-// use is the share of the target's slots that this entry uses.
-func (t *target) use() float64 {
-	return float64(len(t.out)) / float64(max(1, t.announce.Slots))
+// use is the share of the target's slots that this entry would use with one more
+// task, raised for targets that run slower than their peers.
+func (s *Scheduler) use(t *target) float64 {
+	return float64(len(t.out)+1) / (float64(max(1, t.announce.Slots)) * s.outliers.Weight(t.name))
 }
 
 // start sends one task of the job to the target.
--- a/dispatch/push.go
+++ b/dispatch/push.go
@@ -70,7 +70,7 @@
 func (s *Scheduler) pumpBound(now time.Time) {
 	s.rebindStranded()
 	for _, t := range s.ordered {
-		for s.mayStart(t) && s.startBound(t, now) {
+		for s.mayStart(t, now) && s.startBound(t, now) {
 		}
 	}
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -15,6 +15,7 @@
 	"github.com/catkinline/catkinline/estimate"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/outlier"
 	"github.com/catkinline/catkinline/queue"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
@@ -77,6 +78,7 @@
 	estimates *estimate.Estimator
 	admission *admission.Controller
 	rate      *admission.Rate
+	outliers  *outlier.Detector
 }
 
 // activeJob is a job that was accepted and has not ended.
@@ -107,6 +109,7 @@
 		estimates: newEstimator(o.Policy),
 		admission: admission.New(admissionOptions(o), rate, o.Random),
 		rate:      rate,
+		outliers:  outlier.New(outlier.Options{Disabled: o.Policy.Outliers == outliersNone}),
 		opts:      o,
 		record:    o.Recorder,
 		jobs:      make(map[uint64]*activeJob),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	stopping   atomic.Bool // a planned stop has begun
 	refusing   atomic.Bool // new jobs are refused
 	counts     counts
+	calls      callReporter // owned by gaugeLoop
 	requests   atomic.Int64 // job requests being served
 	dialling   sync.Map     // addresses of peers that a loop dials
 
@@ -92,6 +93,7 @@
 		agents:      make(map[*transport.Link]*agentLink),
 		peers:       make(map[*transport.Link]bool),
 		confirmed:   make(map[string]uint64),
+		calls:       callReporter{reported: make(map[platform.Count]uint64)},
 	}
 	e.schedulers.Store(&map[string]*dispatch.Scheduler{})
 	if o.Store != nil {
@@ -160,6 +162,7 @@
 	e.tomb.Go(e.configLoop)
 	e.tomb.Go(e.peerLoop)
 	e.tomb.Go(e.tickLoop)
+	e.tomb.Go(e.gaugeLoop)
 	e.log.Info("entry started", zap.String("name", e.settings.Name), zap.String("callers", e.callerAddr.String()))
 	return nil
 }
@@ -223,6 +226,7 @@
 		Random:        rand.New(rand.NewPCG(uint64(e.incarnation), uint64(len(known)))),
 		Recorder:      e.metrics,
 		Quotas:        e.quotas,
+		Entries:       func() int { return len(e.members.Snapshot().Peers) + 1 },
 		NextJob:       func() uint64 { return e.jobs.Add(1) },
 		Ended:         func(a job.Answer) { e.counts.end(a) },
 	})
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -128,6 +128,10 @@
 	delete(d.targets, name)
 }
 
+// SetMaxEjected changes the share of the targets that may be out of full use.
+// Targets that are out stay out until their probation ends.
+func (d *Detector) SetMaxEjected(share float64) { d.options.MaxEjected = share }
+
 // State returns a target's health.
 func (d *Detector) State(name string, now time.Time) State {
 	t, ok := d.targets[name]
