Add ctl and config check

Each subcommand has its own file and one line in the list in command.go. Names may have several words, such as config check.

ctl calls a change refused only if an entry said so or no connection was made; every other failure is unknown, with its own exit status and the change id that resolves it. When an operator gives a change id, a refusal that was made without reading the document is reported as unknown, since the earlier attempt may have been applied.

The TLS configuration comes from the variable ClientTLS; until it is set, ctl reports that the program was built without TLS identities.

--- a/command/command.go
+++ b/command/command.go
@@ -3,17 +3,78 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 )
 
 // Exit statuses of every subcommand.
 const (
-	exitUsage = 2
+	exitOK      = 0
+	exitFailed  = 1 // refused or failed; a change was not applied
+	exitUsage   = 2
+	exitUnknown = 3 // a change may have been applied
 )
 
+// subcommand is one entry of the list below. Its name may have several words.
+// Run gets the arguments after the name; its context ends on SIGINT or SIGTERM.
+type subcommand struct {
+	name    string
+	summary string
+	run     func(ctx context.Context, args []string, stdout, stderr io.Writer) int
+}
+
+// subcommands lists every subcommand in the order of the help text.
+var subcommands = []subcommand{
+	{"ctl", "show and change the configuration and the state of a running system", runCtl},
+	{"config check", "check a settings file or a configuration document", runConfigCheck},
+}
+
 // Main runs one subcommand and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
-	fmt.Fprintln(stderr, "usage: catkinline SUBCOMMAND")
+	if len(args) > 0 && (args[0] == "--help" || args[0] == "-h" || args[0] == "help") {
+		writeUsage(stdout)
+		return exitOK
+	}
+	for _, s := range subcommands {
+		rest, ok := cutWords(args, s.name)
+		if !ok {
+			continue
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return s.run(ctx, rest, stdout, stderr)
+	}
+	if len(args) > 0 {
+		fmt.Fprintf(stderr, "error: unknown subcommand %q\n", strings.Join(args, " "))
+	}
+	writeUsage(stderr)
 	return exitUsage
 }
+
+// cutWords returns the arguments after the words of a subcommand's name.
+func cutWords(args []string, name string) ([]string, bool) {
+	words := strings.Fields(name)
+	if len(args) < len(words) {
+		return nil, false
+	}
+	for i, w := range words {
+		if args[i] != w {
+			return nil, false
+		}
+	}
+	return args[len(words):], true
+}
+
+func writeUsage(w io.Writer) {
+	fmt.Fprintln(w, "Usage: catkinline SUBCOMMAND [--help] ...")
+	fmt.Fprintln(w, "\nSubcommands:")
+	for _, s := range subcommands {
+		fmt.Fprintf(w, "  %-16s %s\n", s.name, s.summary)
+	}
+	fmt.Fprintln(w, "\nExample:\n  catkinline config check --kind entry entry.json")
+}
--- /dev/null
+++ b/command/ctl_client.go
@@ -0,0 +1,141 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/operator"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// ClientTLS returns the TLS configuration of a client with a role.
+var ClientTLS = func(settings.TLS, wire.Role) (*tls.Config, error) {
+	return nil, errors.New("this program was built without TLS identities")
+}
+
+const (
+	// ctlTimeout is more than an entry takes at most for a change: 5 s for the
+	// store and 4 s for confirmations.
+	ctlTimeout = 15 * time.Second
+
+	// maxAnswerBytes holds a conflict that shows two documents of full size.
+	maxAnswerBytes = 8 << 20
+)
+
+// ctlClient calls the operator API of one entry.
+type ctlClient struct {
+	base string
+	http http.Client
+}
+
+func newCtlClient(a ctlArgs) (*ctlClient, error) {
+	tlsConfig, err := ClientTLS(settings.TLS{
+		CA:                a.CA,
+		Certificate:       a.Certificate,
+		Key:               a.Key,
+		DevelopmentSecret: a.DevelopmentSecret,
+	}, wire.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{TLSClientConfig: tlsConfig, DisableKeepAlives: true}
+	return &ctlClient{
+		base: "https://" + a.Address,
+		http: http.Client{Transport: transport, Timeout: ctlTimeout},
+	}, nil
+}
+
+// get reads a path into the struct that v points to and returns the body.
+func (c *ctlClient) get(ctx context.Context, path string, v any) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	status, body, err := c.do(req)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, refusalError(status, body)
+	}
+	return body, json.Unmarshal(body, v)
+}
+
+func refusalError(status int, body []byte) error {
+	var answer operator.Change
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Code == 0 {
+		return fmt.Errorf("the entry answered with HTTP status %d", status)
+	}
+	return fmt.Errorf("refused: %d %s: %s", answer.Code, answer.Name, answer.Reason)
+}
+
+func (c *ctlClient) do(req *http.Request) (status int, body []byte, err error) {
+	response, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	return response.StatusCode, body, err
+}
+
+// change sends a change. Without a complete answer its outcome is unknown,
+// unless no connection was made: then the change was never sent.
+func (c *ctlClient) change(ctx context.Context, method, path string, body []byte, header http.Header, id string) operator.Change {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return localChange(config.Refused, result.ConfigUnavailable, "the change was not sent: "+err.Error(), id)
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set(operator.ChangeIDHeader, id)
+	status, answer, err := c.do(req)
+	if err != nil && !connected.Load() {
+		return localChange(config.Refused, result.ConfigUnavailable, "the change was not sent: "+err.Error(), id)
+	}
+	if err != nil {
+		return localChange(config.Unknown, result.ConfigUnknown, "no answer: "+err.Error(), id)
+	}
+	var out operator.Change
+	if err := json.Unmarshal(answer, &out); err != nil || out.Outcome == "" {
+		return localChange(config.Unknown, result.ConfigUnknown, fmt.Sprintf("no answer of an entry, but HTTP status %d", status), id)
+	}
+	out.ChangeID = id
+	return out
+}
+
+// localChange is the answer where the entry gave none.
+func localChange(o config.Outcome, code result.Code, reason, id string) operator.Change {
+	return operator.Change{
+		Result:   config.Result{Outcome: o, Code: code, Name: code.String(), Reason: reason},
+		ChangeID: id,
+	}
+}
+
+// afterEarlierAttempt corrects the answer to a repetition. A refusal that was
+// made without reading the document says nothing about the earlier attempt.
+func afterEarlierAttempt(c operator.Change) operator.Change {
+	unread := c.Code == result.ConfigUnavailable || c.Code == result.NotPermitted
+	if c.Outcome != config.Refused || !unread {
+		return c
+	}
+	reason := c.Reason + "; an earlier attempt with this change id may have been applied"
+	return localChange(config.Unknown, c.Code, reason, c.ChangeID)
+}
