Start and stop fleets of real processes for tests and experiments

Invariants under process death and restarts can only be tested with real processes. The package starts store, targets, entries and agents of one binary on loopback, signals them by pid, and puts relays between them. Only this development tool starts processes; the product starts none.

Delays between failure domains depend on the process behind each UDP flow, found once per flow through /proc. A relay per pair of domains was ruled out: an entry advertises one address, which agents also learn from other entries and from the store. Ports come from below the range of outgoing connections, so that a restarted process finds its port free. The kernel kills the processes if their parent dies without cleaning up.

--- /dev/null
+++ b/internal/fleet/child.go
@@ -0,0 +1,25 @@
+package fleet
+
+import "os"
+
+// childVariable tells a re-executed test binary to act as the program.
+const childVariable = "CATKINLINE_FLEET_CHILD"
+
+// RunChild is the hook for TestMain: in a process that TestOptions started, it
+// runs the program's main function with the arguments and exits. Elsewhere it
+// returns at once.
+func RunChild(program func(arguments []string) int) {
+	if os.Getenv(childVariable) != "" {
+		os.Exit(program(os.Args[1:]))
+	}
+}
+
+// TestOptions returns options whose processes are the test binary itself; its
+// TestMain must call RunChild.
+func TestOptions() (Options, error) {
+	executable, err := os.Executable()
+	if err != nil {
+		return Options{}, Err.Wrap(err)
+	}
+	return Options{Executable: executable, Environment: []string{childVariable + "=1"}}, nil
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/faultproxy"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/standin"
+)
+
+func TestMain(m *testing.M) {
+	RunChild(fakeProgram)
+	os.Exit(m.Run())
+}
+
+// fakeProgram acts as the program: the real stand-in target, and an entry and
+// an agent that exchange single datagrams.
+func fakeProgram(arguments []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	switch arguments[0] {
+	case "standin":
+		if standin.RunTarget(ctx, arguments[3], standin.TargetOptions{}) != nil {
+			return 1
+		}
+	case "entry":
+		var s settings.Entry
+		readSettings(arguments[2], &s)
+		go echo(s.LinkAddress)
+		serveFake(ctx, s.CallerAddress, func() string { return s.Name })
+	case "agent":
+		var s settings.Agent
+		readSettings(arguments[2], &s)
+		serveFake(ctx, s.AdminAddress, func() string { return ask(s.Entries[0]) })
+	}
+	return 0
+}
+
+func readSettings(path string, into any) {
+	data, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+func serveFake(ctx context.Context, address string, answer func() string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/ask", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer()) })
+	server := &http.Server{Addr: address, Handler: mux}
+	context.AfterFunc(ctx, func() { server.Close() })
+	_ = server.ListenAndServe()
+}
+
+func echo(address string) {
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		panic(err)
+	}
+	buffer := make([]byte, 100)
+	for {
+		n, from, err := conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		_, _ = conn.WriteTo(buffer[:n], from)
+	}
+}
+
+// ask sends one datagram from a new socket and returns what comes back.
+func ask(entry string) string {
+	conn, err := net.Dial("udp", entry)
+	if err != nil {
+		return err.Error()
+	}
+	defer conn.Close()
+	_, _ = conn.Write([]byte("hello"))
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	buffer := make([]byte, 100)
+	n, err := conn.Read(buffer)
+	if err != nil {
+		return "silence"
+	}
+	return string(buffer[:n])
+}
+
+func startTest(t *testing.T, edit func(*Options)) *Fleet {
+	t.Helper()
+	options, err := TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Targets, options.Entries, options.Slots = 2, 1, 8
+	if edit != nil {
+		edit(&options)
+	}
+	f, err := Start(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// Guards against processes that outlive the fleet, and against signals that
+// reach the wrong process or a restart that loses its address.
+func TestProcessesStopRestartAndEnd(t *testing.T) {
+	f := startTest(t, nil)
+	if err := f.Kill("entry-0"); err != nil {
+		t.Fatal(err)
+	}
+	if status, err := f.WaitExit(t.Context(), "entry-0"); err != nil || status != -1 {
+		t.Errorf("after the kill: status %d, %v", status, err)
+	}
+	if !f.Alive("agent-0") || f.Alive("entry-0") {
+		t.Error("the kill reached another process")
+	}
+	if err := f.Restart("entry-0"); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitReady(t.Context(), "entry-0"); err != nil {
+		t.Fatal(err)
+	}
+	if got := get(t, f.CallerURLs()[0]+"/ask"); got != "entry-0" {
+		t.Errorf("the restarted entry answers %q", got)
+	}
+	if err := f.Freeze("agent-1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Terminate("agent-0"); err != nil {
+		t.Fatal(err)
+	}
+	if status, err := f.WaitExit(t.Context(), "agent-0"); err != nil || status != 0 {
+		t.Errorf("after the planned stop: status %d, %v", status, err)
+	}
+	f.Close()
+	for _, name := range f.Names() {
+		if f.Alive(name) {
+			t.Errorf("%s outlives the fleet", name)
+		}
+	}
+	if _, err := os.Stat(f.directory); !os.IsNotExist(err) {
+		t.Errorf("the temporary directory remains: %v", err)
+	}
+}
+
+// Guards against a relay that can't tell which process a flow belongs to, so
+// that delays and cuts by failure domain would hit every agent.
+func TestLinkRelayKnowsTheClient(t *testing.T) {
+	f := startTest(t, func(o *Options) { o.Network.Links = true })
+	err := f.Relay("link/entry-0").Set(faultproxy.Faults{Cut: faultproxy.CutBoth, Clients: []string{"agent-0"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []string{"silence", "hello"} {
+		if got := get(t, f.AgentURLs()[i]+"/ask"); got != want {
+			t.Errorf("agent-%d got %q, want %q", i, got, want)
+		}
+	}
+}
+
+// Guards against processor time and memory that are read from the wrong column
+// or lost with a restart.
+func TestUsage(t *testing.T) {
+	f := startTest(t, nil)
+	before, err := f.Usage("target-0")
+	if err != nil || before.Memory < 1<<20 || before.Peak < before.Memory {
+		t.Fatalf("usage is %+v, %v", before, err)
+	}
+	if err := f.Restart("target-0"); err != nil {
+		t.Fatal(err)
+	}
+	after, err := f.Usage("target-0")
+	if err != nil || after.Processor < before.Processor {
+		t.Errorf("usage went from %+v to %+v, %v", before, after, err)
+	}
+}
+
+// Guards against a fleet that is larger than the machine can carry, and against
+// a failed start that leaves processes or hides its cause.
+func TestStartFailures(t *testing.T) {
+	options, err := TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Targets = 30
+	options.Entries = 1
+	if _, err := Start(t.Context(), options); err == nil || !strings.Contains(err.Error(), "61 processes") {
+		t.Errorf("61 processes: %v", err)
+	}
+	options.Targets = 0
+	options.EditEntry = func(_ int, s *settings.Entry) { s.CallerAddress = "nowhere" }
+	if _, err := Start(t.Context(), options); err == nil || !strings.Contains(err.Error(), "entry-0 ended before it was ready") {
+		t.Errorf("an entry that ends: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+)
+
+// plan holds the addresses that processes listen on.
+type plan struct {
+	store   string
+	targets []string // TCP
+	admins  []string // agents, TCP
+	callers []string // entries, TCP
+	links   []string // entries, UDP
+}
+
+// Ports are chosen below the range that Linux uses for outgoing connections
+// (32768 and up), so that no connection takes the port of a process that is
+// down for a restart.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+	portTries = 4000
+)
+
+func newPlan(options Options) (plan, error) {
+	ports := portPicker{taken: map[int]bool{}}
+	var p plan
+	if options.Store {
+		p.store = ports.tcp()
+	}
+	for range options.Targets {
+		p.targets = append(p.targets, ports.tcp())
+		p.admins = append(p.admins, ports.tcp())
+	}
+	for range options.Entries {
+		p.callers = append(p.callers, ports.tcp())
+		p.links = append(p.links, ports.udp())
+	}
+	return p, ports.err
+}
+
+// portPicker draws free loopback ports. Another process may still take one
+// before it is used; the start then fails with that process's message.
+type portPicker struct {
+	taken map[int]bool
+	err   error
+}
+
+func (p *portPicker) tcp() string {
+	return p.pick(func(address string) error {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+		}
+		return err
+	})
+}
+
+func (p *portPicker) udp() string {
+	return p.pick(func(address string) error {
+		conn, err := net.ListenPacket("udp", address)
+		if err == nil {
+			conn.Close()
+		}
+		return err
+	})
+}
+
+func (p *portPicker) pick(try func(address string) error) string {
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if p.taken[port] {
+			continue
+		}
+		p.taken[port] = true
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if try(address) == nil {
+			return address
+		}
+	}
+	p.err = Err.New("no free loopback port between %d and %d", firstPort, lastPort)
+	return ""
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one process and, after restarts, its successors.
+type process struct {
+	name        string
+	executable  string
+	environment []string
+	arguments   []string
+	logPath     string
+	readyURL    string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	past    time.Duration // processor time of runs that have ended
+}
+
+// start runs the process; its output is appended to the log.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	defer log.Close()
+	command := exec.Command(p.executable, p.arguments...)
+	command.Env = append(os.Environ(), p.environment...)
+	command.Stdout = log
+	command.Stderr = log
+	// The kernel kills the process if this one dies without a chance to.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return Err.New("%s: %w", p.name, err)
+	}
+	exited := make(chan struct{})
+	p.command, p.exited = command, exited
+	go func() {
+		_ = command.Wait() // the state is read from ProcessState
+		p.mu.Lock()
+		p.past += command.ProcessState.UserTime() + command.ProcessState.SystemTime()
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// state returns the current run and whether it is alive.
+func (p *process) state() (command *exec.Cmd, exited chan struct{}, alive bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return p.command, p.exited, false
+	default:
+		return p.command, p.exited, true
+	}
+}
+
+func (p *process) signal(s os.Signal) error {
+	command, _, alive := p.state()
+	if !alive {
+		return Err.New("%s is not running", p.name)
+	}
+	return Err.Wrap(command.Process.Signal(s))
+}
+
+func (p *process) kill() { _ = p.signal(syscall.SIGKILL) }
+
+func (p *process) awaitExit() {
+	_, exited, _ := p.state()
+	<-exited
+}
+
+// Terminate asks a process for a planned stop (SIGTERM).
+func (f *Fleet) Terminate(name string) error { return f.signal(name, syscall.SIGTERM) }
+
+// Kill ends a process at once (SIGKILL).
+func (f *Fleet) Kill(name string) error { return f.signal(name, syscall.SIGKILL) }
+
+// Freeze stops a process without ending it (SIGSTOP).
+func (f *Fleet) Freeze(name string) error { return f.signal(name, syscall.SIGSTOP) }
+
+// Resume lets a frozen process continue (SIGCONT).
+func (f *Fleet) Resume(name string) error { return f.signal(name, syscall.SIGCONT) }
+
+func (f *Fleet) signal(name string, s os.Signal) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	return p.signal(s)
+}
+
+// Alive reports whether a process runs; a frozen one does.
+func (f *Fleet) Alive(name string) bool {
+	p, err := f.process(name)
+	if err != nil {
+		return false
+	}
+	_, _, alive := p.state()
+	return alive
+}
+
+// WaitExit waits until a process has ended and returns its exit status, which
+// is -1 after a signal.
+func (f *Fleet) WaitExit(ctx context.Context, name string) (int, error) {
+	p, err := f.process(name)
+	if err != nil {
+		return 0, err
+	}
+	command, exited, _ := p.state()
+	select {
+	case <-exited:
+		return command.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, Err.Wrap(ctx.Err())
+	}
+}
+
+// Restart starts a process again with its settings and addresses, after killing
+// it if it still runs. It doesn't wait until the process is ready.
+func (f *Fleet) Restart(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	p.kill()
+	p.awaitExit()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return Err.New("closed")
+	}
+	return p.start()
+}
+
+const (
+	readyPoll  = 20 * time.Millisecond
+	readyProbe = 2 * time.Second // of one request; a frozen process never answers
+)
+
+// WaitReady waits until a process answers its readiness address with 200. It
+// fails when the process ends, or after 30 s.
+func (f *Fleet) WaitReady(ctx context.Context, name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	_, exited, _ := p.state()
+	for !probe(ctx, p.readyURL) {
+		select {
+		case <-exited:
+			return Err.New("%s ended before it was ready: %s", name, f.LogTail(name))
+		case <-ctx.Done():
+			return Err.New("%s is not ready: %s", name, f.LogTail(name))
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// probe reports whether a GET is answered with 200.
+func probe(ctx context.Context, url string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyProbe)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode == http.StatusOK
+}
+
+// logTailBytes is what an error message holds of a log.
+const logTailBytes = 2048
+
+// Log returns all output of a process.
+func (f *Fleet) Log(name string) string {
+	p, err := f.process(name)
+	if err != nil {
+		return ""
+	}
+	data, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+// LogTail returns the end of a process's output.
+func (f *Fleet) LogTail(name string) string {
+	text := f.Log(name)
+	if len(text) > logTailBytes {
+		text = text[len(text)-logTailBytes:]
+	}
+	return text
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/settings"
+)
+
+// developmentSecret is the secret of all processes of a fleet. It protects
+// nothing: a fleet uses loopback addresses only.
+const developmentSecret = "fleet-on-loopback"
+
+func (f *Fleet) domain(i int) string { return f.domains[i%len(f.domains)] }
+
+func (f *Fleet) entrySettings(i int) settings.Entry {
+	name := entryName(i)
+	s := settings.Entry{
+		Name:          name,
+		FailureDomain: f.domain(i),
+		Region:        f.options.Region,
+		CallerAddress: f.plan.callers[i],
+		LinkAddress:   f.plan.links[i],
+		Advertise:     f.link(i),
+		Store:         settings.Store{URL: f.storeURL("store/" + name)},
+		TLS:           settings.TLS{DevelopmentSecret: developmentSecret},
+		Policy:        f.options.Policy,
+	}
+	for j := range f.options.Entries {
+		if j != i {
+			s.Peers = append(s.Peers, f.link(j))
+		}
+	}
+	if f.options.EditEntry != nil {
+		f.options.EditEntry(i, &s)
+	}
+	return s
+}
+
+func (f *Fleet) agentSettings(i int) settings.Agent {
+	name := agentName(i)
+	var labels label.Set
+	if f.options.TargetLabels != nil {
+		labels = f.options.TargetLabels(i)
+	}
+	s := settings.Agent{
+		Name:          name,
+		FailureDomain: f.domain(i),
+		Region:        f.options.Region,
+		AdminAddress:  f.plan.admins[i],
+		Store:         settings.Store{URL: f.storeURL("store/agents")},
+		TLS:           settings.TLS{DevelopmentSecret: developmentSecret},
+		Policy:        f.options.Policy,
+		Target: settings.Target{
+			Name:        targetName(i),
+			Service:     f.options.Service,
+			URL:         "http://" + f.through("target/"+name, f.plan.targets[i]),
+			Labels:      labels,
+			Slots:       f.options.Slots,
+			Connections: f.options.Connections,
+		},
+	}
+	for j := range f.options.Entries {
+		s.Entries = append(s.Entries, f.link(j))
+	}
+	if f.options.EditAgent != nil {
+		f.options.EditAgent(i, &s)
+	}
+	return s
+}
+
+// link returns the address at which others dial an entry.
+func (f *Fleet) link(i int) string { return f.through("link/"+entryName(i), f.plan.links[i]) }
+
+func (f *Fleet) storeURL(relay string) string {
+	if f.plan.store == "" {
+		return ""
+	}
+	return "http://" + f.through(relay, f.plan.store)
+}
+
+// through returns the address of a relay if there is one, or the direct one.
+func (f *Fleet) through(relay, direct string) string {
+	if r, ok := f.relays[relay]; ok {
+		return r.Address()
+	}
+	return direct
+}
+
+func (f *Fleet) settingsPath(name string) string {
+	return filepath.Join(f.directory, name+".json")
+}
+
+func (f *Fleet) writeSettings(name string, s any) error {
+	data, err := json.MarshalIndent(s, "", "\t")
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	return Err.Wrap(os.WriteFile(f.settingsPath(name), data, 0o600))
+}
+
+// storeWrite is the store's request for a compare-and-swap over HTTP.
+type storeWrite struct {
+	Key      string `json:"key"`
+	Expected uint64 `json:"expected"`
+	Value    []byte `json:"value"`
+}
+
+// configurationKey is the store key of the operators' document.
+const configurationKey = "config"
+
+// configure writes the operators' document to an empty store.
+func (f *Fleet) configure(ctx context.Context) error {
+	if len(f.options.Configuration) == 0 {
+		return nil
+	}
+	if err := f.WaitReady(ctx, storeName); err != nil {
+		return err
+	}
+	body, err := json.Marshal(storeWrite{Key: configurationKey, Value: f.options.Configuration})
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	url := fmt.Sprintf("http://%s/v1/compare-and-swap", f.plan.store)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(io.LimitReader(response.Body, logTailBytes))
+	if response.StatusCode != http.StatusOK {
+		return Err.New("store refused the configuration: %s: %s", response.Status, answer)
+	}
+	return nil
+}
