--- a/command/command.go
+++ b/command/command.go
@@ -30,6 +30,12 @@
 
 // subcommands lists every subcommand in the order of the help text.
 var subcommands = []subcommand{
+	{"entry", "take jobs from callers and dispatch their tasks", runEntry},
+	{"agent", "run tasks on the target beside it", runAgent},
+	{"submit", "send a job and print its answer", runSubmit},
+	{"demo", "run the whole path in one process", runDemo},
+	{"standin store", "serve a stand-in of the platform's store", runStandinStore},
+	{"standin target", "serve a stand-in target", runStandinTarget},
 	{"ctl", "show and change the configuration and the state of a running system", runCtl},
 	{"config check", "check a settings file or a configuration document", runConfigCheck},
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,24 +109,10 @@
 		Credentials: e.credentials,
 		Handler:     linkHandler{e},
 		Revision:    func() uint64 { return e.config.Current().Revision() },
-		Counter:     messageCounter{e.metrics},
+		Counter:     metrics.Messages{Registry: e.metrics},
 	}
 }
 
-// messageCounter counts messages by type.
-type messageCounter struct{ metrics *metrics.Registry }
-
-// CountMessage implements transport.Counter.
-func (c messageCounter) CountMessage(t wire.Type, bytes int, sent bool) {
-	if sent {
-		c.metrics.Add(metrics.MessagesSent, 1, metrics.TagType, t.String())
-		c.metrics.Add(metrics.MessageBytesSent, int64(bytes))
-		return
-	}
-	c.metrics.Add(metrics.MessagesReceived, 1, metrics.TagType, t.String())
-	c.metrics.Add(metrics.MessageBytesRead, int64(bytes))
-}
-
 // Run serves until ctx is cancelled, which begins a planned stop, and returns
 // when that stop has ended.
 func (e *Entry) Run(ctx context.Context) error {
--- a/slots/table.go
+++ b/slots/table.go
@@ -127,6 +127,7 @@
 	Occupied      int
 	Granted       int // unused slots of unexpired grants
 	Free          int
+	Waiting       int // tasks that entries say wait for this target
 	Reserve       int // slots kept for short work
 	Retained      int // outcomes
 	RetainedBytes int
@@ -153,6 +154,7 @@
 	}
 	for _, e := range t.entries {
 		s.Identities += len(e.ids.records)
+		s.Waiting += int(e.demand.Waiting)
 	}
 	return s
 }
