Add the division of team quotas among entries

Each entry divides a quota by reported demand, with a least share for every entry and an even split of what no one demands, and keeps to the lower of its shares under the report that all peers know and the one sent last. It also leaves free what each peer may hold: the largest share it had since its last report, or what it reported to run. That covers tasks that cannot be taken back, reports that cross, and peers that have fallen silent, which keep their share until they are known to be gone and their tasks have had time to end.

--- /dev/null
+++ b/quota/divide.go
@@ -0,0 +1,149 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Allowance returns the number of slots that this entry may use for a team now.
+// Limited is false for a team without a quota. Use above the allowance is not
+// taken back: no further task may start until it has fallen below.
+func (d *Divider) Allowance(team string, now time.Time) (slots int, limited bool) {
+	quota, ok := d.quotas[team]
+	if !ok {
+		return math.MaxInt, false
+	}
+	if c, ok := d.cache[team]; ok && now.Before(c.until) {
+		return c.slots, true
+	}
+	slots = d.compute(team, quota, now)
+	d.cache[team] = allowance{slots, now.Add(d.options.Delay)}
+	return slots, true
+}
+
+// May reports whether this entry may start one more task of a team.
+func (d *Divider) May(team string, now time.Time) bool {
+	slots, _ := d.Allowance(team, now)
+	return d.own[team].running < slots
+}
+
+// compute returns the lower of the allowances under the use that peers surely
+// know and under the use that was sent last, so that a report lowers this
+// entry's allowance before it raises another's.
+func (d *Divider) compute(team string, quota int, now time.Time) int {
+	d.forget(now)
+	if len(d.peers) == 0 {
+		return quota
+	}
+	known := d.reportedOwn(team, now)
+	slots := d.divide(team, quota, known, now).allowed(d, team, quota)
+	if latest := d.sent[team]; latest != known {
+		slots = min(slots, d.divide(team, quota, latest, now).allowed(d, team, quota))
+	}
+	return slots
+}
+
+// division is a quota divided among the entries that take part.
+type division struct {
+	share []int // in the order of Divider.names
+	own   int   // index of this entry
+	least int   // share that no other entry can borrow
+}
+
+// divide splits a quota in proportion to reported demand. Every entry gets a
+// least share; what no one demands is split evenly, so that a burst finds slots
+// before it is reported. Peers that have not reported yet keep what they may
+// use. All entries with the same reports come to the same division.
+func (d *Divider) divide(team string, quota int, own use, now time.Time) division {
+	out := division{
+		share: make([]int, len(d.names)),
+		least: least(quota, len(d.names), d.options.MinShare),
+	}
+	demands := make([]int, len(d.names))
+	live := 0
+	for i, p := range d.order {
+		switch {
+		case p == nil:
+			out.own = i
+			demands[i] = own.demand()
+		case !p.known:
+			out.share[i] = d.unreported(p, quota, now)
+			quota -= out.share[i]
+			demands[i] = absent
+			continue
+		default:
+			demands[i] = p.teams[team].demand()
+		}
+		out.share[i] = out.least
+		demands[i] = max(0, demands[i]-out.least)
+		live++
+	}
+	split(max(0, quota-out.least*live), demands, out.share)
+	return out
+}
+
+func least(quota, entries int, share float64) int {
+	if quota <= 0 {
+		return 0
+	}
+	return max(1, int(float64(quota)*share/float64(entries)))
+}
+
+// unreported returns the most that a peer without a report may be using: all of
+// the quota, or an equal share after StaleAfter, since a peer that cannot report
+// to this entry from its start may never do so.
+func (d *Divider) unreported(p *peer, quota int, now time.Time) int {
+	if now.Sub(p.reported) <= d.options.StaleAfter {
+		return quota
+	}
+	return quota / len(d.names)
+}
+
+// absent is the demand of an entry that takes no part in a split.
+const absent = -1
+
+// split adds slots to shares in proportion to demands, or meets all demands and
+// divides the rest evenly. Remainders go to the first entries, so that the sum
+// is exact.
+func split(slots int, demands, shares []int) {
+	sum, live := 0, 0
+	for _, n := range demands {
+		if n != absent {
+			sum += n
+			live++
+		}
+	}
+	if live == 0 {
+		return
+	}
+	left := slots
+	for i, n := range demands {
+		if n == absent {
+			continue
+		}
+		part := n + (slots-sum)/live
+		if sum > slots {
+			part = slots * n / sum
+		}
+		shares[i] += part
+		left -= part
+	}
+	for i := 0; left > 0; i = (i + 1) % len(demands) {
+		if demands[i] > 0 || demands[i] == 0 && sum <= slots {
+			shares[i]++
+			left--
+		}
+	}
+}
+
+// allowed returns what this entry may use: its share, as far as peers do not
+// hold it. Peers may still use more than their share because it was larger, or
+// they knew less, since their last report. That also holds against a peer that
+// has fallen silent.
+func (v division) allowed(d *Divider, team string, quota int) int {
+	free := quota
+	for _, p := range d.peers {
+		free -= p.held[team]
+	}
+	return max(v.least, min(v.share[v.own], free))
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,232 @@
+// Package quota divides the teams' quotas of slots among the entries. Every
+// entry computes its own allowance from what the entries report to each other,
+// without a store call.
+//
+// Bound on overshoot: the slots that a team uses in all entries together stay
+// within its quota and one slot per entry, if reports arrive within
+// Options.Delay or not at all. A change takes effect at once where it lowers an
+// allowance, and raises another only after the entries that it lowers have
+// reported since. More is possible for a quota below the number of entries,
+// since every entry may use at least one slot, and for an entry that comes up
+// while another takes itself to be alone, until they know of each other.
+package quota
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Options set the division. Zero fields take the defaults.
+type Options struct {
+	Delay      time.Duration // bound on a report's way, and least time between two; default 50 ms
+	StaleAfter time.Duration // how long a peer's first report is waited for; default 3 s
+	HoldGone   time.Duration // how long the share of a peer that is gone is kept for its running tasks; default 30 s
+	MinShare   float64       // part of an equal share that no peer can borrow; default 0.2
+}
+
+func (o Options) withDefaults() Options {
+	if o.Delay <= 0 {
+		o.Delay = 50 * time.Millisecond // several times the latency between regions
+	}
+	if o.StaleAfter <= 0 {
+		o.StaleAfter = 3 * time.Second
+	}
+	if o.HoldGone <= 0 {
+		o.HoldGone = 30 * time.Second // the longest usual task
+	}
+	if o.MinShare <= 0 {
+		o.MinShare = 0.2
+	}
+	return o
+}
+
+// use is one entry's use of slots by one team.
+type use struct {
+	running, waiting int
+}
+
+func (u use) demand() int { return u.running + u.waiting }
+
+// peer is what is known of another entry.
+type peer struct {
+	reported time.Time // of the last report; of the join before the first
+	known    bool      // has reported
+	gone     time.Time // zero: not known to be gone
+	teams    map[string]use
+	held     map[string]int // the most that the peer may use since its last report
+}
+
+// allowance is a cached result.
+type allowance struct {
+	slots int
+	until time.Time
+}
+
+// Divider computes one entry's allowances. It is not safe for concurrent use.
+type Divider struct {
+	options Options
+	name    string
+	quotas  map[string]int
+	own     map[string]use // now
+	sent    map[string]use // as last reported
+	settled map[string]use // as reported before, or as last reported once all peers know it
+	sentAt  time.Time
+	peers   map[string]*peer
+	names   []string // of all entries, sorted
+	order   []*peer  // in the order of names; nil stands for this entry
+	cache   map[string]allowance
+}
+
+// New returns the divider of the entry with a name, without peers and quotas.
+func New(name string, o Options) *Divider {
+	return &Divider{
+		options: o.withDefaults(),
+		name:    name,
+		own:     map[string]use{},
+		peers:   map[string]*peer{},
+		cache:   map[string]allowance{},
+	}
+}
+
+// SetQuotas sets the teams' quotas in slots across all entries. A team that is
+// not named has none. The map must not change afterwards.
+func (d *Divider) SetQuotas(quotas map[string]int) {
+	d.quotas = quotas
+	clear(d.cache)
+}
+
+// Own records this entry's use: tasks that are out, and tasks that wait.
+func (d *Divider) Own(team string, running, waiting int) {
+	if running == 0 && waiting == 0 {
+		delete(d.own, team)
+		return
+	}
+	d.own[team] = use{running, waiting}
+}
+
+// Report returns what to tell all peers, by team. It reports false if the last
+// report is too recent: a report must have reached every peer before the next is
+// sent.
+func (d *Divider) Report(now time.Time) ([]wire.TeamUse, bool) {
+	if now.Sub(d.sentAt) < d.settleTime() {
+		return nil, false
+	}
+	d.settled = d.sent
+	d.sent = make(map[string]use, len(d.own))
+	d.sentAt = now
+	report := make([]wire.TeamUse, 0, len(d.own))
+	for team, u := range d.own {
+		d.sent[team] = u
+		report = append(report, wire.TeamUse{Team: team, Running: uint32(u.running), Waiting: uint32(u.waiting)})
+	}
+	slices.SortFunc(report, func(a, b wire.TeamUse) int { return strings.Compare(a.Team, b.Team) })
+	for team, slots := range d.quotas {
+		d.holdShares(team, slots, d.sent[team], now)
+	}
+	clear(d.cache)
+	return report, true
+}
+
+// settleTime is the time after which a report has reached every peer and any
+// report that arrives was sent in its knowledge.
+func (d *Divider) settleTime() time.Duration { return 2 * d.options.Delay }
+
+// Join makes a peer known that has not reported yet. Until it does, or is stale,
+// it may be using all of a quota.
+func (d *Divider) Join(name string, now time.Time) { d.peer(name, now) }
+
+func (d *Divider) peer(name string, now time.Time) *peer {
+	p, ok := d.peers[name]
+	if ok {
+		return p
+	}
+	p = &peer{reported: now, held: map[string]int{}}
+	d.peers[name] = p
+	d.arrange()
+	return p
+}
+
+// arrange rebuilds the order of entries, which is the same in all of them.
+func (d *Divider) arrange() {
+	d.names = append(d.names[:0], d.name)
+	for name := range d.peers {
+		d.names = append(d.names, name)
+	}
+	slices.Sort(d.names)
+	d.order = d.order[:0]
+	for _, name := range d.names {
+		d.order = append(d.order, d.peers[name])
+	}
+	clear(d.cache)
+}
+
+// Receive takes in a peer's report.
+func (d *Divider) Receive(name string, report []wire.TeamUse, now time.Time) {
+	p := d.peer(name, now)
+	p.reported = now
+	p.known = true
+	p.gone = time.Time{}
+	p.teams = make(map[string]use, len(report))
+	for _, u := range report {
+		p.teams[u.Team] = use{int(u.Running), int(u.Waiting)}
+	}
+	p.held = make(map[string]int, len(d.quotas))
+	for team := range d.quotas {
+		p.held[team] = p.teams[team].running
+	}
+	d.hold(now)
+}
+
+// hold raises what each peer may hold to its share as of now. A peer may learn
+// of a change before this entry or after it, so only the peer's next report
+// lowers what it may hold.
+func (d *Divider) hold(now time.Time) {
+	for team, slots := range d.quotas {
+		d.holdShares(team, slots, d.reportedOwn(team, now), now)
+	}
+	clear(d.cache)
+}
+
+func (d *Divider) holdShares(team string, quota int, own use, now time.Time) {
+	v := d.divide(team, quota, own, now)
+	for i, p := range d.order {
+		if p != nil && p.known {
+			p.held[team] = max(p.held[team], v.share[i])
+		}
+	}
+}
+
+// Gone records that a peer is known to be gone: its lease has ended or it has
+// left. Its share is kept for the tasks that it started, then it is forgotten.
+// A peer that is only silent is never forgotten, since it may still be at work
+// behind a broken link.
+func (d *Divider) Gone(name string, now time.Time) {
+	p, ok := d.peers[name]
+	if !ok || !p.gone.IsZero() {
+		return
+	}
+	p.gone = now
+	clear(d.cache)
+}
+
+// forget drops peers whose time after Gone is over.
+func (d *Divider) forget(now time.Time) {
+	for name, p := range d.peers {
+		if p.gone.IsZero() || now.Sub(p.gone) < d.options.HoldGone {
+			continue
+		}
+		delete(d.peers, name)
+		d.arrange()
+	}
+}
+
+// reportedOwn returns this entry's use of a team as every peer knows it.
+func (d *Divider) reportedOwn(team string, now time.Time) use {
+	if now.Sub(d.sentAt) >= d.settleTime() {
+		return d.sent[team]
+	}
+	return d.settled[team]
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,268 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+const ms = time.Millisecond
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func at(n int) time.Time { return epoch.Add(time.Duration(n) * ms) }
+
+// message is a report on its way.
+type message struct {
+	due    int
+	from   int
+	to     int
+	report []wire.TeamUse
+}
+
+// cluster steps entries that start tasks of one team as their allowances permit,
+// a millisecond at a time.
+type cluster struct {
+	r        *rand.Rand
+	entries  []*Divider
+	running  [][]int // per entry, when each task ends
+	waiting  []int
+	messages []message
+	cut      func(from, to int) bool
+}
+
+func newCluster(n, quota int, seed uint64) *cluster {
+	c := &cluster{r: rand.New(rand.NewPCG(seed, 1)), running: make([][]int, n), waiting: make([]int, n)}
+	for i := range n {
+		d := New(fmt.Sprint(i), Options{})
+		d.SetQuotas(map[string]int{"t": quota})
+		for j := range 2 * n {
+			if j%n != i {
+				d.Receive(fmt.Sprint(j%n), nil, epoch)
+			}
+		}
+		c.entries = append(c.entries, d)
+	}
+	return c
+}
+
+// step advances to a millisecond and returns the slots in use.
+func (c *cluster) step(now, longest int) int {
+	c.deliver(now)
+	used := 0
+	for i, d := range c.entries {
+		var left []int
+		for _, end := range c.running[i] {
+			if end > now {
+				left = append(left, end)
+			}
+		}
+		c.running[i] = left
+		d.Own("t", len(left), c.waiting[i])
+		for c.waiting[i] > 0 && d.May("t", at(now)) {
+			c.waiting[i]--
+			c.running[i] = append(c.running[i], now+1+c.r.IntN(longest))
+			d.Own("t", len(c.running[i]), c.waiting[i])
+		}
+		used += len(c.running[i])
+		if now%(110+110*i) == 0 {
+			c.report(i, now)
+		}
+	}
+	return used
+}
+
+func (c *cluster) report(from, now int) {
+	report, ok := c.entries[from].Report(at(now))
+	for to := range c.entries {
+		if ok && to != from && (c.cut == nil || !c.cut(from, to)) {
+			c.messages = append(c.messages, message{now + 1 + c.r.IntN(45), from, to, report})
+		}
+	}
+}
+
+func (c *cluster) deliver(now int) {
+	var left []message
+	for _, m := range c.messages {
+		if m.due > now {
+			left = append(left, m)
+			continue
+		}
+		c.entries[m.to].Receive(fmt.Sprint(m.from), m.report, at(now))
+	}
+	c.messages = left
+}
+
+// Guards against entries that together use more than a quota while demand moves
+// between them, and against quota that lies idle while work waits.
+func TestOvershootIsBounded(t *testing.T) {
+	offered, used := 0, 0
+	for seed := range uint64(24) {
+		entries, quota := 2+int(seed%4), 40+int(seed%5)
+		c := newCluster(entries, quota, seed)
+		idle := 0
+		for _, d := range c.entries {
+			n, _ := d.Allowance("t", epoch)
+			idle += n
+		}
+		if idle != quota {
+			t.Errorf("seed %d: %d idle entries may use %d of %d", seed, entries, idle, quota)
+		}
+		most := 0
+		for now := range 8000 {
+			if now%700 == 0 {
+				clear(c.waiting)
+				for range 3 {
+					c.waiting[c.r.IntN(entries)] += c.r.IntN(400)
+				}
+			}
+			n := c.step(now, 400)
+			most = max(most, n)
+			if now%700 > 400 && slices.Max(c.waiting) > 0 {
+				offered += quota
+				used += n
+			}
+		}
+		if most > quota+entries {
+			t.Errorf("seed %d: %d slots used of a quota of %d by %d entries", seed, most, quota, entries)
+		}
+	}
+	// An even division among all entries uses less than 70%.
+	if used*100 < offered*80 {
+		t.Errorf("%d%% used while work waits", used*100/offered)
+	}
+}
+
+// Guards against a share that is taken back before the peer that borrowed it has
+// reported again.
+func TestPeerMayHaveBorrowed(t *testing.T) {
+	c := newCluster(2, 40, 1)
+	d := c.entries[0]
+	busy := []wire.TeamUse{{Team: "t", Running: 20, Waiting: 100}}
+	d.Own("t", 20, 100)
+	d.Report(at(0))
+	d.Receive("1", busy, at(150))
+	d.Own("t", 0, 0)
+	d.Report(at(200))
+	d.Own("t", 0, 100)
+	d.Report(at(300))
+	if n, _ := d.Allowance("t", at(450)); n != 4 {
+		t.Errorf("allowance %d while the peer may use 36 of 40", n)
+	}
+	d.Receive("1", busy, at(500))
+	if n, _ := d.Allowance("t", at(500)); n < 18 {
+		t.Errorf("allowance %d after the peer's report", n)
+	}
+}
+
+// Guards against a lent share that is not given back, and against a share that
+// stays idle when only one entry has work.
+func TestIdleShareIsLentAndTakenBack(t *testing.T) {
+	c := newCluster(4, 40, 1)
+	c.waiting[0] = 1 << 20
+	for now := range 2000 {
+		c.step(now, 100)
+	}
+	if n := len(c.running[0]); n < 30 {
+		t.Errorf("the only busy entry uses %d of 40", n)
+	}
+	c.waiting[1] = 1 << 20
+	if c.step(2001, 100); len(c.running[1]) < 1 {
+		t.Error("an entry has to wait for its least share")
+	}
+	for now := 2002; now < 3000; now++ {
+		c.step(now, 100)
+	}
+	if a, b := len(c.running[0]), len(c.running[1]); a < 16 || b < 16 {
+		t.Errorf("after a second: %d and %d of 40", a, b)
+	}
+}
+
+// Guards against overshoot when two halves lose each other, and against a quota
+// that stays with an entry that is gone.
+func TestSilentPeersKeepTheirShare(t *testing.T) {
+	c := newCluster(4, 40, 1)
+	c.waiting[0], c.waiting[1] = 1<<20, 1<<20
+	for now := range 30_000 {
+		if now == 2000 {
+			c.cut = func(from, to int) bool { return from < 2 != (to < 2) }
+		}
+		if now == 10_000 {
+			c.waiting[2], c.waiting[3] = 1<<20, 1<<20
+		}
+		if n := c.step(now, 100); n > 44 {
+			t.Fatalf("%d slots used of 40 at %d ms", n, now)
+		}
+	}
+	d := c.entries[0]
+	before, _ := d.Allowance("t", at(30_000))
+	d.Gone("2", at(30_000))
+	d.Gone("3", at(30_000))
+	if n, _ := d.Allowance("t", at(59_000)); n != before {
+		t.Errorf("allowance %d, then %d while tasks of lost entries may run", before, n)
+	}
+	d.Receive("1", []wire.TeamUse{{Team: "t", Running: 10, Waiting: 1000}}, at(60_000))
+	if n, _ := d.Allowance("t", at(60_001)); n < 20 || len(d.peers) != 1 {
+		t.Errorf("allowance %d with %d peers after they are gone", n, len(d.peers))
+	}
+}
+
+// Guards against a new entry that takes a share which the others already use,
+// and against one that is stuck because a peer never reports.
+func TestJoin(t *testing.T) {
+	d := New("a", Options{})
+	d.SetQuotas(map[string]int{"t": 40, "none": 0, "small": 1})
+	if n, _ := d.Allowance("t", epoch); n != 40 {
+		t.Errorf("alone: %d", n)
+	}
+	d.Join("b", epoch)
+	if n, _ := d.Allowance("t", at(100)); n != 4 {
+		t.Errorf("before the first report: %d, want the least share", n)
+	}
+	if n, _ := d.Allowance("t", at(4000)); n != 20 {
+		t.Errorf("without a report: %d", n)
+	}
+	if n, limited := d.Allowance("none", epoch); n != 0 || !limited {
+		t.Errorf("quota of zero: %d", n)
+	}
+	if _, limited := d.Allowance("free", epoch); limited || !d.May("free", epoch) {
+		t.Error("a team without a quota is limited")
+	}
+	d.Receive("b", []wire.TeamUse{{Team: "small", Running: 2}}, epoch)
+	if n, _ := d.Allowance("small", at(50)); n != 1 {
+		t.Errorf("quota below the number of entries: %d", n)
+	}
+	if _, ok := d.Report(epoch); !ok {
+		t.Error("first report refused")
+	}
+	if _, ok := d.Report(at(99)); ok {
+		t.Error("second report before the first has settled")
+	}
+}
+
+// Guards against a division that loses or invents slots by rounding, or that
+// leaves demand unmet while there are slots for all.
+func TestSplitIsExact(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	for range 1000 {
+		demands := make([]int, 1+r.IntN(5))
+		for i := range demands {
+			demands[i] = r.IntN(3) * r.IntN(50)
+		}
+		slots, sum, demand, unmet := r.IntN(100), 0, 0, 0
+		out := make([]int, len(demands))
+		split(slots, demands, out)
+		for i, n := range out {
+			sum += n
+			demand += demands[i]
+			unmet += max(0, demands[i]-n)
+		}
+		if sum != slots || unmet > max(0, demand-slots) {
+			t.Fatalf("%d slots for %v: %v", slots, demands, out)
+		}
+	}
+}
