Refuse to start a fleet inside a process of a fleet

A test binary that lacks the hook runs its tests again in every process that it starts, and each of those starts a fleet of its own. Every process of a fleet now carries the mark by itself, so that no caller can forget it.

The usage test now ends its process: processor time in /proc has a unit of 10 ms and was zero before and after the restart that it looked at. The fleet also creates the directory it is given.

--- a/internal/fleet/child.go
+++ b/internal/fleet/child.go
@@ -2,11 +2,12 @@
 
 import "os"
 
-// childVariable tells a re-executed test binary to act as the program.
+// childVariable is set for every process of a fleet. It tells a re-executed
+// test binary to act as the program, and Start refuses to work where it is set:
+// a test binary without the hook would otherwise start fleets without end.
 const childVariable = "CATKINLINE_FLEET_CHILD"
 
-// RunChild is the hook for TestMain: in a process that TestOptions started, it
-// runs the program's main function with the arguments and exits. Elsewhere it
+// RunChild is the hook for TestMain: in a process of a fleet it runs the program's main function with the arguments and exits. Elsewhere it
 // returns at once.
 func RunChild(program func(arguments []string) int) {
 	if os.Getenv(childVariable) != "" {
@@ -21,5 +22,5 @@
 	if err != nil {
 		return Options{}, Err.Wrap(err)
 	}
-	return Options{Executable: executable, Environment: []string{childVariable + "=1"}}, nil
+	return Options{Executable: executable}, nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -103,6 +103,9 @@
 }
 
 func prepare(options Options) (*Fleet, error) {
+	if os.Getenv(childVariable) != "" {
+		return nil, Err.New("a process of a fleet must not start a fleet")
+	}
 	count := 2*options.Targets + options.Entries
 	if options.Store {
 		count++
@@ -128,6 +131,9 @@
 		}
 		f.directory, f.temporary = directory, true
 	}
+	if err := os.MkdirAll(f.directory, 0o700); err != nil {
+		return nil, Err.Wrap(err)
+	}
 	if err := f.layOut(); err != nil {
 		f.Close()
 		return nil, err
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -194,15 +194,31 @@
 	if err != nil || before.Memory < 1<<20 || before.Peak < before.Memory {
 		t.Fatalf("usage is %+v, %v", before, err)
 	}
-	if err := f.Restart("target-0"); err != nil {
+	if err := f.Kill("target-0"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.WaitExit(t.Context(), "target-0"); err != nil {
 		t.Fatal(err)
 	}
 	after, err := f.Usage("target-0")
-	if err != nil || after.Processor < before.Processor {
+	if err != nil || after.Processor <= 0 || after.Processor < before.Processor || after.Memory != 0 {
 		t.Errorf("usage went from %+v to %+v, %v", before, after, err)
 	}
 }
 
+// Guards against a program that starts a fleet of itself without end, such as a
+// test binary without the hook.
+func TestNoFleetInAFleet(t *testing.T) {
+	t.Setenv(childVariable, "1")
+	options, err := TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Start(t.Context(), options); err == nil {
+		t.Error("a process of a fleet started a fleet")
+	}
+}
+
 // Guards against a fleet that is larger than the machine can carry, and against
 // a failed start that leaves processes or hides its cause.
 func TestStartFailures(t *testing.T) {
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -37,6 +37,7 @@
 	defer log.Close()
 	command := exec.Command(p.executable, p.arguments...)
 	command.Env = append(os.Environ(), p.environment...)
+	command.Env = append(command.Env, childVariable+"=1")
 	command.Stdout = log
 	command.Stderr = log
 	// The kernel kills the process if this one dies without a chance to.
