Add the open-loop load tool and its experiment format

The measures of the design need arrivals that don't wait for answers and delays that count from the intended arrival; a closed loop would slow down with the system and hide its delays. One seed gives every variant of a comparison the same jobs, and repetitions interleave with a rotating first variant, so that other work on the machine reaches all of them.

The end of a run is judged from the targets' records. The stand-in target now also counts starts by the payload's echo, since identities alone show neither a job that ran although it was answered as not run nor one task that ran under two identities.

The operators' document is written to the store before the entries start; going through the operator API was ruled out for experiments, because it would measure the configuration path along with the load. Shares of classes are shares of jobs, not of work: a share of work would change the job mix whenever a run time is changed.

--- a/command/command.go
+++ b/command/command.go
@@ -14,6 +14,9 @@
 
 // Main runs one subcommand and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "load" {
+		return runLoad(args[1:], stdout, stderr)
+	}
 	fmt.Fprintln(stderr, "usage: catkinline SUBCOMMAND")
 	return exitUsage
 }
--- /dev/null
+++ b/load/compare.go
@@ -0,0 +1,181 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Comparison holds the runs of several variants.
+type Comparison struct {
+	Experiment string     `json:"experiment"`
+	Variants   []string   `json:"variants"`
+	Runs       [][]Report `json:"runs"` // by repetition, then in the order of Variants
+	Ratios     []Ratio    `json:"ratios"`
+}
+
+// Ratio compares one measure of a variant with the first variant's in the same
+// repetition, which has the same jobs.
+type Ratio struct {
+	Measure string  `json:"measure"`
+	Variant string  `json:"variant"`
+	Base    float64 `json:"base"` // median of the first variant
+	Median  float64 `json:"median"`
+	Lowest  float64 `json:"lowest"`
+	Highest float64 `json:"highest"`
+	Count   int     `json:"count"` // repetitions in which both were measured
+}
+
+// Bounds of a comparison.
+const (
+	maxVariants    = 10
+	maxRepetitions = 20
+)
+
+// Compare runs variants in turn, several times. Repetitions interleave and the
+// first variant of a repetition rotates, so that a change of the machine's
+// other work during the comparison reaches all variants.
+func Compare(ctx context.Context, e *Experiment, variants []string, repetitions int, options RunOptions, progress func(*Report)) (*Comparison, error) {
+	if len(variants) < 2 || len(variants) > maxVariants || repetitions < 1 || repetitions > maxRepetitions {
+		return nil, Err.New("compare needs 2 to %d variants and 1 to %d repetitions", maxVariants, maxRepetitions)
+	}
+	for _, name := range variants {
+		if _, err := e.resolve(name, options.Quick); err != nil {
+			return nil, err
+		}
+	}
+	c := &Comparison{Experiment: e.Name, Variants: variants}
+	for repetition := range repetitions {
+		runs := make([]Report, len(variants))
+		for turn := range variants {
+			i := (turn + repetition) % len(variants)
+			one := options
+			one.Variant = variants[i]
+			one.Seed = options.Seed + uint64(repetition)
+			report, err := Run(ctx, e, one)
+			if err != nil {
+				return nil, err
+			}
+			progress(report)
+			runs[i] = *report
+		}
+		c.Runs = append(c.Runs, runs)
+	}
+	c.Ratios = ratios(variants, c.Runs)
+	return c, nil
+}
+
+// measure is one number of a report.
+type measure struct {
+	name  string
+	value float64
+}
+
+// measures returns the numbers that are compared. A zero value counts as not
+// measured.
+func (p *Report) measures() []measure {
+	out := []measure{{"complete jobs", float64(p.Jobs.Complete)}}
+	for _, g := range p.Groups {
+		if g.Kind != "class" && g.Kind != "team" && g.Kind != "class and arrival" {
+			continue
+		}
+		name := g.Name + ": response over ideal "
+		out = append(out,
+			measure{name + "p50", g.OverIdeal.P50},
+			measure{name + "p90", g.OverIdeal.P90},
+			measure{name + "p99", g.OverIdeal.P99},
+			measure{name + "max", g.OverIdeal.Max},
+		)
+	}
+	for _, g := range p.Goodput {
+		out = append(out,
+			measure{"jobs/s, " + g.Phase, g.JobsPerSecond},
+			measure{"task seconds/s, " + g.Phase, g.TaskSecondsPerSecond},
+		)
+	}
+	if p.Messages != nil {
+		out = append(out,
+			measure{"messages per task", p.Messages.SentPerTask},
+			measure{"wasted messages per task", p.Messages.WastedPerTask},
+		)
+	}
+	for _, use := range p.Processor {
+		out = append(out, measure{use.Role + " µs per task", use.MicrosecondsPerTask})
+	}
+	return out
+}
+
+// ratios compares every variant with the first.
+func ratios(variants []string, runs [][]Report) []Ratio {
+	var out []Ratio
+	if len(runs) == 0 {
+		return out
+	}
+	for _, m := range runs[0][0].measures() {
+		for i := 1; i < len(variants); i++ {
+			var bases, found []float64
+			for _, run := range runs {
+				base, other := run[0].value(m.name), run[i].value(m.name)
+				if base > 0 && other > 0 {
+					bases = append(bases, base)
+					found = append(found, other/base)
+				}
+			}
+			if len(found) == 0 {
+				continue
+			}
+			out = append(out, Ratio{
+				Measure: m.name,
+				Variant: variants[i],
+				Base:    median(bases),
+				Median:  median(found),
+				Lowest:  slices.Min(found),
+				Highest: slices.Max(found),
+				Count:   len(found),
+			})
+		}
+	}
+	return out
+}
+
+func (p *Report) value(name string) float64 {
+	for _, m := range p.measures() {
+		if m.name == name {
+			return m.value
+		}
+	}
+	return 0
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
+
+// Failed returns the first run's violations as an error, or nil.
+func (c *Comparison) Failed() error {
+	for _, run := range c.Runs {
+		for i := range run {
+			if err := run[i].Failed(); err != nil {
+				return Err.New("variant %s, seed %d: %w", run[i].Variant, run[i].Seed, err)
+			}
+		}
+	}
+	return nil
+}
+
+// Print writes the ratios as text.
+func (c *Comparison) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s: ratio to %s, median over repetitions with the lowest and the highest:\n", c.Experiment, c.Variants[0])
+	table(w, "measure\t"+c.Variants[0]+"\tvariant\tratio\tlowest\thighest\tn\t", func(t io.Writer) {
+		for _, r := range c.Ratios {
+			fmt.Fprintf(t, "%s\t%.3f\t%s\t%.3f\t%.3f\t%.3f\t%d\t\n",
+				r.Measure, r.Base, r.Variant, r.Median, r.Lowest, r.Highest, r.Count)
+		}
+	})
+}
--- /dev/null
+++ b/load/fleet_test.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/standin"
+)
+
+func TestMain(m *testing.M) {
+	fleet.RunChild(fakeProgram)
+	os.Exit(m.Run())
+}
+
+// fakeProgram acts as the program in child processes: the real stand-in target,
+// a store that takes everything, an agent that announces its target's address
+// in a datagram, and an entry that starts tasks on the announced targets.
+func fakeProgram(arguments []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	ready := func(http.ResponseWriter, *http.Request) {}
+	switch {
+	case arguments[0] == "standin" && arguments[1] == "target":
+		if standin.RunTarget(ctx, arguments[3], standin.TargetOptions{}) != nil {
+			return 1
+		}
+	case arguments[0] == "standin":
+		serveChild(ctx, arguments[3], map[string]http.HandlerFunc{"/": ready})
+	case arguments[0] == "entry":
+		var s settings.Entry
+		readChildSettings(arguments[2], &s)
+		var known announced
+		go known.listen(s.LinkAddress)
+		serveChild(ctx, s.CallerAddress, map[string]http.HandlerFunc{"/readyz": known.serveReady, "/v1/": known.serveJob})
+	case arguments[0] == "agent":
+		var s settings.Agent
+		readChildSettings(arguments[2], &s)
+		go announce(s)
+		serveChild(ctx, s.AdminAddress, map[string]http.HandlerFunc{"/readyz": ready})
+	}
+	return 0
+}
+
+func readChildSettings(path string, into any) {
+	data, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+func serveChild(ctx context.Context, address string, handlers map[string]http.HandlerFunc) {
+	mux := http.NewServeMux()
+	for path, handler := range handlers {
+		mux.HandleFunc(path, handler)
+	}
+	server := &http.Server{Addr: address, Handler: mux}
+	context.AfterFunc(ctx, func() { server.Close() })
+	_ = server.ListenAndServe()
+}
+
+func announce(s settings.Agent) {
+	for {
+		for _, entry := range s.Entries {
+			conn, err := net.Dial("udp", entry)
+			if err == nil {
+				_, _ = io.WriteString(conn, s.Target.URL)
+				conn.Close()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// announced holds the addresses of the targets that an entry has heard of.
+type announced struct {
+	mu   sync.Mutex
+	urls []string
+	jobs int
+}
+
+func (a *announced) listen(address string) {
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		panic(err)
+	}
+	buffer := make([]byte, 100)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		a.add(string(buffer[:n]))
+	}
+}
+
+func (a *announced) add(url string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, known := range a.urls {
+		if known == url {
+			return
+		}
+	}
+	a.urls = append(a.urls, url)
+}
+
+// serveReady is false until both targets are known, so that no job of a test
+// depends on how fast its processes start.
+func (a *announced) serveReady(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.urls) < 2 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (a *announced) serveJob(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	f := fakeSystem{targets: append([]string(nil), a.urls...)}
+	a.jobs++
+	// The process id keeps identities of a restarted entry apart.
+	f.jobs.Store(int64(os.Getpid())<<20 + int64(a.jobs))
+	a.mu.Unlock()
+	f.serveJob(w, r)
+}
+
+// Guards against a run that doesn't start its processes with the variant's
+// settings, ignores its faults, leaves processes behind, or takes the planned
+// death of an entry for a violation.
+func TestRunWithProcesses(t *testing.T) {
+	options, err := fleet.TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := parseTest(t,
+		`"connections": 8, "entries": 1`, `"connections": 8, "entries": 2, "store": true,
+			"domain_delay_ms": 1, "caller_delay_ms": 1, "failure_domains": ["x", "y"]`,
+		`"load": 0.4`, `"load": 0.4, "faults": [
+			{"at_seconds": 0.1, "process": "entry-1", "action": "kill"},
+			{"at_seconds": 0.1, "target": 0, "target_faults": {"slow_factor": 2}},
+			{"at_seconds": 0.2, "relay": "caller/entry-0", "change": {"faults": {"delay_ms": 2}}}]`)
+	directory := t.TempDir()
+	report, err := Run(t.Context(), e, RunOptions{
+		Executable: options.Executable,
+		Directory:  directory,
+		Variant:    "fifo-small",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := report.Jobs
+	if j.Complete == 0 || j.Complete+j.Failed+j.Broken != j.Planned || len(report.Violations) != 0 {
+		t.Errorf("jobs are %+v, violations %q", j, report.Violations)
+	}
+	if len(report.Processor) != 2 || report.Processor[0].Processes != 2 || report.Processor[0].PeakMemoryMB == 0 {
+		t.Errorf("processors are %+v", report.Processor)
+	}
+	var entry settings.Entry
+	readChildSettings(directory+"/entry-0.json", &entry)
+	if entry.Policy.Order != "fifo" || entry.Limits.Tasks != 5 || len(entry.Peers) != 1 {
+		t.Errorf("entry settings are %+v", entry)
+	}
+	var s settings.Agent
+	readChildSettings(directory+"/agent-1.json", &s)
+	if s.FailureDomain != "y" || s.Target.Slots != 1 || s.Target.Connections != 8 || len(s.Entries) != 2 {
+		t.Errorf("agent settings are %+v", s)
+	}
+	connection, err := net.Dial("tcp", strings.TrimPrefix(s.Target.URL, "http://"))
+	if err == nil {
+		connection.Close()
+		t.Error("a target outlives the run")
+	}
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,252 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/settings"
+)
+
+// RunOptions choose what to run of an experiment.
+type RunOptions struct {
+	Executable string // the catkinline binary
+	Directory  string // keeps settings and logs; empty: a temporary one
+	Variant    string // empty: DefaultVariant
+	Seed       uint64 // added to the experiment's
+	Quick      bool
+}
+
+// Run starts the fleet of one variant, drives the load, judges the run and ends
+// every process. Violations are in the report, not in the error.
+func Run(ctx context.Context, e *Experiment, options RunOptions) (*Report, error) {
+	if options.Variant == "" {
+		options.Variant = DefaultVariant
+	}
+	plan, err := e.resolve(options.Variant, options.Quick)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fleetOptions, err := plan.fleetOptions(options)
+	if err != nil {
+		return nil, err
+	}
+	f, err := fleet.Start(ctx, fleetOptions)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return plan.measure(ctx, f, e.Seed+options.Seed)
+}
+
+// fleetOptions translates the experiment into a fleet.
+func (r *resolved) fleetOptions(options RunOptions) (fleet.Options, error) {
+	policy, err := r.policy()
+	if err != nil {
+		return fleet.Options{}, err
+	}
+	f := r.Fleet
+	out := fleet.Options{
+		Executable:     options.Executable,
+		Directory:      options.Directory,
+		Targets:        f.Targets,
+		Entries:        f.Entries,
+		Slots:          f.Slots,
+		Connections:    f.Connections,
+		FailureDomains: f.FailureDomains,
+		Region:         f.Region,
+		Service:        r.Service,
+		Store:          f.Store,
+		Configuration:  r.configuration(),
+		Policy:         policy,
+		Network: fleet.Network{
+			DomainDelay: milliseconds(f.DomainDelayMS),
+			CallerDelay: milliseconds(f.CallerDelayMS),
+			Links:       f.LinkRelays,
+			Targets:     f.TargetRelays,
+			Stores:      f.StoreRelays,
+			Seed:        r.Seed,
+		},
+		// The overlays were decoded once when the experiment was checked.
+		EditEntry: func(_ int, s *settings.Entry) { _ = r.editEntry(s) },
+		EditAgent: func(_ int, s *settings.Agent) { _ = r.editAgent(s) },
+	}
+	if len(f.TargetLabels) > 0 {
+		out.TargetLabels = func(i int) label.Set { return f.TargetLabels[i%len(f.TargetLabels)] }
+	}
+	return out, nil
+}
+
+// measure drives the load against a system that is ready.
+func (r *resolved) measure(ctx context.Context, s system, seed uint64) (*Report, error) {
+	jobs, err := r.schedule(seed)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	b := newBalancer(s.CallerURLs(), s.EntryURLs())
+	var background sync.WaitGroup
+	background.Go(func() { b.watch(ctx) })
+	ideal, note := r.ideal(ctx, b)
+	before, usedBefore := scrape(ctx, s.EntryURLs()), usage(s)
+
+	d := newDriver(r, fmt.Sprintf("%s-%d", r.Name, seed), jobs, b)
+	var problems []string
+	background.Go(func() { problems = injectFaults(ctx, s, r.Faults, time.Now()) })
+	d.drive(ctx)
+	if err := ctx.Err(); err != nil {
+		return nil, Err.Wrap(err)
+	}
+	report := newReport(d, ideal, seed)
+	report.Counters(scrape(ctx, s.EntryURLs()).since(before))
+	usedAfter := usage(s)
+	v := judgeRun(ctx, s, d)
+	cancel()
+	background.Wait()
+	report.Verdict(v)
+	report.Processors(usedBefore, usedAfter, v.starts)
+	report.Violations = append(report.Violations, problems...)
+	if note != "" {
+		report.Notes = append(report.Notes, note)
+	}
+	return report, nil
+}
+
+func usage(s system) map[string]fleet.Usage {
+	out := map[string]fleet.Usage{}
+	for _, name := range s.Names() {
+		if u, err := s.Usage(name); err == nil {
+			out[name] = u
+		}
+	}
+	return out
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Probes of the idle system before a run.
+const (
+	idealProbes = 20
+	// idealWait bounds the wait for the first complete answer: links between
+	// entries and agents may come up after both are ready.
+	idealWait       = 10 * time.Second
+	idealDeadlineMS = 5000
+)
+
+// ideal returns the round trips of a job on the idle system: the median of
+// single tasks without run time. The note says why it could not be measured.
+func (r *resolved) ideal(ctx context.Context, b *balancer) (ideal time.Duration, note string) {
+	if r.IdealMS > 0 {
+		return milliseconds(r.IdealMS), ""
+	}
+	for i := range r.Classes {
+		probe := r.Classes[i]
+		if probe.Fail {
+			continue
+		}
+		probe.DeadlineMS = idealDeadlineMS
+		probe.NonIdempotent = false
+		if took := r.probe(ctx, b, &probe); len(took) > 0 {
+			slices.Sort(took)
+			return took[len(took)/2], ""
+		}
+	}
+	return 0, "the idle system completed no probe; the ideal is the longest task alone"
+}
+
+// probe sends jobs one after another and returns the times of complete ones.
+// The class is given up if none is complete for a while.
+func (r *resolved) probe(ctx context.Context, b *balancer, class *Class) []time.Duration {
+	limit := time.Now().Add(idealWait)
+	var took []time.Duration
+	for n := 0; len(took) < idealProbes; n++ {
+		job := plannedJob{class: class, entry: float64(n%idealProbes) / idealProbes, runMS: []float64{0}, declared: []float64{0}}
+		for team := range class.Teams {
+			job.team = team
+		}
+		d := newDriver(r, fmt.Sprintf("probe-%s-%d", class.Name, n), []plannedJob{job}, b)
+		d.send(ctx, 0, time.Now())
+		d.client.CloseIdleConnections()
+		switch {
+		case d.records[0].outcome == outcomeComplete && d.records[0].wrong == "":
+			took = append(took, d.records[0].took)
+		case time.Now().After(limit) || ctx.Err() != nil:
+			return nil
+		default:
+			sleepUntil(ctx, time.Now().Add(balancerInterval))
+		}
+	}
+	return took
+}
+
+// document is the operators' configuration that a fleet starts with, with every
+// default written out as in its stored form.
+type document struct {
+	Services map[string]documentService `json:"services"`
+	Teams    map[string]documentTeam    `json:"teams"`
+}
+
+type documentService struct {
+	Short           documentClass    `json:"short"`
+	Long            documentClass    `json:"long"`
+	Deadline        documentDeadline `json:"deadline"`
+	NonIdempotent   bool             `json:"non_idempotent"`
+	MaxEjectedShare float64          `json:"max_ejected_share"`
+}
+
+type documentClass struct {
+	RunMS      int `json:"run_ms"`
+	MaxWaiting int `json:"max_waiting"`
+}
+
+type documentDeadline struct {
+	DefaultMS int `json:"default_ms"`
+	MaxMS     int `json:"max_ms"`
+}
+
+type documentTeam struct {
+	Weight float64 `json:"weight"`
+}
+
+// configuration returns the file's document or one with the service and the
+// teams of all classes.
+func (r *resolved) configuration() json.RawMessage {
+	if len(r.Fleet.Configuration) > 0 {
+		return r.Fleet.Configuration
+	}
+	service := documentService{
+		Short:           documentClass{RunMS: 30_000, MaxWaiting: 200_000},
+		Long:            documentClass{RunMS: 600_000, MaxWaiting: 200_000},
+		Deadline:        documentDeadline{DefaultMS: 30_000, MaxMS: 900_000},
+		NonIdempotent:   true,
+		MaxEjectedShare: 0.3,
+	}
+	d := document{
+		Services: map[string]documentService{r.Service: service},
+		Teams:    map[string]documentTeam{},
+	}
+	for _, class := range r.Classes {
+		for team := range class.Teams {
+			d.Teams[team] = documentTeam{Weight: 1}
+		}
+	}
+	data, _ := json.Marshal(d) // strings and finite numbers always encode
+	return data
+}
+
+// role returns "entry" for "entry-3".
+func role(process string) string {
+	name, _, _ := strings.Cut(process, "-")
+	return name
+}
--- /dev/null
+++ b/load/run_test.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/standin"
+)
+
+// fakeSystem is an entry and two stand-in targets in this process. Its bend
+// makes it break one promise.
+type fakeSystem struct {
+	system
+	entry   string
+	targets []string
+	bend    string
+	jobs    atomic.Int64
+}
+
+func newFakeSystem(t *testing.T, bend string) *fakeSystem {
+	f := &fakeSystem{bend: bend}
+	for range 2 {
+		target := httptest.NewServer(standin.NewTarget(standin.TargetOptions{}))
+		t.Cleanup(target.Close)
+		f.targets = append(f.targets, target.URL)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /metrics", f.serveMetrics)
+	mux.HandleFunc("POST /v1/services/{service}/jobs", f.serveJob)
+	entry := httptest.NewServer(mux)
+	t.Cleanup(entry.Close)
+	f.entry = entry.URL
+	return f
+}
+
+func (f *fakeSystem) CallerURLs() []string              { return []string{f.entry} }
+func (f *fakeSystem) EntryURLs() []string               { return []string{f.entry} }
+func (f *fakeSystem) TargetURLs() []string              { return f.targets }
+func (f *fakeSystem) Names() []string                   { return []string{"entry-0"} }
+func (f *fakeSystem) Alive(string) bool                 { return f.bend != "dead" }
+func (f *fakeSystem) Usage(string) (fleet.Usage, error) { return fleet.Usage{Peak: 1 << 20}, nil }
+
+func (f *fakeSystem) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	n := f.jobs.Load()
+	fmt.Fprintf(w, "%s{kind=\"a b\"} %d\n%s 0\n%s %d\n", metricSent, 4*n, metricWasted, metricStarts, 2*n)
+}
+
+func (f *fakeSystem) serveJob(w http.ResponseWriter, r *http.Request) {
+	var q request
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	number := f.jobs.Add(1)
+	var results []string
+	for i, task := range q.Tasks {
+		id := fmt.Sprintf("e-%d-%d", number, i)
+		results = append(results, f.start(r.Context(), f.targets[i%2], id, task.Payload))
+		if f.bend == "start twice" {
+			f.start(r.Context(), f.targets[(i+1)%2], id, task.Payload)
+		}
+		if f.bend == "start again as another" {
+			f.start(r.Context(), f.targets[i%2], id+"0", task.Payload)
+		}
+	}
+	switch f.bend {
+	case "swap results":
+		results[0], results[1] = results[1], results[0]
+	case "leave one out":
+		results = results[1:]
+	case "not run":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"state":"failed","code":201,"name":"queue_full","ran":"not_run"}`)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"state": stateComplete, "results": results})
+}
+
+func (f *fakeSystem) start(ctx context.Context, target, id, payload string) string {
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, target+"/tasks", strings.NewReader(payload))
+	q.Header.Set(standin.TargetTaskHeader, id)
+	response, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	return string(data)
+}
+
+// testExperiment offers about 200 jobs of two tasks a second.
+const testExperiment = `{
+	"name": "test", "service": "s", "seed": 3,
+	"seconds": 0.3, "warmup_seconds": 0, "drain_seconds": 20, "ideal_ms": 1,
+	"fleet": {"targets": 2, "slots": 1, "connections": 8, "entries": 1},
+	"load": 0.4, // of two slots, with jobs of 4 ms
+	"classes": [{
+		"name": "short", "share": 1, "teams": {"a": 1, "b": 1}, "deadline_ms": 20000, "result_bytes": 9,
+		"tasks": {"min": 2, "max": 2}, "run_ms": {"min": 1, "max": 3},
+	}],
+	"variants": {
+		"fifo": {"policy": {"order": "fifo"}, "load": 0.2},
+		"fifo-small": {"extends": "fifo", "entry": {"limits": {"tasks": 5}}},
+		"loop": {"extends": "loop"},
+	},
+}`
+
+func parseTest(t *testing.T, edit ...string) *Experiment {
+	t.Helper()
+	text := strings.Replace(testExperiment, `"loop": {"extends": "loop"},`, "", 1)
+	e, err := Parse([]byte(strings.NewReplacer(edit...).Replace(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func measureTest(t *testing.T, e *Experiment, s system) *Report {
+	t.Helper()
+	plan, err := e.resolve(DefaultVariant, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := plan.measure(t.Context(), s, e.Seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// Guards against a judge that misses a second start, a partial answer, an
+// answer of another request or a false "not run", and against one that finds
+// faults in a correct system.
+func TestJudge(t *testing.T) {
+	for bend, want := range map[string]string{
+		"":                       "",
+		"start twice":            "identity e-",
+		"start again as another": "was started 2 times",
+		"swap results":           "is not the one of this task",
+		"leave one out":          "1 results for 2 tasks",
+		"not run":                "as not run",
+		"dead":                   "ended by itself",
+	} {
+		t.Run(bend, func(t *testing.T) {
+			report := measureTest(t, parseTest(t), newFakeSystem(t, bend))
+			found := strings.Join(report.Violations, "\n")
+			if (want == "") != (found == "") || !strings.Contains(found, want) {
+				t.Errorf("violations are %q, want %q", found, want)
+			}
+			j := report.Jobs
+			if j.Planned == 0 || j.Complete+j.Failed != j.Planned || report.TaskStarts < 2*j.Planned {
+				t.Errorf("jobs are %+v with %d starts", j, report.TaskStarts)
+			}
+			if m := report.Messages; m == nil || m.SentPerTask != 2 || m.WastedPerTask != 0 {
+				t.Errorf("messages are %+v", m)
+			}
+			if (report.Failed() == nil) != (want == "") {
+				t.Errorf("the report's error is %v", report.Failed())
+			}
+		})
+	}
+}
+
+// Guards against waves that cancel nothing, and against cancelled jobs that are
+// lost from the sum.
+func TestCancellationWave(t *testing.T) {
+	e := parseTest(t, `{"min": 1, "max": 3}`, `{"min": 3600000, "max": 3600000}`, `"load": 0.4`, `"load": 400000,
+		"cancellation_waves": [{"at_seconds": 0.25, "share": 1}]`, `"drain_seconds": 20`, `"drain_seconds": 0`)
+	report := measureTest(t, e, newFakeSystem(t, ""))
+	j := report.Jobs
+	if j.Cancelled == 0 || j.Cancelled+j.Unanswered+j.NotSent != j.Planned {
+		t.Errorf("jobs are %+v", j)
+	}
+	if len(report.Notes) != 0 || len(report.Violations) != 0 {
+		t.Errorf("notes %q, violations %q", report.Notes, report.Violations)
+	}
+}
+
+// Guards against delays that count from the moment of sending: a late load tool
+// would then hide the delay of the system.
+func TestResponseCountsFromIntendedArrival(t *testing.T) {
+	f := newFakeSystem(t, "")
+	e := parseTest(t)
+	plan, err := e.resolve(DefaultVariant, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	job := plannedJob{class: &plan.Classes[0], team: "a", runMS: []float64{0, 0}, declared: []float64{0, 0}}
+	d := newDriver(plan, "t", []plannedJob{job}, newBalancer(f.CallerURLs(), f.EntryURLs()))
+	const late = 15 * time.Second
+	d.send(t.Context(), 0, time.Now().Add(-late))
+	if r := d.records[0]; r.outcome != outcomeComplete || r.took < late {
+		t.Errorf("outcome %d after %v", r.outcome, r.took)
+	}
+}
+
+// Guards against a text report that stops at a measure that is missing.
+func TestPrintWithoutMeasures(t *testing.T) {
+	var out bytes.Buffer
+	(&Report{Violations: []string{"x"}}).Print(&out)
+	if text := out.String(); !strings.Contains(text, "not measured") || !strings.Contains(text, "VIOLATION: x") {
+		t.Errorf("printed %q", text)
+	}
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -44,6 +45,7 @@
 	slots    int           // configured bound, used when faults set none
 	running  int
 	starts   map[string]int
+	echoes   map[string]int
 	outcomes TargetOutcomes
 }
 
@@ -61,6 +63,7 @@
 		changed: make(chan struct{}),
 		slots:   options.Slots,
 		starts:  map[string]int{},
+		echoes:  map[string]int{},
 	}
 	router := bunrouter.New().Compat()
 	router.POST("/tasks", t.serveTask)
@@ -121,7 +124,11 @@
 // TargetStarts is the answer of GET /starts: the record by which at-most-once
 // is judged.
 type TargetStarts struct {
-	Starts       map[string]int `json:"starts"` // task identity to number of starts
+	Starts map[string]int `json:"starts"` // task identity to number of starts
+	// Echoes counts starts by the payload's echo. A caller that gives each task
+	// its own echo learns from it whether a job that was answered as not run
+	// did run, and whether one task ran under two identities.
+	Echoes       map[string]int `json:"echoes"`
 	Identities   int            `json:"identities"`
 	StartedAgain int            `json:"started_again"` // identities started more than once
 	Outcomes     TargetOutcomes `json:"outcomes"`
@@ -133,6 +140,7 @@
 	defer t.mu.Unlock()
 	out := TargetStarts{
 		Starts:     make(map[string]int, len(t.starts)),
+		Echoes:     maps.Clone(t.echoes),
 		Identities: len(t.starts),
 		Outcomes:   t.outcomes,
 	}
--- a/standin/target_task.go
+++ b/standin/target_task.go
@@ -53,7 +53,7 @@
 		t.refuse(w, http.StatusBadRequest, "result_bytes out of range")
 		return
 	}
-	if !t.start(id) {
+	if !t.start(id, payload.Echo) {
 		t.refuse(w, http.StatusServiceUnavailable, "refused")
 		return
 	}
@@ -61,7 +61,7 @@
 }
 
 // start counts a start and takes a slot, or reports that the task is refused.
-func (t *Target) start(id string) bool {
+func (t *Target) start(id, echo string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := t.limit()
@@ -69,6 +69,9 @@
 		return false
 	}
 	t.starts[id]++
+	if echo != "" {
+		t.echoes[echo]++
+	}
 	t.running++
 	return true
 }
--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -61,7 +61,7 @@
 	if err := json.NewDecoder(response.Body).Decode(&starts); err != nil {
 		t.Fatal(err)
 	}
-	if starts.Identities != 2 || starts.StartedAgain != 1 || starts.Starts["a-1-0"] != 2 {
+	if starts.Identities != 2 || starts.StartedAgain != 1 || starts.Starts["a-1-0"] != 2 || starts.Echoes["e"] != 3 {
 		t.Errorf("starts are %+v", starts)
 	}
 }
