--- a/command/command.go
+++ b/command/command.go
@@ -59,6 +59,10 @@
 		fmt.Fprintf(stderr, "error: unknown subcommand %q\n", strings.Join(args, " "))
 	}
 	writeUsage(stderr)
+	if len(args) > 0 && args[0] == "load" {
+		return runLoad(args[1:], stdout, stderr)
+	}
+	fmt.Fprintln(stderr, "usage: catkinline SUBCOMMAND")
 	return exitUsage
 }
 
