Add claims of non-idempotent requests

A claim is created by compare-and-swap before any task of its job may start, and taken over only from the state "failed, not run". Every decision rests on a compare-and-swap, so stale reads cost attempts and no safety. If the answer to a creation is lost and reading back fails, the request is refused as not run and the entry marks the claim so afterwards; where the key is still absent, this write creates it in the state "failed, not run", because the lost creation could otherwise land later and block the key.

A claim costs two writes and no read until it is ended, and one write when it is deleted after its retention. The record carries the number of the attempt: a second attempt for the same job must not adopt a claim that is about to be marked as not run.

--- /dev/null
+++ b/claim/limited.go
@@ -0,0 +1,93 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/catkinline/catkinline/platform"
+)
+
+// limitedStore bounds the number of store calls in flight.
+type limitedStore struct {
+	inner platform.Store
+	slots chan struct{}
+}
+
+// enter waits for a slot. A call that gets none was certainly not applied.
+func (s *limitedStore) enter(ctx context.Context) error {
+	select {
+	case s.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: no call slot became free: %w", platform.ErrUnavailable, ctx.Err())
+	}
+}
+
+func (s *limitedStore) leave() { <-s.slots }
+
+// Get is platform.Store's.
+func (s *limitedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := s.enter(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	defer s.leave()
+	return s.inner.Get(ctx, key)
+}
+
+// List is platform.Store's.
+func (s *limitedStore) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	defer s.leave()
+	return s.inner.List(ctx, prefix)
+}
+
+// CompareAndSwap is platform.Store's, without a lease.
+func (s *limitedStore) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	if err := s.enter(ctx); err != nil {
+		return 0, err
+	}
+	defer s.leave()
+	return s.inner.CompareAndSwap(ctx, key, expected, value, 0)
+}
+
+// Delete is platform.Store's.
+func (s *limitedStore) Delete(ctx context.Context, key string, expected uint64) error {
+	if err := s.enter(ctx); err != nil {
+		return err
+	}
+	defer s.leave()
+	return s.inner.Delete(ctx, key, expected)
+}
+
+type counters struct {
+	granted, claimed, refused, recorded, abandoned, deleted, swept atomic.Uint64
+}
+
+// Stats counts what became of claims. All but Pending only grow.
+type Stats struct {
+	Granted   uint64 // claims that this entry holds or held
+	Claimed   uint64 // submissions that found a claim
+	Refused   uint64 // submissions refused for want of the store
+	Recorded  uint64 // end states recorded
+	Abandoned uint64 // end states given up
+	Deleted   uint64 // own claims deleted after their retention
+	Swept     uint64 // old claims deleted by the sweep
+	Pending   int    // end states to be recorded
+}
+
+// Stats returns the counts.
+func (c *Claims) Stats() Stats {
+	return Stats{
+		Granted:   c.counters.granted.Load(),
+		Claimed:   c.counters.claimed.Load(),
+		Refused:   c.counters.refused.Load(),
+		Recorded:  c.counters.recorded.Load(),
+		Abandoned: c.counters.abandoned.Load(),
+		Deleted:   c.counters.deleted.Load(),
+		Swept:     c.counters.swept.Load(),
+		Pending:   c.backlog.size(),
+	}
+}
--- /dev/null
+++ b/claim/record.go
@@ -0,0 +1,102 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Prefix is where claims keep their keys:
+// Prefix + service + "/" + team + "/" + hash of the request key.
+const Prefix = "claims/"
+
+// hashBytes is the length of the hash in a key: at 128 bits, two request keys
+// of one team do not meet by accident.
+const hashBytes = 16
+
+// State says how far a claimed job got.
+type State string
+
+// States of a claim.
+const (
+	Running      State = "running"
+	Complete     State = "complete"
+	FailedNotRun State = "failed_not_run" // failed, and certainly no task started
+	Failed       State = "failed"
+)
+
+// Record is the value of a claim.
+type Record struct {
+	Owner   wire.Incarnation `json:"owner"`
+	Job     uint64           `json:"job"`     // the job's sequence number at the owner
+	Attempt uint64           `json:"attempt"` // keeps apart several attempts to claim for one job
+	State   State            `json:"state"`
+	Time    time.Time        `json:"time"` // when the state was written
+}
+
+// same reports whether two records are of the same attempt.
+func (r Record) same(o Record) bool {
+	return r.Owner == o.Owner && r.Job == o.Job && r.Attempt == o.Attempt
+}
+
+func (r Record) encode() []byte {
+	// A struct of numbers, strings and a time that package time made cannot
+	// fail to encode.
+	b, _ := json.Marshal(r)
+	return b
+}
+
+// decodeRecord returns a record of no known state for a value that it cannot
+// read, which no one may take over.
+func decodeRecord(value []byte) Record {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}
+	}
+	return r
+}
+
+// Scope is the part of the request keys that one team uses at one service.
+type Scope struct {
+	Service string
+	Team    string
+}
+
+func (s Scope) prefix() string {
+	return Prefix + url.PathEscape(s.Service) + "/" + url.PathEscape(s.Team) + "/"
+}
+
+func keyOf(s Scope, requestKey string) string {
+	sum := sha256.Sum256([]byte(requestKey))
+	return s.prefix() + hex.EncodeToString(sum[:hashBytes])
+}
+
+// attemptCounter numbers the attempts of one entry.
+type attemptCounter struct{ n atomic.Uint64 }
+
+func (a *attemptCounter) next() uint64 { return a.n.Add(1) }
+
+// random is a source of jitter for several goroutines, seeded by the entry's
+// incarnation so that entries differ.
+type random struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+func newRandom(seed uint64) *random {
+	return &random{source: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// between returns a duration from least up to most.
+func (r *random) between(least, most time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return least + time.Duration(r.source.Int64N(int64(most-least)+1))
+}
--- /dev/null
+++ b/claim/retain.go
@@ -0,0 +1,86 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/catkinline/catkinline/platform"
+)
+
+// deleteInterval is the time between two rounds of deletions.
+const deleteInterval = time.Second
+
+// old is a claim that this entry ended and will delete.
+type old struct {
+	key     string
+	version uint64
+	due     time.Time
+}
+
+// retained lists the entry's ended claims in the order in which they are due.
+// Claims over the limit are left to the sweep.
+type retained struct {
+	limit int
+	mu    sync.Mutex
+	list  []old
+}
+
+func (r *retained) add(o old) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.list) < r.limit {
+		r.list = append(r.list, o)
+	}
+}
+
+// first returns the first claim if it is due.
+func (r *retained) first(now time.Time) (old, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.list) == 0 || now.Before(r.list[0].due) {
+		return old{}, false
+	}
+	return r.list[0], true
+}
+
+func (r *retained) dropFirst() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = r.list[1:]
+}
+
+// deleteLoop deletes the entry's own claims when they are due.
+func (c *Claims) deleteLoop(ctx context.Context) error {
+	limit := deleteInterval
+	for c.sleep(c.random.between(limit/2, limit+limit/2)) {
+		limit = min(2*limit, longestRetry)
+		if c.deleteDue(ctx) {
+			limit = deleteInterval
+		}
+	}
+	return nil
+}
+
+// deleteDue deletes up to one second's number of claims and reports whether the
+// store answered.
+func (c *Claims) deleteDue(ctx context.Context) bool {
+	for range c.options.DeletesPerSecond {
+		o, ok := c.retained.first(time.Now())
+		if !ok {
+			return true
+		}
+		err := c.store.Delete(ctx, o.key, o.version)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return false
+		}
+		if err == nil {
+			c.counters.deleted.Add(1)
+		}
+		// A conflict is a claim that was taken over, or a deletion whose answer
+		// was lost.
+		c.retained.dropFirst()
+	}
+	return true
+}
