Add the runner of single tasks on a target

The runner sends one HTTP request per task and reports what is certain: "not run" only for the target's explicit refusal or if no byte of the request was handed to a connection. Each connection notes its first write and is sealed when a request fails, so that nothing can leave after that report.

Connections are not reused. Reuse with a short idle limit was ruled out: one connection that goes silent costs a task its whole run-time limit, and one that the target closes as a request is written makes an ordinary outcome unknown. Opening a connection beside the target costs far less than a task.

--- /dev/null
+++ b/agent/runner/runner.go
@@ -0,0 +1,234 @@
+// Package runner runs single tasks on a target over HTTP and tells exactly what
+// is known about each: done, failed, not run, or unknown.
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Headers and paths of the target protocol.
+const (
+	HeaderTask   = "Catkinline-Task"
+	HeaderNotRun = "Catkinline-Not-Run"
+	PathTasks    = "/tasks"
+	PathStatus   = "/status"
+)
+
+// Defaults of Config.
+const (
+	DefaultConnections = 64
+	DefaultResultBytes = 4 << 20
+	// DefaultRunLimit is many times the longest usual task, so that it only ends
+	// tasks that would hold a slot for ever.
+	DefaultRunLimit = 10 * time.Minute
+	// DefaultConnectLimit is far above the time to reach a target on the same
+	// machine or in the same rack. A connection that is not open by then has
+	// carried no request, so that the task can be tried elsewhere.
+	DefaultConnectLimit = time.Second
+)
+
+const (
+	reasonBytes    = 256      // of a failure's body that go into its reason
+	statusBytes    = 64 << 10 // of an answer to GET /status
+	headerBytes    = 64 << 10 // of a response's headers
+	initialResults = 64 << 10 // allocated for a declared result length before its bytes arrive
+)
+
+// Error is the class of errors of the status request.
+var Error = errs.Class("target")
+
+var errRunLimit = errors.New("the run-time limit has passed")
+
+// Config describes a target. Zero fields but URL take the defaults.
+type Config struct {
+	URL          string        // http://ip:port
+	Connections  int           // open at once
+	ResultBytes  int           // of one result
+	RunLimit     time.Duration // of a task for which Run is given no limit
+	ConnectLimit time.Duration // to open a connection
+}
+
+// Report is the end of one task. Lingers says that the target may still be
+// running it: the response did not end.
+type Report struct {
+	Outcome wire.Outcome
+	Lingers bool
+}
+
+// Runner runs tasks on one target.
+//
+// Every request has its own connection, closed after the response. A kept idle
+// connection can have gone silent, which would cost a task its whole run-time
+// limit, or be closed by the target just as a request is written, which makes
+// an ordinary task's outcome unknown. Opening a connection to a target beside
+// the agent is cheap compared with any task.
+type Runner struct {
+	cfg    Config
+	client *http.Client
+}
+
+// New returns a runner for a target.
+func New(cfg Config) *Runner {
+	if cfg.Connections <= 0 {
+		cfg.Connections = DefaultConnections
+	}
+	if cfg.ResultBytes <= 0 {
+		cfg.ResultBytes = DefaultResultBytes
+	}
+	if cfg.RunLimit <= 0 {
+		cfg.RunLimit = DefaultRunLimit
+	}
+	if cfg.ConnectLimit <= 0 {
+		cfg.ConnectLimit = DefaultConnectLimit
+	}
+	dialer := &net.Dialer{Timeout: cfg.ConnectLimit}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &sealedConn{Conn: c}, nil
+	}
+	return &Runner{cfg: cfg, client: &http.Client{
+		Transport: &http.Transport{
+			DialContext:            dial,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxConnsPerHost:        cfg.Connections,
+			MaxResponseHeaderBytes: headerBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Run runs one task and returns when its response ended, the limit passed (0:
+// the default) or ctx was cancelled. It sends at most one request.
+func (r *Runner) Run(ctx context.Context, task wire.TaskID, payload []byte, limit time.Duration) Report {
+	if limit <= 0 {
+		limit = r.cfg.RunLimit
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, limit, errRunLimit)
+	defer cancel()
+	started := time.Now()
+	report := r.run(ctx, task, payload)
+	report.Outcome.Task = task
+	report.Outcome.RunTime = time.Since(started)
+	return report
+}
+
+func (r *Runner) run(ctx context.Context, task wire.TaskID, payload []byte) Report {
+	var conns tracker
+	ctx = httptrace.WithClientTrace(ctx, conns.trace())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.cfg.URL+PathTasks, bytes.NewReader(payload))
+	if err != nil {
+		return ended(wire.StateRefused, result.TargetRefused, err.Error())
+	}
+	req.Header.Set(HeaderTask, task.String())
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return broken(ctx, err, conns.mayHaveWritten())
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return r.readResult(ctx, resp)
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true":
+		return ended(wire.StateRefused, result.TargetRefused, "")
+	}
+	return readFailure(resp)
+}
+
+func (r *Runner) readResult(ctx context.Context, resp *http.Response) Report {
+	limit := int64(r.cfg.ResultBytes)
+	body := bytes.NewBuffer(make([]byte, 0, min(max(0, resp.ContentLength)+bytes.MinRead, initialResults)))
+	n, err := body.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return broken(ctx, err, true)
+	}
+	if n > limit {
+		return lingering(wire.StateFailed, result.ResultTooLarge, "")
+	}
+	return Report{Outcome: wire.Outcome{State: wire.StateDone, Result: body.Bytes()}}
+}
+
+// readFailure reports a response that is neither a result nor a refusal. The
+// body's start goes into the reason; a body that does not end leaves open
+// whether the target still works on the task.
+func readFailure(resp *http.Response) Report {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, reasonBytes+1))
+	text := string(bytes.ToValidUTF8(body[:min(len(body), reasonBytes)], nil))
+	report := ended(wire.StateFailed, result.TaskFailed, fmt.Sprintf("status %d: %s", resp.StatusCode, text))
+	report.Lingers = err != nil || len(body) > reasonBytes
+	return report
+}
+
+// broken reports a request without a complete response. It was not run only if
+// nothing of it was written.
+func broken(ctx context.Context, err error, written bool) Report {
+	cause := context.Cause(ctx)
+	if cause != nil {
+		err = cause
+	}
+	switch {
+	case !written:
+		return ended(wire.StateRefused, result.TargetRefused, err.Error())
+	case errors.Is(cause, errRunLimit):
+		return lingering(wire.StateUnknown, result.TargetTimeout, "")
+	case cause != nil:
+		return lingering(wire.StateUnknown, result.Cancelled, "")
+	}
+	return lingering(wire.StateUnknown, result.OutcomeUnknown, err.Error())
+}
+
+func ended(state wire.OutcomeState, code result.Code, detail string) Report {
+	return Report{Outcome: wire.Outcome{State: state, Code: code, Reason: result.New(code, detail).Reason}}
+}
+
+func lingering(state wire.OutcomeState, code result.Code, detail string) Report {
+	report := ended(state, code, detail)
+	report.Lingers = true
+	return report
+}
+
+// Status is the target's answer to GET /status.
+type Status struct {
+	Running int `json:"running"` // tasks that the target is running
+}
+
+// Status asks the target how many tasks it is running.
+func (r *Runner) Status(ctx context.Context) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.cfg.URL+PathStatus, nil)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, Error.New("GET %s: status %d", PathStatus, resp.StatusCode)
+	}
+	status := Status{Running: -1}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, statusBytes)).Decode(&status); err != nil {
+		return 0, Error.Wrap(err)
+	}
+	if status.Running < 0 {
+		return 0, Error.New("GET %s: no number of running tasks", PathStatus)
+	}
+	return status.Running, nil
+}
