Add the agent's core: links, starts, configuration and the planned stop

The core joins the slot table and the runner behind one mutex.

A new agent grants nothing until its target has said what it still runs, and a request that ended without a response keeps its slot occupied until the target's status shows otherwise. Freeing the slot with the request was ruled out: cancelled work goes on at the target, and the next task would wait behind it. While tasks run, two status answers must agree, since a task that has just ended makes one answer too low.

A cancellation of a task that has not been seen bars it, because a large start travels on its own stream and can arrive after the cancellation. A revision on a heartbeat is adopted without a view: entries send a changed view first, and refusing starts until a view arrives would stop the agent at every change that does not concern it.

--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,359 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/catkinline/catkinline/agent/runner"
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/slots"
+	"github.com/catkinline/catkinline/wire"
+)
+
+const me = wire.Incarnation(500)
+
+// fakeLink records what the agent sends.
+type fakeLink struct {
+	mu     sync.Mutex
+	name   string
+	inc    wire.Incarnation
+	sent   []wire.Message
+	closed []error
+	broken bool
+}
+
+func (l *fakeLink) Name() string                  { return l.name }
+func (l *fakeLink) Incarnation() wire.Incarnation { return l.inc }
+func (l *fakeLink) Close(err error)               { l.closed = append(l.closed, err) }
+func (l *fakeLink) Send(m wire.Message) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken {
+		return errors.New("lost")
+	}
+	l.sent = append(l.sent, m)
+	return nil
+}
+
+// take returns the messages of one type sent since the last call for any type.
+func take[M wire.Message](l *fakeLink) []M {
+	synctest.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []M
+	for _, m := range l.sent {
+		if m, ok := m.(M); ok {
+			out = append(out, m)
+		}
+	}
+	l.sent = nil
+	return out
+}
+
+// fakeRunner runs every task for a time, or until it is cancelled; the target
+// then still works on it until the time has passed.
+type fakeRunner struct {
+	took    time.Duration
+	foreign atomic.Int32 // tasks that the target runs beyond the agent's; -1: no answer
+	mu      sync.Mutex
+	limits  []time.Duration
+}
+
+func (r *fakeRunner) Run(ctx context.Context, id wire.TaskID, payload []byte, limit time.Duration) runner.Report {
+	r.mu.Lock()
+	r.limits = append(r.limits, limit)
+	r.mu.Unlock()
+	select {
+	case <-time.After(r.took):
+		return runner.Report{Outcome: wire.Outcome{Task: id, State: wire.StateDone, Result: payload}}
+	case <-ctx.Done():
+		return runner.Report{Outcome: wire.Outcome{Task: id, State: wire.StateUnknown, Code: result.Cancelled}, Lingers: true}
+	}
+}
+
+func (r *fakeRunner) Status(context.Context) (int, error) {
+	n := int(r.foreign.Load())
+	if n < 0 {
+		return 0, errors.New("connection refused")
+	}
+	return n, nil
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Started(wire.Class)             {}
+func (noMetrics) Refused(result.Code)            {}
+func (noMetrics) Sent(wire.Type)                 {}
+func (noMetrics) GrantsExpired(int)              {}
+func (noMetrics) GrantsUnused(int)               {}
+func (noMetrics) IdleWhileWaiting(time.Duration) {}
+func (noMetrics) BadView()                       {}
+func (noMetrics) StatusFailed()                  {}
+
+// bubble runs a test in virtual time with an agent of two slots and a link.
+func bubble(t *testing.T, r *fakeRunner, test func(t *testing.T, a *Agent, l *fakeLink)) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{
+			Incarnation: me,
+			Target:      settings.Target{Name: "runner-1", Service: "frames", Slots: 2, Labels: label.Set{"lens": "wide"}},
+			Slots:       slots.Options{Policy: settings.Policy{Reserve: "none"}},
+			Runner:      r,
+			Metrics:     noMetrics{},
+			Decode: func(spec []byte) (View, error) {
+				if len(spec) == 0 {
+					return View{}, errors.New("empty")
+				}
+				return View{Draining: string(spec) == "drain", ShortLimit: time.Minute, Labels: label.Set{"spec": string(spec)}}, nil
+			},
+		})
+		defer func() {
+			if err := a.Kill(); err != nil {
+				t.Error(err)
+			}
+		}()
+		l := &fakeLink{name: "e1", inc: 1}
+		a.LinkUp(l)
+		test(t, a, l)
+	})
+}
+
+func startOf(job uint64, g *wire.Grant, revision uint64) *wire.Start {
+	id := wire.TaskID{Job: wire.JobID{Entry: 1, Seq: job}, Attempt: 1}
+	return &wire.Start{Task: id, Grant: g.ID, Revision: revision, TimeLeft: time.Hour, Payload: []byte("p")}
+}
+
+func one[M any](t *testing.T, list []M) M {
+	t.Helper()
+	if len(list) != 1 {
+		t.Fatalf("%d messages of type %T, want 1", len(list), list)
+	}
+	return list[0]
+}
+
+// Guards against an outcome that is lost with its link, one that is sent again
+// after its acknowledgement, and a freed slot that costs a message of its own.
+func TestOutcomeSurvivesReconnect(t *testing.T) {
+	bubble(t, &fakeRunner{took: time.Second}, func(t *testing.T, a *Agent, l *fakeLink) {
+		g := one(t, take[*wire.Grant](l))
+		first := startOf(1, g, 0)
+		a.Handle(l, first)
+		time.Sleep(2 * time.Second)
+		if out := one(t, take[*wire.Outcome](l)); out.Grant == nil || string(out.Result) != "p" {
+			t.Fatalf("%+v", out)
+		}
+		second := startOf(2, g, 0)
+		a.Handle(l, second)
+		a.LinkDown(l)
+		time.Sleep(2 * time.Second)
+		again := &fakeLink{name: "e1", inc: 1}
+		a.LinkUp(again)
+		a.Handle(l, startOf(9, g, 0)) // of the lost link
+		a.Handle(again, &wire.Ack{Tasks: []wire.TaskID{first.Task}})
+		third := startOf(3, g, 0)
+		a.Handle(again, &wire.Query{Agent: me, Tasks: []wire.TaskID{first.Task, second.Task, third.Task}})
+		a.Handle(again, third)
+		var states []wire.OutcomeState
+		for _, out := range take[*wire.Outcome](again) {
+			states = append(states, out.State)
+		}
+		if !slices.Equal(states, []wire.OutcomeState{wire.StateUnknown, wire.StateDone, wire.StateNeverSeen, wire.StateRefused}) {
+			t.Fatalf("%v", states)
+		}
+	})
+}
+
+// Guards against grants of slots on which an earlier agent's tasks still run,
+// or before the target has said whether there are any.
+func TestOccupiedByEarlierAgent(t *testing.T) {
+	r := &fakeRunner{}
+	r.foreign.Store(-1)
+	bubble(t, r, func(t *testing.T, _ *Agent, l *fakeLink) {
+		time.Sleep(time.Minute)
+		if n := len(take[*wire.Grant](l)); n != 0 {
+			t.Fatalf("%d grants while the target does not answer", n)
+		}
+		r.foreign.Store(1)
+		time.Sleep(2 * time.Second)
+		if g := one(t, take[*wire.Grant](l)); g.Slots != 1 {
+			t.Fatalf("%d slots granted", g.Slots)
+		}
+		r.foreign.Store(0)
+		time.Sleep(time.Second / 2)
+		one(t, take[*wire.Grant](l))
+		time.Sleep(slots.DefaultGrantTTL)
+		if len(take[*wire.Grant](l)) == 0 {
+			t.Fatal("grants without a heartbeat did not expire")
+		}
+	})
+}
+
+// Guards against a slot that is given away because a task ended on the target
+// just before its response: the target then seems to run one task less.
+func TestOccupiedWhileTasksRun(t *testing.T) {
+	r := &fakeRunner{took: time.Hour}
+	bubble(t, r, func(t *testing.T, a *Agent, l *fakeLink) {
+		g := one(t, take[*wire.Grant](l))
+		cancelled := startOf(1, g, 0)
+		a.Handle(l, cancelled)
+		a.Handle(l, startOf(2, g, 0))
+		r.foreign.Store(2)
+		a.Handle(l, &wire.Cancel{Tasks: []wire.TaskID{cancelled.Task}})
+		time.Sleep(statusInterval * 3 / 2)
+		r.foreign.Store(1)
+		for _, want := range []int{1, 0} {
+			time.Sleep(statusInterval)
+			if s := a.Stats(); s.Occupied != want {
+				t.Fatalf("%+v, want %d occupied", s, want)
+			}
+		}
+	})
+}
+
+// Guards against a cancelled task's slot that is given away while the target
+// still works on it, and against a late start of a cancelled task.
+func TestCancel(t *testing.T) {
+	r := &fakeRunner{took: time.Hour}
+	bubble(t, r, func(t *testing.T, a *Agent, l *fakeLink) {
+		g := one(t, take[*wire.Grant](l))
+		s, late := startOf(1, g, 0), startOf(2, g, 0)
+		r.foreign.Store(1)
+		a.Handle(l, s)
+		a.Handle(l, &wire.Cancel{Tasks: []wire.TaskID{s.Task, late.Task}})
+		a.Handle(l, late)
+		time.Sleep(time.Second)
+		out := take[*wire.Outcome](l)
+		if len(out) != 3 || out[0].State != wire.StateNeverSeen || out[1].Code != result.IdentityBarred && out[2].Code != result.IdentityBarred {
+			t.Fatalf("%+v", out)
+		}
+		if s := a.Stats(); s.Occupied != 1 || s.Granted != 1 {
+			t.Fatalf("%+v", s)
+		}
+		r.foreign.Store(0)
+		time.Sleep(time.Second)
+		if s := a.Stats(); s.Occupied != 0 || s.Granted != 2 {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+// Guards against starts under an older configuration, a view that goes back,
+// and changes that entries are not told about.
+func TestConfiguration(t *testing.T) {
+	r := &fakeRunner{took: time.Second}
+	bubble(t, r, func(t *testing.T, a *Agent, l *fakeLink) {
+		g := one(t, take[*wire.Grant](l))
+		a.Handle(l, &wire.View{Revision: 7, Spec: []byte("seven")})
+		if n := one(t, take[*wire.Announce](l)); n.Labels["spec"] != "seven" || n.Labels["lens"] != "wide" {
+			t.Fatalf("%+v", n)
+		}
+		a.Handle(l, startOf(1, g, 6))
+		if v := one(t, take[*wire.View](l)); v.Revision != 7 || string(v.Spec) != "seven" {
+			t.Fatalf("%+v", v)
+		}
+		a.Handle(l, &wire.View{Revision: 6, Spec: []byte("drain")})
+		a.Handle(l, &wire.View{Revision: 8})
+		a.Handle(l, startOf(2, g, 7))
+		synctest.Wait()
+		if !slices.Equal(r.limits, []time.Duration{time.Minute}) || a.Revision() != 7 {
+			t.Fatalf("run limits %v, revision %d", r.limits, a.Revision())
+		}
+		take[*wire.View](l)
+		a.Handle(l, &wire.Heartbeat{Revision: 9})
+		a.Handle(l, &wire.View{Revision: 8, Spec: []byte("drain")})
+		if v := one(t, take[*wire.View](l)); v.Revision != 9 {
+			t.Fatalf("%+v", v)
+		}
+		a.Handle(l, &wire.View{Revision: 9, Spec: []byte("drain")})
+		take[*wire.Announce](l)
+		a.Handle(l, startOf(3, g, 9))
+		if out := one(t, take[*wire.Outcome](l)); out.Code != result.Draining {
+			t.Fatalf("%+v", out)
+		}
+	})
+}
+
+// Guards against a planned stop that interrupts a task, starts another one, or
+// ends before the outcome is acknowledged; and against one that never ends.
+func TestPlannedStop(t *testing.T) {
+	for _, acked := range []bool{true, false} {
+		bubble(t, &fakeRunner{took: time.Minute}, func(t *testing.T, a *Agent, l *fakeLink) {
+			g := one(t, take[*wire.Grant](l))
+			s := startOf(1, g, 0)
+			a.Handle(l, s)
+			begin := time.Now()
+			ended := make(chan time.Duration)
+			go func() {
+				_ = a.Stop(context.Background())
+				ended <- time.Since(begin)
+			}()
+			one(t, take[*wire.Leave](l))
+			a.Handle(l, startOf(2, g, 0))
+			if out := one(t, take[*wire.Outcome](l)); out.Code != result.Draining {
+				t.Fatalf("%+v", out)
+			}
+			time.Sleep(time.Minute + time.Second)
+			if out := one(t, take[*wire.Outcome](l)); out.State != wire.StateDone {
+				t.Fatalf("%+v", out)
+			}
+			want := time.Minute + DefaultAckLimit
+			if acked {
+				a.Handle(l, &wire.Ack{Tasks: []wire.TaskID{s.Task}})
+				want = time.Minute + time.Second
+			}
+			if took := <-ended; took != want || !slices.Equal(l.closed, []error{nil}) {
+				t.Fatalf("ended after %v, want %v; link closed with %v", took, want, l.closed)
+			}
+		})
+	}
+}
+
+// Guards against a grant that a silent entry keeps, against a link that failed
+// to send and stays open, against a stale link that displaces a newer one, and
+// against an outcome or a grant that goes to the wrong entry.
+func TestLinks(t *testing.T) {
+	bubble(t, &fakeRunner{took: time.Second}, func(t *testing.T, a *Agent, l *fakeLink) {
+		first := one(t, take[*wire.Grant](l))
+		time.Sleep(slots.DefaultGrantTTL)
+		if g := one(t, take[*wire.Grant](l)); g.ID == first.ID || a.Stats().GrantsExpired != 2 {
+			t.Fatalf("%+v", g)
+		}
+		newer := &fakeLink{name: "e1", inc: 2}
+		a.Handle(l, startOf(1, &wire.Grant{ID: wire.GrantID{Agent: me, Seq: first.ID.Seq + 1}}, 0))
+		a.LinkUp(newer)
+		a.LinkUp(&fakeLink{name: "e1", inc: 1})
+		a.LinkDown(l)
+		if len(l.closed) != 1 || len(newer.closed) != 0 || len(take[*wire.Grant](newer)) != 1 {
+			t.Fatalf("closed: %v, %v", l.closed, newer.closed)
+		}
+		other := &fakeLink{name: "e2", inc: 3}
+		a.LinkUp(other)
+		a.Handle(other, &wire.Demand{Waiting: 9})
+		time.Sleep(time.Second)
+		if outs := take[*wire.Outcome](newer); len(outs) != 0 {
+			t.Fatalf("outcome of an earlier incarnation: %+v", outs[0])
+		}
+		g := one(t, take[*wire.Grant](other))
+		foreign := startOf(1, g, 0)
+		foreign.Task.Job.Entry = 3
+		a.Handle(other, foreign)
+		a.Handle(newer, &wire.Demand{Waiting: 9, Key: -1})
+		time.Sleep(time.Second)
+		if outs := take[*wire.Outcome](other); outs[0].Grant != nil {
+			t.Fatalf("the grant of another entry: %+v", outs[0])
+		}
+		newer.broken = true
+		a.Handle(newer, &wire.Query{Tasks: []wire.TaskID{{}, {}}})
+		a.LinkUp(&fakeLink{name: "e1", inc: 2})
+		if len(newer.closed) != 1 {
+			t.Fatalf("%d closes", len(newer.closed))
+		}
+	})
+}
--- /dev/null
+++ b/agent/loops.go
@@ -0,0 +1,197 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/catkinline/catkinline/agent/runner"
+	"github.com/catkinline/catkinline/wire"
+)
+
+const (
+	// statusInterval is short against most tasks, so that an occupied slot is
+	// not idle for long after its work ended.
+	statusInterval = 100 * time.Millisecond
+	// statusMaxInterval bounds the load on a target that does not answer.
+	statusMaxInterval = time.Second
+	// statusLimit bounds one status request.
+	statusLimit = time.Second
+	// noDeadline is the wait while nothing is due.
+	noDeadline = time.Hour
+	stopReason = "planned stop"
+)
+
+// finish records the end of a task and sends its outcome.
+func (a *Agent) finish(entry string, report runner.Report) {
+	a.mu.Lock()
+	defer a.unlock()
+	now := time.Now()
+	out := report.Outcome
+	delete(a.tasks, out.Task.Identity())
+	if report.Lingers {
+		a.table.Detach(out.Task, out, now)
+		signal(a.poll)
+	} else {
+		a.table.Finish(out.Task, out, now)
+	}
+	if state := a.links[entry]; state != nil && state.Incarnation() == out.Task.Job.Entry {
+		a.answer(entry, out)
+	}
+	signal(a.quiet)
+	a.flush(now)
+}
+
+// watchDeadlines applies what the slot table has due: expired grants, bounds of
+// retained outcomes, silent entries.
+func (a *Agent) watchDeadlines() error {
+	timer := time.NewTimer(noDeadline)
+	defer timer.Stop()
+	for {
+		timer.Reset(a.applyDeadlines())
+		select {
+		case <-a.tomb.Dying():
+			return nil
+		case <-a.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// applyDeadlines returns the time until the next deadline.
+func (a *Agent) applyDeadlines() time.Duration {
+	a.mu.Lock()
+	defer a.unlock()
+	now := time.Now()
+	a.table.Expire(now)
+	a.armed = now // no signal from this flush
+	a.flush(now)
+	a.armed = a.table.NextDeadline()
+	if a.armed.IsZero() {
+		return noDeadline
+	}
+	return max(0, a.armed.Sub(now))
+}
+
+// watchTarget asks the target what it runs while slots are occupied without a
+// running task: at the start, and after a request that ended without a response.
+func (a *Agent) watchTarget() error {
+	previous := a.cfg.Target.Slots
+	wait := time.Duration(0)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-a.tomb.Dying():
+			return nil
+		case <-timer.C:
+		}
+		estimate, ok := a.askTarget()
+		switch {
+		case !ok:
+			wait = min(max(2*wait, statusInterval), statusMaxInterval)
+		case a.release(max(previous, estimate), estimate) > 0:
+			previous, wait = estimate, statusInterval
+		default:
+			previous, wait = a.cfg.Target.Slots, statusInterval
+			select {
+			case <-a.tomb.Dying():
+				return nil
+			case <-a.poll:
+			}
+		}
+		timer.Reset(wait)
+	}
+}
+
+// askTarget estimates how many tasks the target runs beyond the agent's own.
+func (a *Agent) askTarget() (estimate int, ok bool) {
+	before := a.inFlight()
+	ctx, cancel := context.WithTimeout(a.ctx, statusLimit)
+	defer cancel()
+	running, err := a.cfg.Runner.Status(ctx)
+	if err != nil {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.cfg.Metrics.StatusFailed()
+		return 0, false
+	}
+	return max(0, running-min(before, a.inFlight())), true
+}
+
+func (a *Agent) inFlight() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.tasks)
+}
+
+// release lowers the occupied slots and returns the rest. While tasks run, an
+// estimate can be too low, since a task may have ended on the target before its
+// response arrived; then the greater one of two consecutive estimates counts.
+// Without running tasks a single estimate is exact.
+func (a *Agent) release(greater, estimate int) int {
+	a.mu.Lock()
+	defer a.unlock()
+	now := time.Now()
+	if len(a.tasks) > 0 {
+		estimate = greater
+	}
+	a.table.SetOccupied(min(a.table.Occupied(), estimate), now)
+	a.flush(now)
+	return a.table.Occupied()
+}
+
+// Stop is the planned stop. Entries are told and get no slots any more, running
+// tasks finish, and their outcomes are acknowledged, each within its limit. It
+// returns when the agent has ended; tasks that still run then are cancelled.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.mu.Lock()
+	a.stopping = true
+	a.table.SetDraining(true, time.Now())
+	a.sendAll(&wire.Leave{Reason: stopReason})
+	a.flush(time.Now())
+	a.unlock()
+
+	runCtx, cancel := context.WithTimeout(ctx, a.cfg.StopLimit)
+	defer cancel()
+	a.waitUntil(runCtx, func() bool { return len(a.tasks) == 0 })
+	ackCtx, cancelAck := context.WithTimeout(ctx, a.cfg.AckLimit)
+	defer cancelAck()
+	a.waitUntil(ackCtx, func() bool { return a.table.Stats(time.Now()).Retained == 0 })
+	return a.Kill()
+}
+
+// waitUntil waits until a condition on the locked state holds or ctx ends.
+func (a *Agent) waitUntil(ctx context.Context, holds func() bool) {
+	for {
+		a.mu.Lock()
+		done := holds()
+		a.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-a.quiet:
+		case <-ctx.Done():
+			return
+		case <-a.tomb.Dying():
+			return
+		}
+	}
+}
+
+// Kill ends the agent at once: running tasks are cancelled, and their outcomes
+// are sent before the links are closed.
+func (a *Agent) Kill() error {
+	a.mu.Lock()
+	a.ended = true
+	a.table.SetDraining(true, time.Now())
+	a.unlock()
+	a.tomb.Kill(nil)
+	err := a.tomb.Wait()
+	a.mu.Lock()
+	for _, state := range a.links {
+		a.closeLink(state, nil)
+	}
+	a.unlock()
+	return err
+}
