Join agent, entry and commands into the whole path

The agent now follows the rule that a bare revision on a heartbeat stands for the last view of its own link: an entry that skipped a revision may hold equal bytes for two revisions while the agent has taken another view from another entry.

Entries announce a revision on heartbeats only after the changed views were sent, since otherwise the agent would take the old view for the new revision. Any message of an entry renews its grants, because a link sends no heartbeat while other messages flow.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/catkinline/catkinline/agent/runner"
+	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/label"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
@@ -137,8 +138,7 @@
 	links    map[string]*linkState
 	tasks    map[wire.TaskID]task // by identity
 	view     View
-	spec     []byte
-	viewAt   uint64 // revision of view
+	views    config.Views
 	stopping bool
 	ended    bool
 	armed    time.Time // deadline that the timer loop waits for
@@ -208,6 +208,7 @@
 		return
 	}
 	if old := a.links[l.Name()]; old != nil {
+		a.views.Close(l.Name())
 		a.closeLink(old, errReplaced)
 	}
 	state := &linkState{Link: l}
@@ -228,6 +229,7 @@
 	}
 	now := time.Now()
 	delete(a.links, l.Name())
+	a.views.Close(l.Name())
 	a.table.EntryDown(l.Name(), now)
 	a.flush(now)
 }
--- a/agent/handle.go
+++ b/agent/handle.go
@@ -24,6 +24,7 @@
 	}
 	now := time.Now()
 	name := l.Name()
+	a.table.Heard(name, now)
 	switch m := m.(type) {
 	case *wire.Demand:
 		a.table.SetDemand(name, *m, now)
@@ -43,7 +44,7 @@
 	case *wire.Heartbeat:
 		a.heartbeat(state, m, now)
 	case *wire.View:
-		a.adopt(state, m, now)
+		a.receiveView(state, m, now)
 	case *wire.Leave:
 		a.table.EntryLeaving(name, now)
 	case *wire.Welcome, *wire.Peers:
@@ -56,6 +57,9 @@
 
 // start runs a task or answers why it does not.
 func (a *Agent) start(state *linkState, s *wire.Start, received, now time.Time) {
+	if len(s.Acks) > 0 {
+		a.table.Ack(state.Name(), &wire.Ack{Tasks: s.Acks}, now)
+	}
 	ok, out := a.table.Start(state.Name(), s, received, now)
 	if !ok {
 		a.cfg.Metrics.Refused(out.Code)
@@ -68,7 +72,7 @@
 	a.cfg.Metrics.Started(s.Class)
 	ctx, cancel := context.WithCancel(a.ctx)
 	a.tasks[s.Task.Identity()] = task{id: s.Task, cancel: cancel}
-	limit := a.view.limit(s.Class)
+	limit := a.limit(s)
 	a.tomb.Go(func() error {
 		defer cancel()
 		a.finish(state.Name(), a.cfg.Runner.Run(ctx, s.Task, s.Payload, limit))
@@ -76,6 +80,16 @@
 	})
 }
 
+// limit is the shorter of the class's run-time limit and the time to the job's
+// deadline: nobody waits for the result after that.
+func (a *Agent) limit(s *wire.Start) time.Duration {
+	limit := a.view.limit(s.Class)
+	if limit == 0 {
+		return s.TimeLeft
+	}
+	return min(limit, s.TimeLeft)
+}
+
 // cancel ends the requests of running tasks. A task that has not been seen is
 // barred and answered, because its start may still be on its way: a large start
 // travels on a stream of its own.
@@ -98,12 +112,13 @@
 	}
 }
 
-// heartbeat renews the entry's grants and takes over a newer revision. The
-// entry sends a changed view before the first heartbeat with its revision, so
-// that a revision without a view leaves the agent's view as it is.
+// heartbeat takes the revision of an entry. An entry sends its view before the
+// first heartbeat with that view's revision, so a bare revision stands for the
+// last view of its own link.
 func (a *Agent) heartbeat(state *linkState, m *wire.Heartbeat, now time.Time) {
-	a.table.Heard(state.Name(), now)
-	a.table.SetRevision(m.Revision)
+	if a.views.Heard(state.Name(), m.Revision) {
+		a.adopt(now)
+	}
 	if m.Revision < a.table.Revision() && state.viewSent < a.table.Revision() {
 		a.handBack(state)
 	}
@@ -112,27 +127,37 @@
 // handBack sends the view to an entry that knows only an older revision.
 func (a *Agent) handBack(state *linkState) {
 	state.viewSent = a.table.Revision()
-	a.send(state, &wire.View{Revision: a.table.Revision(), Spec: a.spec})
+	view := a.views.Current()
+	a.send(state, &view)
 }
 
-// adopt takes over a newer view. A view of an older revision is answered with
-// the newer one.
-func (a *Agent) adopt(state *linkState, m *wire.View, now time.Time) {
+// receiveView takes a view. One of an older revision is answered with the newer
+// one.
+func (a *Agent) receiveView(state *linkState, m *wire.View, now time.Time) {
 	if m.Revision < a.table.Revision() {
 		a.handBack(state)
 		return
 	}
-	if m.Revision <= a.viewAt {
+	if _, err := a.cfg.Decode(m.Spec); err != nil {
+		a.cfg.Metrics.BadView()
 		return
 	}
-	view, err := a.cfg.Decode(m.Spec)
+	if a.views.Receive(state.Name(), *m) {
+		a.adopt(now)
+	}
+}
+
+// adopt takes the current view and its revision into force.
+func (a *Agent) adopt(now time.Time) {
+	current := a.views.Current()
+	a.table.SetRevision(current.Revision)
+	view, err := a.cfg.Decode(current.Spec)
 	if err != nil {
 		a.cfg.Metrics.BadView()
 		return
 	}
 	changed := view.Draining != a.view.Draining || !maps.Equal(view.Labels, a.view.Labels)
-	a.view, a.spec, a.viewAt = view, m.Spec, m.Revision
-	a.table.SetRevision(m.Revision)
+	a.view = view
 	a.table.SetDraining(a.draining(), now)
 	if changed {
 		a.sendAll(a.announcement())
--- /dev/null
+++ b/agent/process.go
@@ -0,0 +1,337 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/catkinline/catkinline/agent/runner"
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/slots"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Timing of an agent process.
+const (
+	// dialInterval is the mean pause between attempts to reach an entry.
+	dialInterval = 500 * time.Millisecond
+	// lookupInterval is the mean pause between readings of the store while no
+	// entry is linked. Linked agents learn of entries from entries, so that the
+	// store's reads do not grow with the fleet.
+	lookupInterval = 2 * time.Second
+	// headerTimeout bounds how long a connection to the admin address may take
+	// to send a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// Process is an agent with its links to entries and its admin address.
+type Process struct {
+	settings    settings.Agent
+	log         *zap.Logger
+	metrics     *metrics.Registry
+	incarnation wire.Incarnation
+	credentials *transport.Credentials
+	store       platform.Store // nil: none
+	agent       *Agent
+	tomb        tomb.Tomb
+	dialling    sync.Map // addresses of entries that a loop dials
+
+	mu    sync.Mutex
+	links map[*transport.Link]Link
+	peers map[string]map[string]bool // addresses that each linked entry lists, by its name
+}
+
+// NewProcess returns a process that Run starts.
+func NewProcess(s settings.Agent, store platform.Store, log *zap.Logger) (*Process, error) {
+	credentials, err := transport.NewCredentials(s.TLS, transport.Identity{Role: wire.RoleAgent, Name: s.Name})
+	if err != nil {
+		return nil, err
+	}
+	return &Process{
+		settings:    s,
+		log:         log,
+		metrics:     metrics.New(map[string]string{"role": "agent", "instance": s.Name}),
+		incarnation: wire.NewIncarnation(time.Now()),
+		credentials: credentials,
+		store:       store,
+		links:       make(map[*transport.Link]Link),
+		peers:       make(map[string]map[string]bool),
+	}, nil
+}
+
+// Run serves until ctx is cancelled, which begins a planned stop, and returns
+// when that stop has ended.
+func (p *Process) Run(ctx context.Context) error {
+	p.agent = New(Config{
+		Incarnation:   p.incarnation,
+		FailureDomain: p.settings.FailureDomain,
+		Region:        p.settings.Region,
+		Target:        p.settings.Target,
+		Slots:         slots.Options{Policy: p.settings.Policy},
+		Runner:        runner.New(runner.Config{URL: p.settings.Target.URL, Connections: p.settings.Target.Connections}),
+		Decode:        decodeView,
+		Metrics:       recorder{p.metrics},
+	})
+	if err := p.serveAdmin(); err != nil {
+		_ = p.agent.Kill()
+		return err
+	}
+	for _, address := range p.settings.Entries {
+		p.dial(address)
+	}
+	p.tomb.Go(p.lookupLoop)
+	p.log.Info("agent started", zap.String("name", p.settings.Name), zap.String("target", p.settings.Target.URL))
+	var err error
+	select {
+	case <-ctx.Done():
+		p.log.Info("planned stop begins")
+		err = p.agent.Stop(context.Background())
+	case <-p.tomb.Dying():
+		err = p.agent.Kill()
+	}
+	p.tomb.Kill(err)
+	err = p.tomb.Wait()
+	_ = p.metrics.Close()
+	p.log.Info("agent stopped")
+	return err
+}
+
+// decodeView reads a view. The limit of long work holds for both classes: a
+// class is an estimate, and a wrong one must not end a task.
+func decodeView(spec []byte) (View, error) {
+	v, err := config.DecodeView(spec)
+	if err != nil {
+		return View{}, err
+	}
+	out := View{Draining: v.Target.Drain, Labels: v.Target.Labels}
+	if v.Service != nil {
+		limit := time.Duration(max(v.Service.Short.RunMS, v.Service.Long.RunMS)) * time.Millisecond
+		out.ShortLimit, out.LongLimit = limit, limit
+	}
+	return out, nil
+}
+
+// dial starts a loop that keeps a link to an entry, once per address.
+func (p *Process) dial(address string) {
+	if _, running := p.dialling.LoadOrStore(address, true); running || !p.tomb.Alive() {
+		return
+	}
+	p.tomb.Go(func() error {
+		defer p.dialling.Delete(address)
+		ctx := p.tomb.Context(context.Background())
+		for p.tomb.Alive() && p.wanted(address) {
+			if err := transport.Dial(ctx, address, p.linkOptions()); err != nil {
+				p.log.Debug("no link to entry", zap.String("address", address), zap.Error(err))
+			}
+			p.pause(dialInterval)
+		}
+		return nil
+	})
+}
+
+// pause waits for a time between half and one and a half of d.
+func (p *Process) pause(d time.Duration) {
+	select {
+	case <-p.tomb.Dying():
+	case <-time.After(d/2 + rand.N(d)):
+	}
+}
+
+// wanted reports whether an address belongs to a configured entry or to one that
+// a linked entry lists.
+func (p *Process) wanted(address string) bool {
+	for _, e := range p.settings.Entries {
+		if e == address {
+			return true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, listed := range p.peers {
+		if listed[address] {
+			return true
+		}
+	}
+	return false
+}
+
+// lookupLoop finds entries in the store while none is linked.
+func (p *Process) lookupLoop() error {
+	for p.tomb.Alive() {
+		if p.store != nil && p.linked() == 0 {
+			p.lookup()
+		}
+		p.pause(lookupInterval)
+	}
+	return nil
+}
+
+// storeName is the key under which the addresses that the store lists are kept
+// beside those that entries list.
+const storeName = ""
+
+func (p *Process) lookup() {
+	ctx, cancel := context.WithTimeout(p.tomb.Context(context.Background()), lookupInterval)
+	defer cancel()
+	peers, err := member.Read(ctx, p.store)
+	if err != nil {
+		return
+	}
+	p.learn(storeName, peers)
+}
+
+func (p *Process) linked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.links)
+}
+
+// learn dials the entries that one source lists.
+func (p *Process) learn(source string, peers []wire.Peer) {
+	listed := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		listed[peer.Address] = true
+	}
+	p.mu.Lock()
+	p.peers[source] = listed
+	p.mu.Unlock()
+	for _, peer := range peers {
+		p.dial(peer.Address)
+	}
+}
+
+func (p *Process) linkOptions() transport.Options {
+	return transport.Options{
+		Self:        transport.Identity{Role: wire.RoleAgent, Name: p.settings.Name},
+		Incarnation: p.incarnation,
+		Credentials: p.credentials,
+		Handler:     handler{p},
+		Revision:    p.agent.Revision,
+		Counter:     metrics.Messages{Registry: p.metrics},
+	}
+}
+
+// quicLink adapts a transport link to what the agent needs.
+type quicLink struct{ *transport.Link }
+
+// Close implements Link.
+func (l quicLink) Close(err error) { _ = l.Link.Close(err) }
+
+// handler passes what happens on links to the agent.
+type handler struct{ p *Process }
+
+// LinkUp implements transport.Handler.
+func (h handler) LinkUp(l *transport.Link) {
+	link := &quicLink{l}
+	h.p.mu.Lock()
+	h.p.links[l] = link
+	h.p.mu.Unlock()
+	h.p.log.Info("entry linked", zap.String("entry", l.Name()))
+	h.p.agent.LinkUp(link)
+}
+
+// LinkDown implements transport.Handler. What a lost entry listed stays listed:
+// its list is how the agent finds that entry's successor.
+func (h handler) LinkDown(l *transport.Link, err error) {
+	h.p.mu.Lock()
+	link := h.p.links[l]
+	delete(h.p.links, l)
+	h.p.mu.Unlock()
+	h.p.log.Info("entry link closed", zap.String("entry", l.Name()), zap.Error(err))
+	h.p.agent.LinkDown(link)
+}
+
+// Handle implements transport.Handler.
+func (h handler) Handle(l *transport.Link, m wire.Message) {
+	if list, ok := m.(*wire.Peers); ok {
+		h.p.learn(l.Name(), list.Peers)
+		return
+	}
+	h.p.mu.Lock()
+	link := h.p.links[l]
+	h.p.mu.Unlock()
+	if link != nil {
+		h.p.agent.Handle(link, m)
+	}
+}
+
+func (p *Process) serveAdmin() error {
+	if p.settings.AdminAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.settings.AdminAddress)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r := bunrouter.New()
+	r.GET("/healthz", writeOK)
+	r.GET("/readyz", writeOK)
+	r.GET("/metrics", bunrouter.HTTPHandler(p.metrics.Handler()))
+	server := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	p.tomb.Go(func() error {
+		<-p.tomb.Dying()
+		return server.Close()
+	})
+	p.tomb.Go(func() error {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+func writeOK(w http.ResponseWriter, _ bunrouter.Request) error {
+	_, err := w.Write([]byte("ok\n"))
+	return err
+}
+
+// recorder implements Metrics.
+type recorder struct{ registry *metrics.Registry }
+
+// Started implements Metrics.
+func (r recorder) Started(c wire.Class) {
+	r.registry.Add(metrics.TaskStarts, 1, metrics.TagClass, c.String())
+}
+
+// Refused implements Metrics.
+func (r recorder) Refused(c result.Code) {
+	r.registry.Add(metrics.StartRefusals, 1, metrics.TagCode, c.String())
+}
+
+// Sent implements Metrics. The link counts messages by type.
+func (r recorder) Sent(wire.Type) {}
+
+// GrantsExpired implements Metrics.
+func (r recorder) GrantsExpired(n int) {
+	r.registry.Add(metrics.GrantsUnused, int64(n), metrics.TagReason, "expired")
+}
+
+// GrantsUnused implements Metrics.
+func (r recorder) GrantsUnused(n int) {
+	r.registry.Add(metrics.GrantsUnused, int64(n), metrics.TagReason, "returned")
+}
+
+// IdleWhileWaiting implements Metrics.
+func (r recorder) IdleWhileWaiting(d time.Duration) {
+	r.registry.Add(metrics.IdleSlotMillis, d.Milliseconds())
+}
+
+// BadView implements Metrics.
+func (r recorder) BadView() { r.registry.Add(metrics.BadViews, 1) }
+
+// StatusFailed implements Metrics.
+func (r recorder) StatusFailed() { r.registry.Add(metrics.StatusFailures, 1) }
--- a/agent/send.go
+++ b/agent/send.go
@@ -10,12 +10,15 @@
 // grants and revocations that are due. A grant goes with an outcome to the same
 // entry where there is one.
 func (a *Agent) flush(now time.Time) {
+	load := a.load(now)
 	for _, allocation := range a.table.Allocate(now) {
+		allocation.Grant.Load = load
 		if !a.attach(allocation.Entry, allocation.Grant) {
 			a.sendTo(allocation.Entry, &allocation.Grant)
 		}
 	}
 	for i := range a.answers {
+		a.answers[i].outcome.Load = load
 		a.sendTo(a.answers[i].entry, &a.answers[i].outcome)
 	}
 	a.answers = nil
@@ -28,6 +31,12 @@
 	}
 }
 
+// load is what runs at the target and what entries say waits for it.
+func (a *Agent) load(now time.Time) uint32 {
+	s := a.table.Stats(now)
+	return uint32(s.Running + s.Occupied + s.Waiting)
+}
+
 func (a *Agent) attach(entry string, g wire.Grant) bool {
 	for i := range a.answers {
 		if a.answers[i].entry == entry && a.answers[i].outcome.Grant == nil {
--- a/command/agent.go
+++ b/command/agent.go
@@ -36,7 +36,11 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
-	process, err := agent.New(s, log)
+	store, err := newStore(s.Store)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	process, err := agent.NewProcess(s, store, log)
 	if err != nil {
 		return failed(stderr, err)
 	}
--- a/command/command.go
+++ b/command/command.go
@@ -34,6 +34,7 @@
 	{"agent", "run tasks on the target beside it", runAgent},
 	{"submit", "send a job and print its answer", runSubmit},
 	{"demo", "run the whole path in one process", runDemo},
+	{"load", "drive a fleet of real processes and measure it", runLoad},
 	{"standin store", "serve a stand-in of the platform's store", runStandinStore},
 	{"standin target", "serve a stand-in target", runStandinTarget},
 	{"ctl", "show and change the configuration and the state of a running system", runCtl},
@@ -59,10 +60,6 @@
 		fmt.Fprintf(stderr, "error: unknown subcommand %q\n", strings.Join(args, " "))
 	}
 	writeUsage(stderr)
-	if len(args) > 0 && args[0] == "load" {
-		return runLoad(args[1:], stdout, stderr)
-	}
-	fmt.Fprintln(stderr, "usage: catkinline SUBCOMMAND")
 	return exitUsage
 }
 
--- a/command/ctl_client.go
+++ b/command/ctl_client.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,12 +16,18 @@
 	"github.com/catkinline/catkinline/operator"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
 
-// ClientTLS returns the TLS configuration of a client with a role.
-var ClientTLS = func(settings.TLS, wire.Role) (*tls.Config, error) {
-	return nil, errors.New("this program was built without TLS identities")
+// ClientTLS returns the TLS configuration of a client with a role. Tests replace
+// it.
+var ClientTLS = func(s settings.TLS, role wire.Role) (*tls.Config, error) {
+	c, err := transport.NewCredentials(s, transport.Identity{Role: role, Name: "ctl"})
+	if err != nil {
+		return nil, err
+	}
+	return c.TLS("http/1.1"), nil
 }
 
 const (
@@ -50,10 +55,10 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{TLSClientConfig: tlsConfig, DisableKeepAlives: true}
+	roundTripper := &http.Transport{TLSClientConfig: tlsConfig, DisableKeepAlives: true}
 	return &ctlClient{
 		base: "https://" + a.Address,
-		http: http.Client{Transport: transport, Timeout: ctlTimeout},
+		http: http.Client{Transport: roundTripper, Timeout: ctlTimeout},
 	}, nil
 }
 
--- a/command/demo.go
+++ b/command/demo.go
@@ -179,7 +179,7 @@
 		return err
 	}
 	settings.SetDefaults(&s)
-	a, err := agent.New(s, d.log.Named(name))
+	a, err := agent.NewProcess(s, nil, d.log.Named(name))
 	if err != nil {
 		return err
 	}
--- a/command/load.go
+++ b/command/load.go
@@ -3,14 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alexflint/go-arg"
 
 	"github.com/catkinline/catkinline/load"
 )
@@ -37,30 +32,16 @@
 	return "Example: catkinline load experiments/leijakuva.json --quick --compare default fifo"
 }
 
-const exitFailure = 1
-
 // runLoad runs "catkinline load" and returns the exit status, which is non-zero
 // if a run could not be made or showed a violation.
-func runLoad(args []string, stdout, stderr io.Writer) int {
+func runLoad(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var a loadArguments
-	parser, err := arg.NewParser(arg.Config{Program: "catkinline load"}, &a)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
-		parser.WriteHelp(stdout)
-		return 0
-	} else if err != nil {
-		parser.WriteUsage(stderr)
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
+	if exit, ok := parseArgs("load", &a, args, stdout, stderr); !ok {
+		return exit
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	if err := a.run(ctx, stdout, stderr); err != nil {
 		fmt.Fprintln(stderr, "error:", err)
-		return exitFailure
+		return exitFailed
 	}
 	return 0
 }
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -40,7 +40,7 @@
 	s.noteDemand(t, wire.Demand{}, now)
 	t.unanswered = false
 	if len(t.out) > 0 {
-		s.send(t, &wire.Query{Tasks: t.outstanding()})
+		s.send(t, &wire.Query{Tasks: t.outstanding(), Agent: t.incarnation})
 	}
 	return true
 }
@@ -198,7 +198,7 @@
 	if t == nil || t.link != link {
 		return
 	}
-	left, used := t.drop(r.ID)
+	left, used := t.giveBack(r.ID, r.Slots)
 	if !used {
 		s.waste(1) // the grant led to no start
 	}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -109,14 +109,22 @@
 	return id, true
 }
 
-// drop removes a grant and returns what was left of it.
-func (t *target) drop(id wire.GrantID) (left uint32, used bool) {
+// giveBack takes at most n unused slots off a grant, or all where n is 0, and
+// reports whether the grant has led to a start.
+func (t *target) giveBack(id wire.GrantID, n uint32) (slots uint32, used bool) {
 	for i := range t.grants {
-		if t.grants[i].id == id {
-			left, used = t.grants[i].left, t.grants[i].used
-			t.grants = append(t.grants[:i], t.grants[i+1:]...)
-			return left, used
+		g := &t.grants[i]
+		if g.id != id {
+			continue
+		}
+		slots, used = g.left, g.used
+		if n > 0 && n < g.left {
+			slots = n
+			g.left -= n
+			return slots, used
 		}
+		t.grants = append(t.grants[:i], t.grants[i+1:]...)
+		return slots, used
 	}
 	return 0, true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,10 +51,14 @@
 	jobs       atomic.Uint64
 	stopping   atomic.Bool // a planned stop has begun
 	refusing   atomic.Bool // new jobs are refused
-	counts     counts
-	calls      callReporter // owned by gaugeLoop
-	requests   atomic.Int64 // job requests being served
-	dialling   sync.Map     // addresses of peers that a loop dials
+	// announced is the revision that heartbeats carry. It follows the current one
+	// only after every changed view has been sent, since an agent takes a bare
+	// revision to confirm the last view of its link.
+	announced atomic.Uint64
+	counts    counts
+	calls     callReporter // owned by gaugeLoop
+	requests  atomic.Int64 // job requests being served
+	dialling  sync.Map     // addresses of peers that a loop dials
 
 	mu         sync.RWMutex
 	agents     map[*transport.Link]*agentLink
@@ -108,7 +112,7 @@
 		Incarnation: e.incarnation,
 		Credentials: e.credentials,
 		Handler:     linkHandler{e},
-		Revision:    func() uint64 { return e.config.Current().Revision() },
+		Revision:    e.announced.Load,
 		Counter:     metrics.Messages{Registry: e.metrics},
 	}
 }
@@ -262,6 +266,7 @@
 	for _, a := range e.agents {
 		e.sendView(a)
 	}
+	e.announced.Store(current.Revision())
 	e.mu.Unlock()
 	for name := range current.Document().Services {
 		e.scheduler(name)
--- a/member/member.go
+++ b/member/member.go
@@ -279,3 +279,19 @@
 
 // errSuperseded is a registration under a name that a later incarnation holds.
 var errSuperseded = errors.New("member: a later incarnation holds the entry's name")
+
+// Read lists the entries that the store holds, for a process that only looks
+// them up.
+func Read(ctx context.Context, store platform.Store) ([]wire.Peer, error) {
+	entries, _, err := store.List(ctx, Prefix)
+	if err != nil {
+		return nil, err
+	}
+	var peers []wire.Peer
+	for _, e := range entries {
+		if p, ok := decodePeer(e); ok {
+			peers = append(peers, p)
+		}
+	}
+	return peers, nil
+}
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -25,7 +25,9 @@
 	StartRefusals     = "start_refusals"     // starts refused by an agent, by code
 	OutcomesIgnored   = "outcomes_ignored"   // late, duplicate or foreign outcomes
 	GrantsUnused      = "grants_unused"      // slots granted and returned, revoked or expired without a start
-	IdleSlotSeconds   = "idle_slot_seconds"  // slots idle while an entry has waiting work, in slot seconds
+	IdleSlotMillis    = "idle_slot_millis"   // slot time in ms that was idle while an entry had waiting work
+	BadViews          = "bad_views"          // configuration views that an agent could not decode
+	StatusFailures    = "status_failures"    // status requests to a target without a usable answer
 	TargetEjections   = "target_ejections"   // targets taken out for failures or slowness
 	TargetsEjected    = "targets_ejected"    // gauge: targets now ejected or on probation
 	AgentsLinked      = "agents_linked"      // gauge: agents with an open link
