--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -12,8 +12,8 @@
 // Limits of a TCP relay.
 const (
 	chunkBytes  = 32 << 10
-	lineChunks  = 256 // of one direction of one connection
-	maxConns    = 4096
+	lineChunks  = 256   // of one direction of one connection
+	maxConns    = 16384 // a wave of 10,000 cancelled jobs may pass one relay
 	dialTimeout = 10 * time.Second
 )
 
--- a/load/experiment_test.go
+++ b/load/experiment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -85,6 +86,31 @@
 	}
 }
 
+// Guards against a mean that differs from the draws, which would make the load
+// another than the one asked for.
+func TestDistributionMean(t *testing.T) {
+	const draws = 200_000
+	for _, d := range []Distribution{
+		{Min: 2, Max: 10},
+		{Min: 2, Max: 10, Shape: ShapeLogUniform},
+		{Min: 2, Max: 10, Shape: ShapeInverseSquare},
+		{Min: 3, Max: 3, Shape: ShapeInverseSquare},
+	} {
+		random := rand.New(rand.NewPCG(1, 2))
+		var sum float64
+		for range draws {
+			x := d.draw(random)
+			if x < d.Min || x > d.Max {
+				t.Fatalf("%+v: drew %v", d, x)
+			}
+			sum += x
+		}
+		if got := sum / draws; math.Abs(got/d.mean()-1) > 0.01 {
+			t.Errorf("%+v: mean %v, want %v", d, got, d.mean())
+		}
+	}
+}
+
 // Guards against quantiles of the wrong jobs: failed ones, those of the warm-up
 // or those of another class.
 func TestReportGroups(t *testing.T) {
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -15,6 +15,10 @@
 const (
 	ShapeUniform    Shape = "uniform"
 	ShapeLogUniform Shape = "log-uniform" // every factor of two is equally likely
+	// ShapeInverseSquare has a density in proportion to 1/x²: every factor of two
+	// has half the probability of the one below and contributes equally to the
+	// mean, as with job sizes.
+	ShapeInverseSquare Shape = "inverse-square"
 )
 
 // Distribution is a bounded distribution; equal bounds give a constant.
@@ -31,27 +35,35 @@
 	switch d.Shape {
 	case "", ShapeUniform:
 		return nil
-	case ShapeLogUniform:
+	case ShapeLogUniform, ShapeInverseSquare:
 		if d.Min > 0 {
 			return nil
 		}
-		return Err.New("log-uniform needs a lower bound above 0")
+		return Err.New("%s needs a lower bound above 0", d.Shape)
 	}
 	return Err.New("unknown shape %q", d.Shape)
 }
 
 func (d Distribution) draw(random *rand.Rand) float64 {
 	u := random.Float64()
-	if d.Shape == ShapeLogUniform {
+	switch d.Shape {
+	case ShapeLogUniform:
 		return d.Min * math.Pow(d.Max/d.Min, u)
+	case ShapeInverseSquare:
+		return 1 / (1/d.Min - u*(1/d.Min-1/d.Max))
 	}
 	return d.Min + u*(d.Max-d.Min)
 }
 
 // mean returns the expected value of the distribution.
 func (d Distribution) mean() float64 {
-	if d.Shape == ShapeLogUniform && d.Max > d.Min {
+	switch {
+	case d.Max == d.Min:
+		return d.Min
+	case d.Shape == ShapeLogUniform:
 		return (d.Max - d.Min) / math.Log(d.Max/d.Min)
+	case d.Shape == ShapeInverseSquare:
+		return math.Log(d.Max/d.Min) / (1/d.Min - 1/d.Max)
 	}
 	return (d.Min + d.Max) / 2
 }
--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -128,3 +128,34 @@
 		io.Copy(io.Discard, response.Body)
 	}
 }
+
+// Guards against a silent target that counts a start or answers, and against a
+// hung task that stays hung after the fault is taken back.
+func TestTargetSilenceAndHang(t *testing.T) {
+	target := NewTarget(TargetOptions{})
+	server := httptest.NewServer(target)
+	defer server.Close()
+	if err := target.SetFaults(TargetFaults{Silent: true}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if response := postTarget(ctx, t, server.URL, "a-1-0", `{}`); response != nil {
+		t.Errorf("a silent target answered %s", response.Status)
+	}
+	if starts := target.Starts(); starts.Identities != 0 {
+		t.Errorf("a silent target counted %+v", starts)
+	}
+	if err := target.SetFaults(TargetFaults{Hang: true}); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan int)
+	go func() { answered <- postTarget(t.Context(), t, server.URL, "a-1-1", `{}`).StatusCode }()
+	waitTarget(func() bool { return target.Status().Running == 1 })
+	if err := target.SetFaults(TargetFaults{}); err != nil {
+		t.Fatal(err)
+	}
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("after the hang: status %d", status)
+	}
+}
