Let probes of the idle system run as long as short tasks

Probes without run time would teach an entry's learnt estimates that tasks of the class take no time, and the run that follows would begin with wrong estimates. The run time is subtracted from the measured round trips. The probe's team no longer depends on map order.

--- a/load/run.go
+++ b/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -142,10 +143,13 @@
 	// entries and agents may come up after both are ready.
 	idealWait       = 10 * time.Second
 	idealDeadlineMS = 5000
+	// idealRunMS bounds the run time of a probe. Probes run as long as short
+	// tasks of their class do, so that learnt estimates are not misled by them.
+	idealRunMS = 100
 )
 
-// ideal returns the round trips of a job on the idle system: the median of
-// single tasks without run time. The note says why it could not be measured.
+// ideal returns the round trips of a job on the idle system: the median over
+// single tasks, without their run time. The note says why it could not be measured.
 func (r *resolved) ideal(ctx context.Context, b *balancer) (ideal time.Duration, note string) {
 	if r.IdealMS > 0 {
 		return milliseconds(r.IdealMS), ""
@@ -169,18 +173,22 @@
 // The class is given up if none is complete for a while.
 func (r *resolved) probe(ctx context.Context, b *balancer, class *Class) []time.Duration {
 	limit := time.Now().Add(idealWait)
+	run := min(class.RunMS.Min, idealRunMS)
 	var took []time.Duration
 	for n := 0; len(took) < idealProbes; n++ {
-		job := plannedJob{class: class, entry: float64(n%idealProbes) / idealProbes, runMS: []float64{0}, declared: []float64{0}}
-		for team := range class.Teams {
-			job.team = team
+		job := plannedJob{
+			class:    class,
+			team:     slices.Min(slices.Collect(maps.Keys(class.Teams))),
+			entry:    float64(n%idealProbes) / idealProbes,
+			runMS:    []float64{run},
+			declared: []float64{run},
 		}
 		d := newDriver(r, fmt.Sprintf("probe-%s-%d", class.Name, n), []plannedJob{job}, b)
 		d.send(ctx, 0, time.Now())
 		d.client.CloseIdleConnections()
 		switch {
 		case d.records[0].outcome == outcomeComplete && d.records[0].wrong == "":
-			took = append(took, d.records[0].took)
+			took = append(took, d.records[0].took-job.longest())
 		case time.Now().After(limit) || ctx.Err() != nil:
 			return nil
 		default:
