Write fleet settings with their defaults, so that the strict parser takes them

Settings files refuse an explicit zero since absent fields take the defaults; the fleet wrote every field.

--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -41,12 +41,13 @@
 	if f.options.EditEntry != nil {
 		f.options.EditEntry(i, &s)
 	}
+	settings.SetDefaults(&s)
 	return s
 }
 
 func (f *Fleet) agentSettings(i int) settings.Agent {
 	name := agentName(i)
-	var labels label.Set
+	labels := label.Set{}
 	if f.options.TargetLabels != nil {
 		labels = f.options.TargetLabels(i)
 	}
@@ -73,6 +74,7 @@
 	if f.options.EditAgent != nil {
 		f.options.EditAgent(i, &s)
 	}
+	settings.SetDefaults(&s)
 	return s
 }
 
