Write an entry's peers as an empty list in fleet settings

A fleet with one entry wrote "peers": null, which the settings parser refuses ("peers: must be an array, not null"), so no fleet with one entry started.

--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -32,6 +32,7 @@
 		Store:         settings.Store{URL: f.storeURL("store/" + name)},
 		TLS:           settings.TLS{DevelopmentSecret: developmentSecret},
 		Policy:        f.options.Policy,
+		Peers:         []string{}, // a file with null is refused
 	}
 	for j := range f.options.Entries {
 		if j != i {
