Pause starts to a target that refused one

A target that refuses (503 with Catkinline-Not-Run, or a connection that cannot be opened) answers at once, so its slot was free again at once and took the next waiting task, which is the task just refused. While the other target was busy, one task lost its 12 attempts within 0.1 s and its job failed with 306 although a healthy target existed. Ruled out: outlier ejection, which may not eject one of two targets, and an avoid list per task, which would hold up other jobs in the pump. Now a refusal pauses the target for 50 ms, doubled by each further single start up to 1 s, until a task has run there. A task that every target refuses ends after several seconds instead of at once.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -11,6 +11,7 @@
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/slots"
 	"github.com/catkinline/catkinline/wire"
@@ -70,7 +71,9 @@
 	down        bool
 	fail        bool // every task fails at once
 	lose        bool // starts are lost on the way
+	refuse      bool // the target refuses every task as not run
 	links       map[string]*fakeLink
+	ran         int // tasks that started
 }
 
 // fakeLink is the scheduler's side of a link.
@@ -261,7 +264,14 @@
 		a.outcome(l, refusal)
 		return
 	}
+	if a.refuse {
+		o := wire.Outcome{Task: m.Task, State: wire.StateRefused, Code: result.TargetRefused}
+		a.table.Finish(m.Task, o, a.f.now)
+		a.outcome(l, o)
+		return
+	}
 	a.f.starts[m.Task.Identity()]++
+	a.ran++
 	run, _ := time.ParseDuration(string(m.Payload))
 	state := wire.StateDone
 	if a.fail {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -125,11 +125,12 @@
 	s.record.Add(metrics.TaskOutcomes, 1, metrics.TagState, o.State.String())
 	switch o.State {
 	case wire.StateRefused:
-		s.refused(t, a, o)
+		s.refused(t, a, o, now)
 		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateNeverSeen:
 		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateDone, wire.StateFailed, wire.StateUnknown:
+		t.pause = 0
 		s.observe(t, a, o, now)
 	}
 	s.charge(a, o)
@@ -154,7 +155,7 @@
 }
 
 // refused adjusts what the scheduler believes of a target that refused a start.
-func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome) {
+func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome, now time.Time) {
 	s.record.Add(metrics.StartRefusals, 1, metrics.TagCode, o.Code.String())
 	s.waste(2) // the start and its refusal
 	switch o.Code {
@@ -166,6 +167,8 @@
 	case result.OldRevision:
 		t.stale = true
 		s.dropGrants(t)
+	case result.TargetRefused:
+		t.pauseAfterRefusal(now)
 	}
 }
 
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -137,9 +137,10 @@
 }
 
 // mayStart reports whether a target may get a task now: it has a free slot for
-// this entry, and it is healthy, or on probation with no task out.
+// this entry, is not paused after a refusal, and is healthy, or on probation with no
+// task out.
 func (s *Scheduler) mayStart(t *target, now time.Time) bool {
-	if !t.usable() || len(t.grants) == 0 {
+	if !t.usable() || len(t.grants) == 0 || t.paused(now) {
 		return false
 	}
 	switch s.outliers.State(t.name, now) {
@@ -203,6 +204,7 @@
 	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: class, grant: grantID}
 	t.out[taskKey{j.seq, id.Index}] = a
 	j.at[index] = t
+	t.noteStart(now)
 	s.tasksOut++
 	if s.opts.Quotas != nil {
 		s.opts.Quotas.Started(spec.Team)
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -61,8 +61,41 @@
 	acksSince   time.Time
 	demand      wire.Demand // last sent
 	demandAt    time.Time
-	unanswered  bool // the last demand has led to no grant
+	unanswered  bool          // the last demand has led to no grant
+	pause       time.Duration // after a refusal by the target; zero: none
+	pausedUntil time.Time     // no start before, because the target refused one
+}
+
+// Bounds of the pause after a target refused a start. The first is about the
+// shortest usual task, so that a target that was only full for a moment loses
+// little; the last is how long a target that is well again may stay unused.
+const (
+	minRefusalPause = 50 * time.Millisecond
+	maxRefusalPause = time.Second
+)
+
+// pauseAfterRefusal stops starts to a target that refused one. A refusal takes
+// no time, so without a pause a target that is down would take every task again
+// at once and use up its attempts while the other targets are busy.
+func (t *target) pauseAfterRefusal(now time.Time) {
+	if t.pause == 0 {
+		t.pause = minRefusalPause
+		t.pausedUntil = now.Add(t.pause)
+	}
+}
+
+// noteStart lets a target that refused get one task after each pause, until one
+// has run. The pauses double.
+func (t *target) noteStart(now time.Time) {
+	if t.pause > 0 {
+		t.pause = min(2*t.pause, maxRefusalPause)
+		t.pausedUntil = now.Add(t.pause)
+	}
+}
 
+// paused reports whether the target gets no task because it refused one.
+func (t *target) paused(now time.Time) bool {
+	return t.pause > 0 && now.Before(t.pausedUntil)
 }
 
 func newTarget(name string) *target {
