Let UDP relays duplicate datagrams

Tests of answers under duplicated packets need it. The share is drawn from the relay's seeded source after the draw for loss, so runs without duplication draw the same losses as before. TCP relays refuse it, since the kernel would hide a duplicate.

--- a/internal/faultproxy/admin.go
+++ b/internal/faultproxy/admin.go
@@ -19,10 +19,11 @@
 
 // Fields is the JSON form of Faults.
 type Fields struct {
-	DelayMS float64  `json:"delay_ms"`
-	Loss    float64  `json:"loss"`
-	Cut     Cut      `json:"cut"`
-	Clients []string `json:"clients,omitempty"`
+	DelayMS   float64  `json:"delay_ms"`
+	Loss      float64  `json:"loss"`
+	Duplicate float64  `json:"duplicate,omitempty"`
+	Cut       Cut      `json:"cut"`
+	Clients   []string `json:"clients,omitempty"`
 }
 
 // State is one relay's entry in the answer of GET /relays.
@@ -35,15 +36,16 @@
 // Faults converts to the form that relays take.
 func (f Fields) Faults() Faults {
 	delay := time.Duration(f.DelayMS * float64(time.Millisecond))
-	return Faults{Delay: delay, Loss: f.Loss, Cut: f.Cut, Clients: f.Clients}
+	return Faults{Delay: delay, Loss: f.Loss, Duplicate: f.Duplicate, Cut: f.Cut, Clients: f.Clients}
 }
 
 func fieldsOf(f Faults) Fields {
 	return Fields{
-		DelayMS: float64(f.Delay) / float64(time.Millisecond),
-		Loss:    f.Loss,
-		Cut:     f.Cut,
-		Clients: f.Clients,
+		DelayMS:   float64(f.Delay) / float64(time.Millisecond),
+		Loss:      f.Loss,
+		Duplicate: f.Duplicate,
+		Cut:       f.Cut,
+		Clients:   f.Clients,
 	}
 }
 
--- a/internal/faultproxy/relay.go
+++ b/internal/faultproxy/relay.go
@@ -31,10 +31,11 @@
 // TCP bytes under a cut are held and pass after it, as retransmission would
 // make them; a connection opened under a cut reaches its server after it.
 type Faults struct {
-	Delay   time.Duration // one way
-	Loss    float64       // share of datagrams dropped, 0 to 1; UDP only
-	Cut     Cut
-	Clients []string // restricts Loss and Cut to flows of these clients; empty: all
+	Delay     time.Duration // one way
+	Loss      float64       // share of datagrams dropped, 0 to 1; UDP only
+	Duplicate float64       // share of datagrams sent twice, 0 to 1; UDP only
+	Cut       Cut
+	Clients   []string // restricts Loss, Duplicate and Cut to flows of these clients; empty: all
 }
 
 // Counters count what a relay did, in datagrams or TCP chunks.
@@ -43,6 +44,8 @@
 	Forwarded int64 `json:"forwarded"`
 	Dropped   int64 `json:"dropped"`  // by loss, cut or silence
 	Overflow  int64 `json:"overflow"` // by a full queue or an oversized datagram
+	// Duplicated counts datagrams sent twice; Forwarded counts them once.
+	Duplicated int64 `json:"duplicated"`
 }
 
 // Relay is a UDP or TCP relay.
@@ -73,7 +76,7 @@
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced on each change
 
-	flows, forwarded, dropped, overflow atomic.Int64
+	flows, forwarded, dropped, overflow, duplicated atomic.Int64
 }
 
 func (s *switchboard) init(f Faults) {
@@ -91,10 +94,11 @@
 // Counters implements Relay.
 func (s *switchboard) Counters() Counters {
 	return Counters{
-		Flows:     s.flows.Load(),
-		Forwarded: s.forwarded.Load(),
-		Dropped:   s.dropped.Load(),
-		Overflow:  s.overflow.Load(),
+		Flows:      s.flows.Load(),
+		Forwarded:  s.forwarded.Load(),
+		Dropped:    s.dropped.Load(),
+		Overflow:   s.overflow.Load(),
+		Duplicated: s.duplicated.Load(),
 	}
 }
 
@@ -121,6 +125,9 @@
 	if f.Delay < 0 || f.Loss < 0 || f.Loss > 1 {
 		return Err.New("delay %v or loss %v out of range", f.Delay, f.Loss)
 	}
+	if f.Duplicate < 0 || f.Duplicate > 1 {
+		return Err.New("duplicate %v out of range", f.Duplicate)
+	}
 	switch f.Cut {
 	case CutNone, CutBoth, CutForward, CutBackward:
 		return nil
--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -68,8 +68,8 @@
 }
 
 func (t *TCP) check(f Faults) error {
-	if f.Loss != 0 || len(f.Clients) != 0 {
-		return Err.New("a TCP relay has no loss and no named clients")
+	if f.Loss != 0 || f.Duplicate != 0 || len(f.Clients) != 0 {
+		return Err.New("a TCP relay has no loss, no duplicates and no named clients")
 	}
 	return f.validate()
 }
--- a/internal/faultproxy/udp.go
+++ b/internal/faultproxy/udp.go
@@ -72,9 +72,10 @@
 }
 
 type datagram struct {
-	due  time.Time
-	n    int
-	data [maxDatagram]byte
+	due   time.Time
+	twice bool
+	n     int
+	data  [maxDatagram]byte
 }
 
 var datagrams = sync.Pool{New: func() any { return new(datagram) }}
@@ -273,6 +274,7 @@
 		delay = flow.delay
 	}
 	d.due = time.Now().Add(delay)
+	d.twice = faults.Duplicate > 0 && faults.concerns(flow.name) && line.random.Float64() < faults.Duplicate
 	select {
 	case line.queue <- d:
 	default:
@@ -290,6 +292,10 @@
 		} else {
 			u.forwarded.Add(1) // first, so that an answer is never counted before it
 			write(d.data[:d.n])
+			if d.twice {
+				u.duplicated.Add(1)
+				write(d.data[:d.n])
+			}
 		}
 		datagrams.Put(d)
 	}
--- a/internal/faultproxy/udp_test.go
+++ b/internal/faultproxy/udp_test.go
@@ -232,3 +232,22 @@
 		out = append(out, time.Since(begin)-time.Duration(binary.LittleEndian.Uint64(buffer)))
 	}
 }
+
+// Guards against a duplication switch that duplicates nothing, or that counts
+// a datagram as two.
+func TestUDPDuplicates(t *testing.T) {
+	relay := startUDP(t, UDPOptions{Seed: 5})
+	if err := relay.Set(Faults{Duplicate: 1}); err != nil {
+		t.Fatal(err)
+	}
+	conn := dialUDP(t, relay.Address())
+	send(t, conn, "a")
+	for range 4 { // twice on the way there, each twice on the way back
+		if got := receive(t, conn); got != "a" {
+			t.Fatalf("got %q", got)
+		}
+	}
+	if c := relay.Counters(); c.Duplicated != 3 || c.Forwarded != 3 {
+		t.Errorf("counters %+v", c)
+	}
+}
