Send each job of a client on a new connection

A kept connection that went silent cost the next job on it its whole deadline and ten seconds, once for each of up to 64 kept connections, and the caller could not tell whether the job ran. Ruled out: an idle timeout, which only makes it rarer, and a second copy of the job, which could run it twice. The price is one round trip for each job.

Before: TestTasksSilentCallerConnections, 7 connections silenced: no answer within 60 s (60.43 s). After: 8 jobs answered at once; the job whose own connection went silent ends as broken after its deadline and 10 s (14.40 s in all).

--- a/client/client.go
+++ b/client/client.go
@@ -69,7 +69,9 @@
 		return nil, Error.New("%s is not an http address", label.Quote(base))
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}
+	// A kept connection may have gone silent, which would cost a job its whole
+	// deadline; opening a new one costs a round trip.
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	return &Client{base: u, http: &http.Client{Transport: transport}}, nil
 }
 
