Test orderings of outcomes and starts that processes cannot force

Four orderings in virtual time: an outcome on an old link after the query on the new one, a start that arrives after "never seen", outcomes of an earlier agent incarnation after its successor, and every state after unknown.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
 )
 
 // Guards against a target that refuses at once, for example because it is down,
@@ -46,3 +47,139 @@
 		t.Errorf("%d tasks started", len(f.starts))
 	}
 }
+
+// Guards against an outcome of a lost link that arrives after its task was
+// asked for on the new link, and is taken for a second result.
+func TestOutcomeOfOldLinkAfterQueryCountsOnce(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, settings.Policy{})
+	agent, entry := f.agents[0], f.entries[0]
+	ticket := f.submit(0, spec(2, 300*time.Millisecond))
+	f.advance(100 * time.Millisecond)
+	old := agent.links[entry.name]
+	agent.connect(entry)
+	entry.s.LinkDown(agent.name, old, f.now) // the old link's end is noticed last
+	f.advance(250 * time.Millisecond)
+	id := ticket.ID()
+	for _, index := range []int{0, 1} {
+		late := wire.Outcome{Task: taskID(id, index), State: wire.StateDone, Result: []byte("late")}
+		late.Task.Attempt = 1
+		entry.s.HandleOutcome(agent.name, old, &late, f.now)
+	}
+	a, ok := answer(ticket)
+	if !ok || a.Err != nil || len(a.Results) != 2 || string(a.Results[0]) == "late" || string(a.Results[1]) == "late" {
+		t.Fatalf("answered %v, error %v, results %q", ok, a.Err, a.Results)
+	}
+	f.advance(time.Second)
+	f.checkStarts()
+}
+
+// Guards against a start that was on its way when the agent said "never seen",
+// and runs although its task was sent to another target.
+func TestStartThatArrivesAfterNeverSeenIsBarred(t *testing.T) {
+	f := newFleet(t, 1, 2, 8, settings.Policy{})
+	agent, entry := f.agents[0], f.entries[0]
+	f.advance(100 * time.Millisecond)
+	slow := &holdingLink{fakeLink: agent.links[entry.name]}
+	f.replaceLink(agent, entry, slow)
+	ticket := f.submit(0, spec(1, 300*time.Millisecond))
+	f.advance(100 * time.Millisecond)
+	if len(slow.held) != 1 || len(f.starts) != 0 {
+		t.Fatalf("%d starts held, %d tasks started; want 1 and 0", len(slow.held), len(f.starts))
+	}
+	entry.s.LinkDown(agent.name, slow, f.now)
+	agent.connect(entry)
+	entry.s.HandleLeave(agent.name, agent.links[entry.name], f.now)
+	f.advance(50 * time.Millisecond)
+	if f.agents[1].ran != 1 {
+		t.Fatalf("the other target ran %d tasks, want 1", f.agents[1].ran)
+	}
+	agent.start(agent.links[entry.name], slow.held[0])
+	f.advance(time.Second)
+	if a, ok := answer(ticket); !ok || a.Err != nil {
+		t.Fatalf("answered %v, error %v", ok, a.Err)
+	}
+	f.checkStarts()
+}
+
+// holdingLink delivers everything but starts, which it holds.
+type holdingLink struct {
+	*fakeLink
+	held []*wire.Start
+}
+
+// Send implements Sender.
+func (l *holdingLink) Send(m wire.Message) error {
+	if start, ok := m.(*wire.Start); ok {
+		l.held = append(l.held, start)
+		return nil
+	}
+	return l.fakeLink.Send(m)
+}
+
+// replaceLink gives the scheduler another link to an agent that has slots to
+// grant, with a grant of one slot.
+func (f *fleet) replaceLink(a *fakeAgent, e *fakeEntry, l *holdingLink) {
+	e.s.LinkUp(a.name, a.incarnation, l, f.now)
+	e.s.HandleAnnounce(a.name, l, &wire.Announce{
+		Target: a.name, Service: "frames", FailureDomain: "saimaa", Region: "fi", Slots: 8,
+	}, f.now)
+	e.s.HandleGrant(a.name, l, &wire.Grant{ID: wire.GrantID{Agent: a.incarnation, Seq: 1}, Slots: 1}, f.now)
+}
+
+// Guards against an outcome of an agent's earlier incarnation that changes an
+// answer which was given as unknown, and against a second attempt elsewhere.
+func TestOutcomeAfterSuccessorAnnouncedChangesNothing(t *testing.T) {
+	f := newFleet(t, 1, 2, 8, settings.Policy{})
+	agent, entry := f.agents[0], f.entries[0]
+	ticket := f.submit(0, spec(16, 2*time.Second))
+	f.advance(100 * time.Millisecond)
+	old := agent.links[entry.name]
+	out := entry.s.targets[agent.name].outstanding()
+	if len(out) == 0 {
+		t.Fatal("no task is out")
+	}
+	successor := &holdingLink{fakeLink: old}
+	entry.s.LinkUp(agent.name, agent.incarnation+1, successor, f.now)
+	a, ok := answer(ticket)
+	if !ok || a.Err == nil || a.Err.Code != result.TargetLost || a.Err.Ran != result.RanUnknown {
+		t.Fatalf("answered %v, error %+v", ok, a.Err)
+	}
+	for _, id := range out {
+		entry.s.HandleOutcome(agent.name, old, &wire.Outcome{Task: id, State: wire.StateNeverSeen}, f.now)
+		entry.s.HandleOutcome(agent.name, old, &wire.Outcome{Task: id, State: wire.StateDone}, f.now)
+	}
+	if a, again := answer(ticket); again {
+		t.Errorf("a second answer: %+v", a)
+	}
+	if entry.s.LinkUp(agent.name, agent.incarnation, old, f.now) {
+		t.Error("the earlier incarnation is accepted after its successor")
+	}
+	f.checkStarts()
+}
+
+// Guards against a second attempt of a task whose outcome is unknown, whatever
+// the order in which unknown, refused and never seen arrive.
+func TestUnknownOutcomeIsFinalInEveryOrder(t *testing.T) {
+	states := []wire.OutcomeState{wire.StateUnknown, wire.StateRefused, wire.StateNeverSeen, wire.StateDone}
+	for _, second := range states {
+		f := newFleet(t, 1, 1, 8, settings.Policy{})
+		f.agents[0].lose = true
+		ticket := f.submit(0, spec(1, 100*time.Millisecond))
+		f.advance(50 * time.Millisecond)
+		entry, agent := f.entries[0], f.agents[0]
+		out := entry.s.targets[agent.name].outstanding()
+		for _, state := range []wire.OutcomeState{wire.StateUnknown, second} {
+			o := wire.Outcome{Task: out[0], State: state, Code: result.OutcomeUnknown}
+			entry.s.HandleOutcome(agent.name, agent.links[entry.name], &o, f.now)
+		}
+		agent.lose = false
+		f.advance(time.Second)
+		a, ok := answer(ticket)
+		if !ok || a.Err == nil || a.Err.Ran != result.RanUnknown {
+			t.Errorf("unknown, then %s: answered %v, error %+v", second, ok, a.Err)
+		}
+		if len(f.starts) != 0 {
+			t.Errorf("unknown, then %s: a second attempt started", second)
+		}
+	}
+}
