--- /dev/null
+++ b/integration/tasks_helper_test.go
@@ -0,0 +1,324 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/client"
+	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/standin"
+)
+
+const (
+	// tasksPatience bounds every wait for a condition. It only ends a test that
+	// would fail anyway.
+	tasksPatience = 60 * time.Second
+	tasksPoll     = 20 * time.Millisecond
+	// tasksFleets bounds the fleets of this file that run at once: seven of at
+	// most eight processes stay below fleet.MaxProcesses.
+	tasksFleets = 7
+	// tasksStartTries bounds repeated starts after a collision of ports.
+	tasksStartTries = 5
+	tasksService    = "frames"
+)
+
+var tasksFleetSlots = make(chan struct{}, tasksFleets)
+
+const tasksDocument = `{
+	"services": {"frames": {
+		"rules": [{"requests": "kind=panorama", "targets": "memory=large"}],
+		"deadline": {"max_ms": 60000},
+		"non_idempotent": true
+	}, "quotes": {}},
+	"teams": {"a": {}, "b": {}, "c": {}, "d": {}}
+}`
+
+// tasksFleet is a fleet with what a test of invariants needs.
+type tasksFleet struct {
+	*fleet.Fleet
+	t       *testing.T
+	ctx     context.Context
+	clients []*client.Client
+}
+
+// startTasksFleet starts a store, one entry, and two targets of 8 slots with
+// their agents, unless edit says otherwise.
+func startTasksFleet(t *testing.T, edit func(*fleet.Options)) *tasksFleet {
+	t.Helper()
+	t.Parallel()
+	tasksFleetSlots <- struct{}{}
+	t.Cleanup(func() { <-tasksFleetSlots })
+	options, err := fleet.TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Targets, options.Entries, options.Slots, options.Connections = 2, 1, 8, 64
+	options.Service, options.Store = tasksService, true
+	options.Configuration = json.RawMessage(tasksDocument)
+	options.Network.Seed = 7
+	options.EditEntry = func(_ int, s *settings.Entry) { s.DrainSeconds = 0.1 }
+	if edit != nil {
+		edit(&options)
+	}
+	f, err := fleet.Start(t.Context(), options)
+	for range tasksStartTries {
+		// Another fleet may take a port between its choice and its use.
+		if err != nil && strings.Contains(err.Error(), "address already in use") {
+			f, err = fleet.Start(t.Context(), options)
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	out := &tasksFleet{Fleet: f, t: t, ctx: t.Context()}
+	for _, url := range f.CallerURLs() {
+		c, err := client.New(url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.clients = append(out.clients, c)
+	}
+	out.untilAgents(options.Targets)
+	return out
+}
+
+// until waits for a condition.
+func (f *tasksFleet) until(what string, met func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(tasksPatience); !met(); time.Sleep(tasksPoll) {
+		if time.Now().After(end) {
+			f.t.Fatalf("still waiting for %s; the end of entry-0's log: %s", what, f.LogTail("entry-0"))
+		}
+	}
+}
+
+// untilAgents waits until the first entry runs a job on every target.
+func (f *tasksFleet) untilAgents(targets int) {
+	f.t.Helper()
+	n := 0
+	f.until("a job that reaches every target", func() bool {
+		n++
+		a, err := f.clients[0].Submit(f.ctx, tasksService, tasksJob(fmt.Sprintf("warm-up-%d", n), 10_000, tasksRepeat(8*targets, 20)...))
+		return err == nil && a.State == entry.StateComplete && f.used() == targets
+	})
+}
+
+// used returns the number of targets that have started a task.
+func (f *tasksFleet) used() int {
+	n := 0
+	for _, s := range f.starts() {
+		if s.Identities > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func tasksRepeat(n int, ms float64) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = ms
+	}
+	return out
+}
+
+func tasksEcho(job string, index int) string { return fmt.Sprintf("%s/%d", job, index) }
+
+// tasksJob is a job whose tasks echo their own place in it.
+func tasksJob(name string, deadlineMS int64, runMS ...float64) client.Job {
+	j := client.Job{Key: name, Team: "a", DeadlineMS: deadlineMS, Idempotent: true}
+	for i, ms := range runMS {
+		j.Tasks = append(j.Tasks, tasksTask(standin.TargetPayload{RunMS: ms, Echo: tasksEcho(name, i)}))
+	}
+	return j
+}
+
+func tasksTask(p standin.TargetPayload) client.Task {
+	payload, _ := json.Marshal(p) // plain fields cannot fail
+	return client.Task{Payload: string(payload), RunMS: p.RunMS}
+}
+
+// tasksAnswer is what a caller got.
+type tasksAnswer struct {
+	entry.Answer
+	err error
+}
+
+// submit sends a job to an entry in the background.
+func (f *tasksFleet) submit(entryIndex int, j client.Job) <-chan tasksAnswer {
+	out := make(chan tasksAnswer, 1)
+	go func() {
+		a, err := f.clients[entryIndex].Submit(f.ctx, tasksService, j)
+		out <- tasksAnswer{a, err}
+	}()
+	return out
+}
+
+func (f *tasksFleet) wait(answer <-chan tasksAnswer) tasksAnswer {
+	f.t.Helper()
+	select {
+	case a := <-answer:
+		return a
+	case <-time.After(tasksPatience):
+		f.t.Fatal("no answer")
+		return tasksAnswer{}
+	}
+}
+
+// checkWhole fails the test unless an answer is complete with the results of
+// its own job in order.
+func (f *tasksFleet) checkWhole(name string, j client.Job, a tasksAnswer) {
+	f.t.Helper()
+	if a.err != nil || a.State != entry.StateComplete || len(a.Results) != len(j.Tasks) {
+		f.t.Errorf("%s: error %v, answer %s %d %s %q with %d of %d results", name, a.err, a.State, a.Code, a.Name, a.Reason, len(a.Results), len(j.Tasks))
+		return
+	}
+	for i, r := range a.Results {
+		var got standin.TargetResult
+		var sent standin.TargetPayload
+		_ = json.Unmarshal([]byte(j.Tasks[i].Payload), &sent)
+		if err := json.Unmarshal(r, &got); err != nil || got.Echo != sent.Echo {
+			f.t.Errorf("%s: result %d echoes %q, the task sent %q (%v)", name, i, got.Echo, sent.Echo, err)
+		}
+	}
+}
+
+// checkFailed fails the test unless an answer is a failure without results. A
+// job of which a task started must not be called not run.
+func (f *tasksFleet) checkFailed(j client.Job, a tasksAnswer, code result.Code) {
+	f.t.Helper()
+	if a.err != nil || a.State != entry.StateFailed || len(a.Results) != 0 || code != 0 && a.Code != code {
+		f.t.Errorf("error %v, answer %s %d %s (%s) with %d results; want a failure with code %d", a.err, a.State, a.Code, a.Name, a.Reason, len(a.Results), code)
+	}
+	if n := f.started(j); n > 0 && a.Ran == result.NotRun {
+		f.t.Errorf("the answer %d %s says not run, %d of its tasks started", a.Code, a.Name, n)
+	}
+}
+
+// starts returns every target's own count of starts.
+func (f *tasksFleet) starts() []standin.TargetStarts {
+	f.t.Helper()
+	var out []standin.TargetStarts
+	for _, url := range f.TargetURLs() {
+		var s standin.TargetStarts
+		if err := tasksGet(f.ctx, url+"/starts", &s); err != nil {
+			f.t.Fatal(err)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// started returns how many starts the targets counted for a job's tasks.
+func (f *tasksFleet) started(j client.Job) int {
+	f.t.Helper()
+	n := 0
+	for _, s := range f.starts() {
+		for _, task := range j.Tasks {
+			var sent standin.TargetPayload
+			_ = json.Unmarshal([]byte(task.Payload), &sent)
+			n += s.Echoes[sent.Echo]
+		}
+	}
+	return n
+}
+
+// checkStarts fails the test if any task started more than once, on one target
+// or on several, under one identity or under several. Every task of these tests
+// has its own echo.
+func (f *tasksFleet) checkStarts() {
+	f.t.Helper()
+	identities, echoes := map[string]int{}, map[string]int{}
+	for _, s := range f.starts() {
+		for id, n := range s.Starts {
+			identities[id] += n
+		}
+		for echo, n := range s.Echoes {
+			echoes[echo] += n
+		}
+	}
+	for id, n := range identities {
+		if n > 1 {
+			f.t.Errorf("identity %s started %d times", id, n)
+		}
+	}
+	for echo, n := range echoes {
+		if n > 1 {
+			f.t.Errorf("task %s started %d times", echo, n)
+		}
+	}
+}
+
+// checkCounts waits until the running jobs of the entries are zero and checks
+// that every job that entered is accounted for.
+func (f *tasksFleet) checkCounts(entries ...int) {
+	f.t.Helper()
+	for _, i := range entries {
+		var c entry.Counts
+		f.until(fmt.Sprintf("entry-%d without running jobs", i), func() bool {
+			c = entry.Counts{}
+			err := tasksGet(f.ctx, f.EntryURLs()[i]+"/v1/counts", &c)
+			return err == nil && c.Running == 0 && c.Entered > 0
+		})
+		if c.Entered != c.Complete+c.Failed+c.Refused+c.Running {
+			f.t.Errorf("entry-%d: the counts do not add up: %+v", i, c)
+		}
+	}
+}
+
+// setTarget sets a target's faults.
+func (f *tasksFleet) setTarget(i int, faults standin.TargetFaults) {
+	f.t.Helper()
+	body, _ := json.Marshal(faults)
+	if err := tasksPost(f.ctx, f.TargetURLs()[i]+"/faults", body); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *tasksFleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func tasksGet(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+func tasksPost(ctx context.Context, url string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s: %s", url, response.Status, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
