Answer a passed deadline as such where the agent's limit fires first

A start's time limit is the time to its job's deadline, so the agent's target_timeout arrives a round trip after the deadline, often before the entry's next tick of 20 ms. The job then failed with 305 instead of 302, and the failure was counted against the target, so that callers with deadlines that are too short could have healthy targets ejected. Ruled out: ending jobs on every outcome after the deadline, which would turn complete answers that are a few milliseconds late into failures. Now a timeout outcome first ends the jobs whose deadline has passed.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -183,3 +183,24 @@
 		}
 	}
 }
+
+// Guards against a passed deadline that is reported, and held against the
+// target, as a target that did not answer: both limits end at the same time.
+func TestTimeoutAtDeadlineIsTheDeadline(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, settings.Policy{})
+	s := spec(1, 20*time.Second)
+	s.Deadline = 50*TickInterval + TickInterval/2
+	ticket := f.submit(0, s)
+	f.advance(s.Deadline + time.Millisecond)
+	entry, agent := f.entries[0], f.agents[0]
+	out := entry.s.targets[agent.name].outstanding()
+	if _, ok := answer(ticket); ok || len(out) != 1 {
+		t.Fatalf("answered %v, %d tasks out; want one task out between two ticks", ok, len(out))
+	}
+	o := wire.Outcome{Task: out[0], State: wire.StateUnknown, Code: result.TargetTimeout}
+	entry.s.HandleOutcome(agent.name, agent.links[entry.name], &o, f.now)
+	a, ok := answer(ticket)
+	if !ok || a.Err == nil || a.Err.Code != result.DeadlineExceeded || a.Err.Ran != result.RanUnknown {
+		t.Fatalf("answered %v, error %+v", ok, a.Err)
+	}
+}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -104,6 +104,11 @@
 		s.addGrant(t, o.Grant)
 	}
 	t.load = o.Load
+	if o.Code == result.TargetTimeout {
+		// A start's time limit ends with its job's deadline. The job then ends for
+		// its deadline and not, before the next tick, for a fault of the target.
+		s.expireJobs(now)
+	}
 	s.applyOutcome(t, o, now)
 	s.pump(now)
 }
