--- /dev/null
+++ b/integration/tasks_notrun_test.go
@@ -0,0 +1,398 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/client"
+	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/standin"
+)
+
+// tasksSend posts a body as it is and returns the entry's answer.
+func (f *tasksFleet) tasksSend(service string, body []byte) entry.Answer {
+	f.t.Helper()
+	var a entry.Answer
+	response, err := http.Post(f.CallerURLs()[0]+"/v1/services/"+service+"/jobs", "application/json", bytes.NewReader(body))
+	if err != nil {
+		f.t.Error(err)
+		return a
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(&a); err != nil {
+		f.t.Error(err)
+	}
+	if info, ok := result.Lookup(a.Code); ok && info.Status != response.StatusCode {
+		f.t.Errorf("code %d came with status %d, want %d", a.Code, response.StatusCode, info.Status)
+	}
+	return a
+}
+
+// checkNotRun fails the test unless an answer has a code and says not run, and
+// no task of the job started.
+func (f *tasksFleet) checkNotRun(j client.Job, a entry.Answer, code result.Code) {
+	f.t.Helper()
+	if a.State != entry.StateFailed || a.Code != code || a.Ran != result.NotRun || len(a.Results) > 0 {
+		f.t.Errorf("answer %s %d %s (%s), ran %s; want code %d, not run", a.State, a.Code, a.Name, a.Reason, a.Ran, code)
+	}
+	if n := f.started(j); n != 0 {
+		f.t.Errorf("%d tasks of a job started that was answered as not run with %d", n, code)
+	}
+}
+
+// Guards against a request that is refused for its content, says not run, and
+// starts some of its tasks, and against a code that callers cannot rely on.
+func TestTasksNotRunForFaultyRequests(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) {
+		o.EditEntry = func(_ int, s *settings.Entry) { s.Limits.BodyBytes, s.Limits.PayloadBytes = 1<<20, 64<<10 }
+	})
+	plain := func(j *client.Job) {}
+	replace := func(old, new string) func(string) string {
+		return func(body string) string { return strings.Replace(body, old, new, 1) }
+	}
+	same := func(body string) string { return body }
+	cases := []struct {
+		code    result.Code
+		service string
+		edit    func(j *client.Job)
+		text    func(body string) string
+	}{
+		{result.BadRequest, "frames", plain, func(body string) string { return body[:len(body)-1] }},
+		{result.BadRequest, "quotes", func(j *client.Job) { j.Idempotent = false }, same},
+		{result.UnknownField, "frames", plain, replace(`{`, `{"prio":1,`)},
+		{result.BodyTooLarge, "frames", plain, replace(`{`, `{`+strings.Repeat(" ", 1<<20))},
+		{result.TooManyTasks, "frames", func(j *client.Job) {
+			for len(j.Tasks) <= settings.DefaultTasks {
+				j.Tasks = append(j.Tasks, j.Tasks[0])
+			}
+		}, same},
+		{result.NoTasks, "frames", func(j *client.Job) { j.Tasks = []client.Task{} }, same},
+		{result.PayloadTooLarge, "frames", func(j *client.Job) { j.Tasks[3].Payload += strings.Repeat(" ", 64<<10) }, same},
+		{result.TooManyLabels, "frames", func(j *client.Job) {
+			j.Labels = label.Set{}
+			for i := range label.MaxLabels + 1 {
+				j.Labels[fmt.Sprintf("label-%d", i)] = "x"
+			}
+		}, same},
+		{result.LabelTooLong, "frames", func(j *client.Job) { j.Labels = label.Set{"x": strings.Repeat("x", label.MaxValueBytes+1)} }, same},
+		{result.NestingTooDeep, "frames", plain, replace(`{`, `{"labels":`+strings.Repeat("[", 9)+strings.Repeat("]", 9)+`,`)},
+		{result.BadDeadline, "frames", func(j *client.Job) { j.DeadlineMS = -1 }, same},
+		{result.BadDeadline, "frames", func(j *client.Job) { j.DeadlineMS = 60_001 }, same},
+		{result.UnknownService, "kites", plain, same},
+		{result.UnknownTeam, "frames", func(j *client.Job) { j.Team = "nobody" }, same},
+		{result.MissingKey, "frames", func(j *client.Job) { j.Key = "" }, same},
+		{result.BadLabel, "frames", func(j *client.Job) { j.Labels = label.Set{"x": "a,b"} }, same},
+		{result.BadHint, "frames", func(j *client.Job) { j.Tasks[2].RunMS = -1 }, same},
+		{result.NoMatchingTarget, "frames", func(j *client.Job) { j.Labels = label.Set{"kind": "panorama"} }, same},
+		{result.NoMatchingTarget, "quotes", plain, same},
+	}
+	jobs := make([]client.Job, len(cases))
+	for i, c := range cases {
+		jobs[i] = tasksJob(fmt.Sprintf("refused-%d", i), 30_000, tasksRepeat(4, 10)...)
+		jobs[i].Team = tasksTeams[i%len(tasksTeams)]
+		c.edit(&jobs[i])
+		body, err := json.Marshal(jobs[i])
+		f.must(err)
+		f.checkNotRun(jobs[i], f.tasksSend(c.service, []byte(c.text(string(body)))), c.code)
+	}
+	last := tasksJob("last", 30_000, tasksRepeat(32, 50)...)
+	f.checkWhole("last", last, f.wait(f.submit(0, last)))
+	for i, c := range cases {
+		if n := f.started(jobs[i]); n != 0 {
+			t.Errorf("code %d: %d tasks started later", c.code, n)
+		}
+	}
+	f.checkCounts(0)
+}
+
+// settled waits until a job is answered or a task of it has started, and
+// reports whether it was answered.
+func (f *tasksFleet) settled(j client.Job, answer <-chan tasksAnswer) (a tasksAnswer, answered bool) {
+	f.t.Helper()
+	f.until("an answer or a start", func() bool {
+		select {
+		case a = <-answer:
+			answered = true
+		default:
+		}
+		return answered || f.started(j) > 0
+	})
+	return a, answered
+}
+
+// Guards against a job over a queue bound that says not run and holds a place,
+// and against refusals that name the team where the whole queue is full.
+func TestTasksNotRunWhenQueueIsFull(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) {
+		o.EditEntry = func(_ int, s *settings.Entry) { s.Limits.QueuedJobs = 8 }
+	})
+	f.setTarget(0, standin.TargetFaults{Hang: true})
+	f.setTarget(1, standin.TargetFaults{Hang: true})
+	var refused []client.Job
+	var accepted []<-chan tasksAnswer
+	var held []client.Job
+	fill := func(team string, stop result.Code) {
+		for i := range 9 {
+			j := tasksJob(fmt.Sprintf("%s-%d", team, i), 50_000, 10)
+			j.Team = team
+			answer := f.submit(0, j)
+			a, answered := f.settled(j, answer)
+			if !answered {
+				accepted, held = append(accepted, answer), append(held, j)
+				continue
+			}
+			refused = append(refused, j)
+			if a.Code == stop {
+				f.checkNotRun(j, a.Answer, stop)
+				return
+			}
+			f.checkNotRun(j, a.Answer, a.Code)
+		}
+		t.Errorf("team %s was never refused with %d", team, stop)
+	}
+	fill("a", result.TeamQueueFull)
+	for _, team := range []string{"b", "c"} {
+		fill(team, result.TeamQueueFull)
+		if len(held) >= 7 {
+			break
+		}
+	}
+	fill("d", result.QueueFull)
+	f.setTarget(0, standin.TargetFaults{})
+	f.setTarget(1, standin.TargetFaults{})
+	for i, answer := range accepted {
+		f.checkWhole(held[i].Key, held[i], f.wait(answer))
+	}
+	for _, j := range refused {
+		if f.started(j) != 0 {
+			t.Errorf("%s was refused and started later", j.Key)
+		}
+	}
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against a job that is refused because of its deadline and runs.
+func TestTasksNotRunWhenDeadlineIsInfeasible(t *testing.T) {
+	f := startTasksFleet(t, nil)
+	n := 0
+	f.until("a job that is refused for its deadline", func() bool {
+		n++
+		f.wait(f.submit(0, tasksJob(fmt.Sprintf("known-%d", n), 30_000, tasksRepeat(32, 200)...)))
+		j := tasksJob(fmt.Sprintf("hopeless-%d", n), 400, tasksRepeat(160, 200)...)
+		a := f.wait(f.submit(0, j))
+		if a.Code != result.DeadlineInfeasible {
+			f.checkFailed(j, a, 0)
+			return false
+		}
+		f.checkNotRun(j, a.Answer, result.DeadlineInfeasible)
+		return true
+	})
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against jobs whose deadline passes, or whose caller leaves, while they
+// wait, that start afterwards.
+func TestTasksNotRunWhenJobEndsInQueue(t *testing.T) {
+	f := startTasksFleet(t, nil)
+	f.setTarget(0, standin.TargetFaults{Hang: true})
+	f.setTarget(1, standin.TargetFaults{Hang: true})
+	front := tasksJob("front", 50_000, tasksRepeat(16, 10)...)
+	answer := f.submit(0, front)
+	f.until("every slot taken", func() bool { return f.started(front) == 16 })
+	expired := tasksJob("expired", 1000, tasksRepeat(4, 10)...)
+	expired.Team = "b"
+	f.checkNotRun(expired, f.wait(f.submit(0, expired)).Answer, result.ExpiredInQueue)
+	cancelled := tasksJob("cancelled", 50_000, tasksRepeat(4, 10)...)
+	var before, during entry.Counts
+	f.must(tasksGet(f.ctx, f.EntryURLs()[0]+"/v1/counts", &before))
+	ctx, leave := context.WithCancel(f.ctx)
+	left := make(chan error, 1)
+	go func() {
+		_, err := f.clients[0].Submit(ctx, tasksService, cancelled)
+		left <- err
+	}()
+	f.until("the job in the queue", func() bool {
+		return tasksGet(f.ctx, f.EntryURLs()[0]+"/v1/counts", &during) == nil && during.Running == before.Running+1
+	})
+	leave()
+	if err := <-left; !errors.Is(err, client.ErrBroken) {
+		t.Errorf("the caller that left got %v", err)
+	}
+	f.until("the job's end", func() bool {
+		return tasksGet(f.ctx, f.EntryURLs()[0]+"/v1/counts", &during) == nil && during.Failed == before.Failed+1
+	})
+	f.setTarget(0, standin.TargetFaults{})
+	f.setTarget(1, standin.TargetFaults{})
+	f.checkWhole("front", front, f.wait(answer))
+	last := tasksJob("last", 30_000, tasksRepeat(32, 50)...)
+	f.checkWhole("last", last, f.wait(f.submit(0, last)))
+	if n := f.started(expired) + f.started(cancelled); n != 0 {
+		t.Errorf("%d tasks of ended jobs started", n)
+	}
+	if page := f.metrics(0); !strings.Contains(page, result.CancelledInQueue.String()) {
+		t.Errorf("no job is counted as %s", result.CancelledInQueue)
+	}
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against jobs that a stopping entry refuses and runs, or that it cuts.
+func TestTasksNotRunWhenEntryIsStopping(t *testing.T) {
+	f := startTasksFleet(t, nil)
+	f.setTarget(0, standin.TargetFaults{Hang: true})
+	f.setTarget(1, standin.TargetFaults{Hang: true})
+	running := tasksJob("running", 50_000, tasksRepeat(4, 10)...)
+	answer := f.submit(0, running)
+	f.until("tasks out", func() bool { return f.started(running) == 4 })
+	f.must(f.Terminate("entry-0"))
+	n := 0
+	f.until("a refusal", func() bool {
+		n++
+		j := tasksJob(fmt.Sprintf("late-%d", n), 50_000, 10)
+		a, answered := f.settled(j, f.submit(0, j))
+		if answered {
+			f.checkNotRun(j, a.Answer, result.Stopping)
+		}
+		return answered
+	})
+	f.setTarget(0, standin.TargetFaults{})
+	f.setTarget(1, standin.TargetFaults{})
+	f.checkWhole("running", running, f.wait(answer))
+	f.checkStarts()
+}
+
+// Guards against non-idempotent jobs that are refused for want of a claim, or
+// because of an earlier one, and run; and against jobs that run without a
+// configuration.
+func TestTasksNotRunWithoutClaimOrConfiguration(t *testing.T) {
+	f := startTasksFleet(t, nil)
+	once := func(key, name string) client.Job {
+		j := tasksJob(name, 20_000, tasksRepeat(2, 20)...)
+		j.Key, j.Idempotent = key, false
+		return j
+	}
+	first, second := once("same", "first"), once("same", "second")
+	f.checkWhole("first", first, f.wait(f.submit(0, first)))
+	f.checkNotRun(second, f.wait(f.submit(0, second)).Answer, result.AlreadyClaimed)
+	f.setStore(`{"down":true}`)
+	unclaimed := once("other", "unclaimed")
+	f.checkNotRun(unclaimed, f.wait(f.submit(0, unclaimed)).Answer, result.ClaimUnavailable)
+	f.checkCounts(0)
+	f.must(f.Restart("entry-0"))
+	n := 0
+	f.until("an answer of the new entry", func() bool {
+		n++
+		j := tasksJob(fmt.Sprintf("unconfigured-%d", n), 20_000, tasksRepeat(2, 20)...)
+		a := f.wait(f.submit(0, j))
+		if a.err == nil {
+			f.checkNotRun(j, a.Answer, result.NotConfigured)
+		}
+		return a.err == nil
+	})
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against a code that says "not run", reaches callers and is provoked by
+// no test of this file.
+func TestTasksNotRunCodesAreCovered(t *testing.T) {
+	covered := func(code result.Code) bool {
+		return code >= result.BadRequest && code <= result.BadHint ||
+			code >= result.NoMatchingTarget && code <= result.CancelledInQueue || code == result.AttemptsSpent
+	}
+	for code := result.Code(100); code < 400; code++ {
+		if info, ok := result.Lookup(code); ok && info.Ran == result.NotRun && !covered(code) {
+			t.Errorf("code %d %s needs a test that it is true", code, code)
+		}
+	}
+}
+
+// Guards against an answer that calls a task not run which every target
+// refused, and ran one.
+func TestTasksNotRunWhenEveryTargetRefuses(t *testing.T) {
+	f := startTasksFleet(t, nil)
+	f.setTarget(0, standin.TargetFaults{Refuse: true})
+	f.setTarget(1, standin.TargetFaults{Refuse: true})
+	j := tasksJob("refused", 50_000, 20)
+	f.checkNotRun(j, f.wait(f.submit(0, j)).Answer, result.AttemptsSpent)
+	f.setTarget(0, standin.TargetFaults{})
+	f.setTarget(1, standin.TargetFaults{})
+	last := tasksJob("last", 30_000, tasksRepeat(32, 50)...)
+	f.checkWhole("last", last, f.wait(f.submit(0, last)))
+	if n := f.started(j); n != 0 {
+		t.Errorf("%d tasks of the refused job started later", n)
+	}
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against "not run" where a task ran or may have run: it failed, its
+// target died, or it hung until the deadline.
+func TestTasksThatMayHaveRunAreNotCalledNotRun(t *testing.T) {
+	f := startTasksFleet(t, nil)
+	check := func(j client.Job, a tasksAnswer, ran ...result.Ran) {
+		t.Helper()
+		f.checkFailed(j, a, 0)
+		for _, r := range ran {
+			if a.Ran == r {
+				return
+			}
+		}
+		t.Errorf("%s: answer %d %s, ran %s", j.Key, a.Code, a.Name, a.Ran)
+	}
+	failing := tasksJob("failing", 20_000, 20, 20)
+	failing.Tasks[1] = tasksTask(standin.TargetPayload{RunMS: 20, Fail: true, Echo: tasksEcho("failing", 1)})
+	check(failing, f.wait(f.submit(0, failing)), result.RanYes)
+	hanging := tasksJob("hanging", 1000, 20_000, 20_000)
+	check(hanging, f.wait(f.submit(0, hanging)), result.RanUnknown, result.RanYes)
+	f.setTarget(0, standin.TargetFaults{Silent: true})
+	f.setTarget(1, standin.TargetFaults{Silent: true})
+	silent := tasksJob("silent", 1000, 20)
+	check(silent, f.wait(f.submit(0, silent)), result.RanUnknown)
+	f.setTarget(0, standin.TargetFaults{})
+	f.setTarget(1, standin.TargetFaults{})
+	dying := tasksJob("dying", 50_000, tasksRepeat(2, 30_000)...)
+	answer := f.submit(0, dying)
+	f.until("tasks out", func() bool { return f.started(dying) == 2 })
+	f.checkStarts()
+	f.must(f.Kill("target-0"))
+	f.must(f.Kill("target-1"))
+	if a := f.wait(answer); a.err != nil || a.Ran != result.RanUnknown || len(a.Results) > 0 {
+		t.Errorf("error %v, answer %d %s, ran %s", a.err, a.Code, a.Name, a.Ran)
+	}
+	f.checkCounts(0)
+}
+
+// metrics returns an entry's metrics page after its next report.
+func (f *tasksFleet) metrics(i int) string {
+	f.t.Helper()
+	time.Sleep(1500 * time.Millisecond) // counters reach the page every 500 ms
+	response, err := http.Get(f.EntryURLs()[i] + "/metrics")
+	f.must(err)
+	defer response.Body.Close()
+	var page bytes.Buffer
+	_, err = page.ReadFrom(response.Body)
+	f.must(err)
+	return page.String()
+}
+
+// setStore sets switches of the stand-in store.
+func (f *tasksFleet) setStore(change string) {
+	f.t.Helper()
+	if err := tasksPost(f.ctx, f.StoreURL()+"/faults", []byte(change)); err != nil {
+		f.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/integration/tasks_silent_test.go
@@ -0,0 +1,151 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/client"
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/platform/httpstore"
+	"github.com/catkinline/catkinline/result"
+)
+
+// Guards against a caller whose kept connections went silent and that can send
+// nothing until each of them has cost it a whole deadline. The job whose own
+// connection went silent ends as broken after its deadline and ten seconds.
+func TestTasksSilentCallerConnections(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) { o.Network.Callers = true })
+	relay := f.Relay("caller/entry-0")
+	var kept []<-chan tasksAnswer
+	for i := range 6 { // at once, each on its own connection
+		kept = append(kept, f.submit(0, tasksJob(fmt.Sprintf("kept-%d", i), 30_000, 300)))
+	}
+	for _, answer := range kept {
+		f.wait(answer)
+	}
+	cut := tasksJob("cut", 4000, tasksRepeat(4, 1000)...)
+	answer := f.submit(0, cut)
+	f.until("tasks out", func() bool { return f.started(cut) == 4 })
+	if relay.SilenceFlows() == 0 {
+		t.Error("no connection to silence")
+	}
+	for i := range 8 {
+		// A deadline above the patience: a job on a silent connection fails the test.
+		next := tasksJob(fmt.Sprintf("next-%d", i), 60_000, tasksRepeat(16, 50)...)
+		f.checkWhole(next.Key, next, f.wait(f.submit(0, next)))
+	}
+	if a := f.wait(answer); !errors.Is(a.err, client.ErrBroken) {
+		t.Errorf("answer %s over a silent connection, error %v", a.State, a.err)
+	}
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against work that hangs behind links that went silent: the silence
+// limit of 3.5 s closes them, agents dial from a new socket, and entries ask
+// for what was out. A job that is given up instead fails the test.
+func TestTasksSilentLinks(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) { o.Network.Links = true })
+	for round := range 2 {
+		j := tasksJob(fmt.Sprintf("round-%d", round), 60_000, tasksRepeat(64, 300)...)
+		answer := f.submit(0, j)
+		f.until("tasks out", func() bool { return f.started(j) >= 16 })
+		silenced := time.Now()
+		if f.Relay("link/entry-0").SilenceFlows() == 0 {
+			t.Error("no link to silence")
+		}
+		f.checkWhole(j.Key, j, f.wait(answer))
+		t.Logf("answered %v after the silence", time.Since(silenced).Round(10*time.Millisecond))
+	}
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against a target that is lost because connections to it went silent:
+// a task behind one ends at its job's deadline, new tasks use new connections,
+// and the slots come back.
+func TestTasksSilentTargetConnections(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) { o.Targets, o.Network.Targets = 1, true })
+	cut := tasksJob("cut", 4000, tasksRepeat(4, 2000)...)
+	answer := f.submit(0, cut)
+	f.until("tasks out", func() bool { return f.started(cut) == 4 })
+	short := tasksJob("short", 30_000, tasksRepeat(4, 20)...)
+	f.checkWhole("short", short, f.wait(f.submit(0, short)))
+	if f.Relay("target/agent-0").SilenceFlows() == 0 {
+		t.Error("no connection to silence")
+	}
+	next := tasksJob("next", 60_000, tasksRepeat(16, 50)...)
+	f.checkWhole("next", next, f.wait(f.submit(0, next)))
+	a := f.wait(answer)
+	f.checkFailed(cut, a, 0)
+	if a.Ran == result.NotRun {
+		t.Errorf("answer %d %s says not run", a.Code, a.Name)
+	}
+	wide := tasksJob("wide", 60_000, tasksRepeat(8, 2000)...)
+	answer = f.submit(0, wide)
+	done := f.starts()[0].Outcomes.Done
+	f.until("all 8 slots in use at once", func() bool { return f.started(wide) == 8 })
+	if now := f.starts()[0].Outcomes.Done; now != done {
+		t.Logf("%d tasks ended before the last of 8 started", now-done)
+	}
+	f.checkWhole("wide", wide, f.wait(answer))
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// Guards against an entry that loses the store because its connections went
+// silent: ordinary jobs don't notice, non-idempotent ones are refused as not
+// run for at most a call's timeout, and a new configuration arrives.
+func TestTasksSilentStoreConnections(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) { o.Network.Stores = true })
+	once := func(n int) client.Job {
+		j := tasksJob(fmt.Sprintf("once-%d", n), 20_000, tasksRepeat(2, 20)...)
+		j.Idempotent = false
+		return j
+	}
+	f.checkWhole("once", once(0), f.wait(f.submit(0, once(0))))
+	if f.Relay("store/entry-0").SilenceFlows() == 0 {
+		t.Error("no connection to silence")
+	}
+	plain := tasksJob("plain", 30_000, tasksRepeat(16, 50)...)
+	f.checkWhole("plain", plain, f.wait(f.submit(0, plain)))
+	n := 0
+	f.until("a claim", func() bool {
+		n++
+		a := f.wait(f.submit(0, once(n)))
+		if a.State != entry.StateComplete {
+			f.checkNotRun(once(n), a.Answer, result.ClaimUnavailable)
+		}
+		return a.State == entry.StateComplete
+	})
+	f.addTeam("late")
+	n = 0
+	f.until("the new team", func() bool {
+		n++
+		j := tasksJob(fmt.Sprintf("late-%d", n), 20_000, 20)
+		j.Team = "late"
+		return f.wait(f.submit(0, j)).State == entry.StateComplete
+	})
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
+// addTeam writes a configuration with one more team to the store.
+func (f *tasksFleet) addTeam(name string) {
+	f.t.Helper()
+	store, err := httpstore.New(f.StoreURL(), httpstore.Options{})
+	f.must(err)
+	ctx, cancel := context.WithTimeout(f.ctx, tasksPatience)
+	defer cancel()
+	current, err := store.Get(ctx, config.Key)
+	f.must(err)
+	value := strings.Replace(string(current.Value), `"teams": {`, fmt.Sprintf(`"teams": {%q: {}, `, name), 1)
+	_, err = store.CompareAndSwap(ctx, config.Key, current.Version, []byte(value), 0)
+	f.must(err)
+}
