Ask grants back with one message per entry

Cause: slots that came free one at a time were granted ahead as single-slot grants, and each was asked back with a message of its own.

Revoke and Return now name several grants.

Any message renews grants, but only a heartbeat lets a grant be asked back again of which the entry has just kept slots: otherwise each start would repeat the request.

--- a/agent/handle.go
+++ b/agent/handle.go
@@ -24,7 +24,7 @@
 	}
 	now := time.Now()
 	name := l.Name()
-	a.table.Heard(name, now)
+	a.table.Renew(name, now)
 	switch m := m.(type) {
 	case *wire.Demand:
 		a.table.SetDemand(name, *m, now)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -190,7 +190,7 @@
 	t.grants = append(t.grants, grant{id: g.ID, left: g.Slots, shortOnly: g.ShortOnly})
 }
 
-// HandleRevoke gives the unused slots of a grant back.
+// HandleRevoke gives unused slots of grants back.
 func (s *Scheduler) HandleRevoke(name string, link Sender, r *wire.Revoke, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,12 +198,17 @@
 	if t == nil || t.link != link {
 		return
 	}
-	left, used := t.giveBack(r.ID, r.Slots)
-	if !used {
-		s.waste(1) // the grant led to no start
+	s.waste(2) // the request and its answer
+	back := &wire.Return{Grants: make([]wire.GrantSlots, 0, len(r.Grants))}
+	for _, g := range r.Grants {
+		left, used := t.giveBack(g.ID, g.Slots)
+		if !used {
+			s.waste(1) // the grant led to no start
+		}
+		s.record.Add(metrics.GrantsUnused, int64(left))
+		back.Grants = append(back.Grants, wire.GrantSlots{ID: g.ID, Slots: left})
 	}
-	s.record.Add(metrics.GrantsUnused, int64(left))
-	s.send(t, &wire.Return{ID: r.ID, Slots: left})
+	s.send(t, back)
 }
 
 // HandleAnnounce takes in what an agent says about its target.
--- a/slots/entry.go
+++ b/slots/entry.go
@@ -93,6 +93,17 @@
 // being revoked is not renewed, so that a Revoke without an answer ends with
 // the grant's expiry.
 func (t *Table) Heard(name string, now time.Time) {
+	t.renew(name, now, func(g *grant) { g.kept = false })
+}
+
+// Renew renews an entry's grants after any other message of it: a link sends no
+// heartbeat while other messages flow. Unlike a heartbeat it does not let a grant
+// be asked back again of which the entry has just kept slots.
+func (t *Table) Renew(name string, now time.Time) {
+	t.renew(name, now, func(*grant) {})
+}
+
+func (t *Table) renew(name string, now time.Time, each func(*grant)) {
 	t.advance(now)
 	e := t.find(name)
 	if e == nil || !e.up {
@@ -101,7 +112,7 @@
 	for _, g := range t.grants {
 		if g.entry == e && g.revoking == 0 {
 			g.expiry = t.clock.Add(t.opts.GrantTTL)
-			g.kept = false
+			each(g)
 		}
 	}
 }
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -249,7 +249,7 @@
 }
 
 // revoke asks for up to n unused slots back, one at a time from the entry with
-// the most to spare, and merges the requests by grant.
+// the most to spare, and merges the requests to one entry.
 func (t *Table) revoke(out []Revocation, n int, shortToo bool) []Revocation {
 	for ; n > 0; n-- {
 		g := t.spareGrant(shortToo)
@@ -264,13 +264,19 @@
 
 func mergeRevocation(out []Revocation, g *grant, agent wire.Incarnation) []Revocation {
 	id := wire.GrantID{Agent: agent, Seq: g.seq}
-	for i := range out {
-		if out[i].Revoke.ID == id {
-			out[i].Revoke.Slots++
+	at := slices.IndexFunc(out, func(r Revocation) bool { return r.Entry == g.entry.name })
+	if at < 0 {
+		return append(out, Revocation{g.entry.name, wire.Revoke{Grants: []wire.GrantSlots{{ID: id, Slots: 1}}}})
+	}
+	grants := out[at].Revoke.Grants
+	for i := range grants {
+		if grants[i].ID == id {
+			grants[i].Slots++
 			return out
 		}
 	}
-	return append(out, Revocation{Entry: g.entry.name, Revoke: wire.Revoke{ID: id, Slots: 1}})
+	out[at].Revoke.Grants = append(grants, wire.GrantSlots{ID: id, Slots: 1})
+	return out
 }
 
 // spareGrant returns a grant with a slot to spare of the entry that has most of
@@ -302,11 +308,18 @@
 	return general + short - g.entry.waiting()
 }
 
-// Return takes unused slots of a grant back. A return of slots that are no
-// longer granted has no effect.
+// Return takes unused slots of grants back. A return of slots that are no longer
+// granted has no effect.
 func (t *Table) Return(name string, r wire.Return, now time.Time) {
 	t.advance(now)
-	g := t.lookupGrant(t.find(name), r.ID)
+	for _, back := range r.Grants {
+		t.takeBack(t.find(name), back)
+	}
+	t.dropUsedUp()
+}
+
+func (t *Table) takeBack(e *entry, r wire.GrantSlots) {
+	g := t.lookupGrant(e, r.ID)
 	if g == nil {
 		return
 	}
@@ -315,7 +328,6 @@
 	g.revoking = 0
 	g.left -= n
 	t.counters.unused += n
-	t.dropUsedUp()
 }
 
 // lookupGrant returns the entry's live grant of an id, or nil.
--- a/slots/random_test.go
+++ b/slots/random_test.go
@@ -71,7 +71,10 @@
 		r.Ack(name, ack, r.now)
 	case 10:
 		for _, v := range r.Revocations(r.now) {
-			r.Return(v.Entry, wire.Return{ID: v.Revoke.ID, Slots: uint32(op.Grant % 3)}, r.now)
+			for _, g := range v.Revoke.Grants {
+				g.Slots = uint32(op.Grant % 3)
+				r.Return(v.Entry, wire.Return{Grants: []wire.GrantSlots{g}}, r.now)
+			}
 		}
 	}
 	r.issued = append(r.issued, r.Allocate(r.now)...)
--- a/slots/sharing_test.go
+++ b/slots/sharing_test.go
@@ -43,7 +43,7 @@
 		}
 		for _, r := range revocations {
 			messages++
-			f.Return(r.Entry, wire.Return{ID: r.Revoke.ID, Slots: r.Revoke.Slots}, f.now)
+			f.Return(r.Entry, wire.Return{Grants: r.Revoke.Grants}, f.now)
 		}
 	}
 	f.Fatal("revocations do not come to an end")
@@ -60,7 +60,9 @@
 	f.allocate()
 	asked := map[string]int{}
 	for _, r := range f.Revocations(f.now) {
-		asked[r.Entry] += int(r.Revoke.Slots)
+		for _, g := range r.Revoke.Grants {
+			asked[r.Entry] += int(g.Slots)
+		}
 	}
 	if asked["a"] != 0 || asked["b"]+asked["c"] != 2 {
 		t.Fatalf("asked %v; a lacks 2 slots, b can spare 1 and c 2", asked)
@@ -80,7 +82,8 @@
 	if len(first) != 1 || first[0].Entry != "b" {
 		t.Fatalf("%v", first)
 	}
-	f.Return("b", wire.Return{ID: first[0].Revoke.ID}, f.now)
+	none := wire.GrantSlots{ID: first[0].Revoke.Grants[0].ID}
+	f.Return("b", wire.Return{Grants: []wire.GrantSlots{none}}, f.now)
 	if again := f.Revocations(f.now); len(again) != 0 {
 		t.Fatalf("asked again at once: %v", again)
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -151,17 +151,22 @@
 	Load      uint32        `cbor:"5,keyasint,omitempty"`
 }
 
-// Revoke asks for unused slots of a grant back: at most Slots of them, or all
-// where Slots is 0. The entry answers with one Return, also when it has none.
+// Revoke asks for unused slots of grants back: of each grant at most Slots, or
+// all where Slots is 0. The entry answers with one Return that names every
+// grant, also those of which it has no slot left.
 type Revoke struct {
+	Grants []GrantSlots `cbor:"1,keyasint"`
+}
+
+// GrantSlots is a number of unused slots of one grant.
+type GrantSlots struct {
 	ID    GrantID `cbor:"1,keyasint"`
 	Slots uint32  `cbor:"2,keyasint,omitempty"`
 }
 
-// Return gives back unused slots of a grant. The sender will not use them.
+// Return gives back unused slots of grants. The sender will not use them.
 type Return struct {
-	ID    GrantID `cbor:"1,keyasint"`
-	Slots uint32  `cbor:"2,keyasint"`
+	Grants []GrantSlots `cbor:"1,keyasint"`
 }
 
 // Start asks the agent to start one task. Its loss is ambiguous until a Query
