Leave zero values out of the settings files of a fleet

Settings apply defaults to absent fields and check the rest, so that a written zero was refused. Filling the defaults in the fleet was ruled out: it would copy them.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -219,6 +220,22 @@
 	}
 }
 
+// Guards against settings files whose zero values replace the defaults of the
+// process that reads them.
+func TestSettingsLeaveOutZeros(t *testing.T) {
+	got, err := withoutZeros(settings.Agent{Name: "a", Target: settings.Target{Slots: 8}, Entries: []string{"e"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, got); err != nil {
+		t.Fatal(err)
+	}
+	if want := `{"entries":["e"],"name":"a","target":{"slots":8}}`; compact.String() != want {
+		t.Errorf("wrote %s, want %s", &compact, want)
+	}
+}
+
 // Guards against a fleet that is larger than the machine can carry, and against
 // a failed start that leaves processes or hides its cause.
 func TestStartFailures(t *testing.T) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -99,13 +99,59 @@
 }
 
 func (f *Fleet) writeSettings(name string, s any) error {
-	data, err := json.MarshalIndent(s, "", "\t")
+	data, err := withoutZeros(s)
 	if err != nil {
 		return Err.Wrap(err)
 	}
 	return Err.Wrap(os.WriteFile(f.settingsPath(name), data, 0o600))
 }
 
+// withoutZeros encodes settings and leaves out zero values: the reader applies
+// defaults to absent fields only. A setting whose zero differs from its default
+// can't be written by a fleet.
+func withoutZeros(s any) ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return nil, err
+	}
+	prune(tree)
+	return json.MarshalIndent(tree, "", "\t")
+}
+
+// prune removes zero members of an object, and objects that become empty.
+func prune(object map[string]any) {
+	for name, value := range object {
+		if inner, ok := value.(map[string]any); ok {
+			prune(inner)
+		}
+		if isZero(value) {
+			delete(object, name)
+		}
+	}
+}
+
+func isZero(value any) bool {
+	switch v := value.(type) {
+	case nil:
+		return true
+	case bool:
+		return !v
+	case float64:
+		return v == 0
+	case string:
+		return v == ""
+	case []any:
+		return len(v) == 0
+	case map[string]any:
+		return len(v) == 0
+	}
+	return false
+}
+
 // storeWrite is the store's request for a compare-and-swap over HTTP.
 type storeWrite struct {
 	Key      string `json:"key"`
