Let Close of a fleet wait until everything has ended

An interrupted load tool could exit while the end of its context was still killing processes and removing files: the second Close returned at once. The kernel then killed the processes, but the temporary directory stayed. Close now returns only when the first call is done.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,7 @@
 	plan      plan
 	relays    map[string]faultproxy.Relay
 	stopWatch func() bool
+	closing   sync.Once
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -94,7 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
 	f.stopWatch = context.AfterFunc(ctx, f.Close)
+	f.mu.Unlock()
 	if err := f.startAll(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -220,16 +223,15 @@
 }
 
 // Close kills every process, ends the relays and removes a temporary
-// directory. It may be called more than once.
-func (f *Fleet) Close() {
+// directory. Each call returns only when that is done, since a program may exit
+// right after it.
+func (f *Fleet) Close() { f.closing.Do(f.close) }
+
+func (f *Fleet) close() {
 	f.mu.Lock()
-	closed := f.closed
 	f.closed = true
-	f.mu.Unlock()
-	if closed {
-		return
-	}
 	f.stopWatch()
+	f.mu.Unlock()
 	for _, p := range f.processes {
 		p.kill()
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -172,6 +172,41 @@
 	}
 }
 
+// Guards against a Close that returns while the end of the context is still
+// ending processes: a program that exits then would leave them behind.
+func TestCloseWaitsForTheEndOfTheContext(t *testing.T) {
+	options, err := TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Targets, options.Slots = 10, 1
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f, err := Start(ctx, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	for !f.isClosing() {
+		time.Sleep(time.Microsecond)
+	}
+	f.Close()
+	for _, name := range f.Names() {
+		if f.Alive(name) {
+			t.Errorf("%s runs after Close", name)
+		}
+	}
+	if _, err := os.Stat(f.directory); !os.IsNotExist(err) {
+		t.Errorf("the temporary directory remains: %v", err)
+	}
+}
+
+func (f *Fleet) isClosing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
 // Guards against a relay that can't tell which process a flow belongs to, so
 // that delays and cuts by failure domain would hit every agent.
 func TestLinkRelayKnowsTheClient(t *testing.T) {
