--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -171,6 +172,41 @@
 	}
 }
 
+// Guards against a Close that returns while the end of the context is still
+// ending processes: a program that exits then would leave them behind.
+func TestCloseWaitsForTheEndOfTheContext(t *testing.T) {
+	options, err := TestOptions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Targets, options.Slots = 10, 1
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f, err := Start(ctx, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	for !f.isClosing() {
+		time.Sleep(time.Microsecond)
+	}
+	f.Close()
+	for _, name := range f.Names() {
+		if f.Alive(name) {
+			t.Errorf("%s runs after Close", name)
+		}
+	}
+	if _, err := os.Stat(f.directory); !os.IsNotExist(err) {
+		t.Errorf("the temporary directory remains: %v", err)
+	}
+}
+
+func (f *Fleet) isClosing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
 // Guards against a relay that can't tell which process a flow belongs to, so
 // that delays and cuts by failure domain would hit every agent.
 func TestLinkRelayKnowsTheClient(t *testing.T) {
@@ -219,6 +255,22 @@
 	}
 }
 
+// Guards against settings files whose zero values replace the defaults of the
+// process that reads them.
+func TestSettingsLeaveOutZeros(t *testing.T) {
+	got, err := withoutZeros(settings.Agent{Name: "a", Target: settings.Target{Slots: 8}, Entries: []string{"e"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, got); err != nil {
+		t.Fatal(err)
+	}
+	if want := `{"entries":["e"],"name":"a","target":{"slots":8}}`; compact.String() != want {
+		t.Errorf("wrote %s, want %s", &compact, want)
+	}
+}
+
 // Guards against a fleet that is larger than the machine can carry, and against
 // a failed start that leaves processes or hides its cause.
 func TestStartFailures(t *testing.T) {
