--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -257,6 +257,7 @@
 	if a.lose {
 		return
 	}
+	a.table.Ack(l.e.name, &wire.Ack{Tasks: m.Acks}, a.f.now)
 	if ok, refusal := a.table.Start(l.e.name, m, a.f.now, a.f.now); !ok {
 		a.outcome(l, refusal)
 		return
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -31,6 +31,7 @@
 
 func (s *Scheduler) accept(j *activeJob) {
 	s.jobs[j.seq] = j
+	s.lastJob = max(s.lastJob, j.seq)
 	s.expiry.push(j)
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -74,7 +74,8 @@
 	queue     *queue.Queue
 	unbound   []boundTask // push baselines only
 	tasksOut  int
-	demanding int // targets whose last demand from here is not empty
+	lastJob   uint64 // number of the newest job
+	demanding int    // targets whose last demand from here is not empty
 	estimates *estimate.Estimator
 	admission *admission.Controller
 	rate      *admission.Rate
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -163,3 +163,20 @@
 		f.checkStarts()
 	}
 }
+
+// Guards against identities and outcomes that agents keep for jobs that are
+// over.
+func TestAgentsForgetJobsThatAreOver(t *testing.T) {
+	f := newFleet(t, 2, 2, 8, settings.Policy{})
+	for range 50 {
+		f.submit(0, spec(8, 50*time.Millisecond))
+		f.submit(1, spec(8, 50*time.Millisecond))
+		f.advance(200 * time.Millisecond)
+	}
+	f.advance(2 * belowInterval)
+	for _, a := range f.agents {
+		if s := a.table.Stats(f.now); s.Identities != 0 || s.Retained != 0 {
+			t.Errorf("%s remembers %d identities and %d outcomes", a.name, s.Identities, s.Retained)
+		}
+	}
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -58,6 +58,8 @@
 	load        uint32 // tasks running and waiting at the target, as last heard
 	acks        []wire.TaskID
 	bound       []boundTask // push baselines only
+	below       uint64      // last job number sent below which every job is over
+	belowAt     time.Time
 	acksSince   time.Time
 	demand      wire.Demand // last sent
 	demandAt    time.Time
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -89,19 +89,51 @@
 	}
 }
 
-// ackDelay is how long an acknowledgement waits for a start to carry it.
-const ackDelay = 200 * time.Millisecond
+const (
+	// ackDelay is how long an acknowledgement waits for a start to carry it. An
+	// agent keeps unacknowledged outcomes within a bound in bytes meanwhile.
+	ackDelay = time.Second
+	// belowInterval is how often an agent is told which jobs are over, so that it
+	// can forget their identities long before its bound on them.
+	belowInterval = 10 * time.Second
+)
 
+// flushAcks sends the acknowledgements that no start has carried in time, and
+// now and then the number below which every job is over.
 func (s *Scheduler) flushAcks(now time.Time) {
+	below := uint64(0)
 	for _, t := range s.ordered {
 		if len(t.acks) == 0 {
 			t.acksSince = now
+		}
+		due := len(t.acks) >= ackBatch || now.Sub(t.acksSince) >= ackDelay
+		if t.link == nil || !due && now.Sub(t.belowAt) < belowInterval {
 			continue
 		}
-		if len(t.acks) >= ackBatch || now.Sub(t.acksSince) >= ackDelay {
-			s.send(t, &wire.Ack{Tasks: t.takeAcks()})
+		if below == 0 {
+			below = s.lowestJob()
+		}
+		t.belowAt = now
+		if due || below != t.below {
+			t.below = below
+			s.send(t, &wire.Ack{Tasks: t.takeAcks(), Below: below})
+		}
+	}
+}
+
+// lowestJob returns a number that no start or query of this scheduler will name
+// a lower one than: that of its oldest job that waits or has a task out.
+func (s *Scheduler) lowestJob() uint64 {
+	lowest := s.lastJob + 1
+	for seq := range s.jobs {
+		lowest = min(lowest, seq)
+	}
+	for _, t := range s.ordered {
+		for key := range t.out {
+			lowest = min(lowest, key.seq)
 		}
 	}
+	return lowest
 }
 
 // expiryHeap orders jobs by deadline. Jobs that ended stay until their deadline
--- a/slots/start.go
+++ b/slots/start.go
@@ -246,7 +246,10 @@
 			t.drop(rec.kept)
 		}
 	}
-	e.ids.below = max(e.ids.below, ack.Below)
+	if ack.Below > e.ids.below {
+		e.ids.below = ack.Below
+		e.ids.sweep(t.drop)
+	}
 	t.sweep(e)
 }
 
