Tell agents less about waiting work, and let freed slots stay where they are near enough

Cause: each start carried the demand at its own moment, so a burst of starts told every agent of tasks that had just been started elsewhere; agents took slots from other entries for them, which came back unused. Every agent was told of all waiting tasks, and of each step of the head's order key in either direction. A freed slot moved to another entry for any difference in order key, which costs a message of its own.

Now starts leave at the end of a pump and the last one to each agent carries what still waits; the waiting tasks are shared out over the targets that can run them; a head that became less urgent is told by the next start only; and an entry keeps the slot that its own task freed while its head is at most 2 s of order key behind.

Ruled out by trials in virtual time with the harness: steps of 0.5 s and 10 s, intervals of 20 ms, two or four times the waiting tasks told, holding back the message that nothing waits any more, fewer slots granted ahead. None had fewer messages without a longer tail.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -11,49 +11,60 @@
 // of its own is sent only when the agent would otherwise act on a wrong picture.
 const (
 	// demandInterval is the least time between two demand messages to one agent
-	// while work waits.
-	demandInterval = 20 * time.Millisecond
-	// demandKeyStep is the change of the head's order key, in seconds, that is
-	// worth a message: less changes the choice between entries by less than the
-	// run time of a usual task.
-	demandKeyStep = 0.5
-	// demandSpread is how many targets are told of each waiting task. One would
-	// wait for one target's next free slot; all would have every target offer a
-	// slot for the same task.
-	demandSpread = 3
+	// while work waits. With 20 ms the tail of short jobs was the same.
+	demandInterval = 100 * time.Millisecond
+	// demandKeyStep is how much more urgent the head has to become, in seconds of
+	// order key, to be worth a message. Steps of 0.5 s sent half as many messages
+	// again without a shorter tail; steps of 10 s made the tail longer.
+	demandKeyStep = 3
+	// demandSpread is how many targets are told of each waiting task. All of them
+	// would have every target offer a slot for the same task.
+	demandSpread = 1
+	// urgentPerTick bounds the targets that are told of a more urgent head in one
+	// TickInterval.
+	urgentPerTick = 1
 )
 
-// sendDemand tells agents without a grant for this entry what waits here.
+// sendDemand tells agents without a grant for this entry what waits here. It
+// begins with another target each time, so that no target is favoured.
 func (s *Scheduler) sendDemand(now time.Time) {
-	if s.queue.Waiting() == 0 && s.demanding == 0 {
+	if s.queue.Waiting() == 0 && s.demanding == 0 || len(s.ordered) == 0 {
 		return
 	}
-	told := 0
+	s.demandTurn++
 	heads := make(map[string]wire.Demand, 1)
-	for _, t := range s.ordered {
+	told := make(map[string]int, 1)
+	for i := range s.ordered {
+		t := s.ordered[(s.demandTurn+i)%len(s.ordered)]
 		if !t.usable() {
 			continue
 		}
 		d := s.demandFor(t, heads)
-		if d.Waiting > 0 && told >= demandSpread*int(d.Waiting) && t.demand.Waiting == 0 {
+		if d.Waiting > 0 && t.demand.Waiting == 0 && told[t.groupsKey] >= demandSpread*int(d.Waiting) {
 			continue
 		}
 		if d.Waiting > 0 {
-			told++
+			told[t.groupsKey]++
 		}
-		if t.demandDue(d, now) {
-			if t.unanswered {
-				s.waste(1) // the demand before led to no grant
-			}
-			s.noteDemand(t, d, now)
-			t.unanswered = d.Waiting > 0
-			s.send(t, &d)
+		if s.demandDue(t, d, now) {
+			s.tellDemand(t, d, now)
 		}
 	}
 }
 
-// demandDue reports whether a demand is worth a message.
-func (t *target) demandDue(d wire.Demand, now time.Time) bool {
+func (s *Scheduler) tellDemand(t *target, d wire.Demand, now time.Time) {
+	if t.unanswered {
+		s.waste(1) // the demand before led to no grant
+	}
+	s.noteDemand(t, d, now)
+	t.unanswered = d.Waiting > 0
+	s.send(t, &d)
+}
+
+// demandDue reports whether a demand is worth a message. A head that has become
+// less urgent is not: the agent's next grant brings a start that says so. One
+// that has become more urgent is told to a few targets at a time.
+func (s *Scheduler) demandDue(t *target, d wire.Demand, now time.Time) bool {
 	last := t.demand
 	if (d.Waiting == 0) != (last.Waiting == 0) {
 		return true
@@ -61,10 +72,15 @@
 	if d.Waiting == 0 || now.Sub(t.demandAt) < demandInterval {
 		return false
 	}
-	slots := max(1, t.announce.Slots)
-	fewer := d.Waiting < last.Waiting && d.Waiting < slots
-	more := d.Waiting > last.Waiting && last.Waiting < slots
-	return fewer || more || d.Class != last.Class || math.Abs(float64(d.Key-last.Key)) > demandKeyStep
+	if d.Waiting >= 2*last.Waiting && last.Waiting < max(1, t.announce.Slots) {
+		return true
+	}
+	urgent := d.Class < last.Class || float64(last.Key-d.Key) > demandKeyStep
+	if !urgent || s.urgentLeft == 0 {
+		return false
+	}
+	s.urgentLeft--
+	return true
 }
 
 // noteDemand records what a target was told, and how many targets believe that
@@ -93,16 +109,28 @@
 	if head, ok := s.queue.HeadKey(t.groups, s.allow); ok {
 		d = wire.Demand{Waiting: uint32(min(head.Waiting, math.MaxUint32)), Key: head.Key, Class: head.Class}
 	}
+	d.Waiting = share(d.Waiting, s.sharing(t))
 	if heads != nil {
 		heads[t.groupsKey] = d
 	}
 	return d
 }
 
-// demandOnStart returns the demand that a start carries.
-func (s *Scheduler) demandOnStart(t *target, now time.Time) *wire.Demand {
-	d := s.demandFor(t, nil)
-	s.noteDemand(t, d, now)
-	t.unanswered = false
-	return &d
+// share is the part of the waiting tasks that one of n targets is told of. With
+// the whole number each, every target would take slots from other entries for
+// the same tasks.
+func share(waiting uint32, n int) uint32 {
+	if n <= 1 {
+		return waiting
+	}
+	return uint32((uint64(waiting) + uint64(n) - 1) / uint64(n))
+}
+
+// sharing is the number of targets that may run what a target may.
+func (s *Scheduler) sharing(t *target) int {
+	most := 0
+	for _, id := range t.groups {
+		most = max(most, len(s.byGroup[id].targets))
+	}
+	return most
 }
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -69,10 +69,43 @@
 		for s.startNext(now) {
 		}
 	}
+	s.sendStarts(now)
 	s.trackRate(now)
 	s.sendDemand(now)
 }
 
+// readyStart is a start that leaves at the end of the pump.
+type readyStart struct {
+	target *target
+	start  *wire.Start
+}
+
+// sendStarts sends the starts of this pump. The last one to each target carries
+// what still waits after all of them: what waited in between would have agents
+// take slots from other entries for tasks that have just been started.
+func (s *Scheduler) sendStarts(now time.Time) {
+	if len(s.ready) == 0 {
+		return
+	}
+	heads := make(map[string]wire.Demand, 1)
+	seen := make(map[*target]bool, len(s.ready))
+	for _, r := range slices.Backward(s.ready) {
+		if seen[r.target] {
+			continue
+		}
+		seen[r.target] = true
+		d := s.demandFor(r.target, heads)
+		s.noteDemand(r.target, d, now)
+		r.target.unanswered = false
+		r.start.Demand = &d
+		r.start.Acks = r.target.takeAcks()
+	}
+	for _, r := range s.ready {
+		s.send(r.target, r.start)
+	}
+	s.ready = s.ready[:0]
+}
+
 func (s *Scheduler) startNext(now time.Time) bool {
 	if s.queue.Waiting() == 0 {
 		return false
@@ -212,7 +245,7 @@
 	s.adjust(j, -1, -int64(len(spec.Tasks[index].Payload)))
 	s.updateItem(j)
 	s.recordStart(j, now)
-	s.send(t, &wire.Start{
+	s.ready = append(s.ready, readyStart{t, &wire.Start{
 		Task:     id,
 		Grant:    grantID,
 		Revision: s.rules.RevisionFor(s.opts.Service, t.announce.Target),
@@ -220,9 +253,7 @@
 		Class:    class,
 		TimeLeft: s.timeLeft(j, now),
 		Payload:  spec.Tasks[index].Payload,
-		Demand:   s.demandOnStart(t, now),
-		Acks:     t.takeAcks(),
-	})
+	}})
 	return true
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -63,23 +63,26 @@
 	opts   Options
 	record Recorder
 
-	mu        sync.Mutex
-	rules     *config.Snapshot
-	jobs      map[uint64]*activeJob
-	expiry    expiryHeap
-	targets   map[string]*target
-	ordered   []*target // by name
-	groups    map[string]*group
-	byGroup   []*group // by queue.Group
-	queue     *queue.Queue
-	unbound   []boundTask // push baselines only
-	tasksOut  int
-	lastJob   uint64 // number of the newest job
-	demanding int    // targets whose last demand from here is not empty
-	estimates *estimate.Estimator
-	admission *admission.Controller
-	rate      *admission.Rate
-	outliers  *outlier.Detector
+	mu         sync.Mutex
+	rules      *config.Snapshot
+	jobs       map[uint64]*activeJob
+	expiry     expiryHeap
+	targets    map[string]*target
+	ordered    []*target // by name
+	groups     map[string]*group
+	byGroup    []*group // by queue.Group
+	queue      *queue.Queue
+	unbound    []boundTask // push baselines only
+	tasksOut   int
+	lastJob    uint64       // number of the newest job
+	demanding  int          // targets whose last demand from here is not empty
+	ready      []readyStart // starts of the running pump
+	demandTurn int
+	urgentLeft int // targets that may be told of a more urgent head before the next tick
+	estimates  *estimate.Estimator
+	admission  *admission.Controller
+	rate       *admission.Rate
+	outliers   *outlier.Detector
 }
 
 // activeJob is a job that was accepted and has not ended.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -25,6 +25,7 @@
 	s.expireJobs(now)
 	s.expireTargets(now)
 	s.expireGroups(now)
+	s.urgentLeft = urgentPerTick
 	s.reclassify(now)
 	s.flushAcks(now)
 	s.pump(now)
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -87,7 +87,7 @@
 	var made []*grant
 	for t.free() > 0 {
 		room := t.generalRoom() > 0
-		e := t.nextWaiting(room)
+		e := t.nextWaiting(room, prefer)
 		if e == nil {
 			e = t.nextAhead(prefer)
 		}
@@ -132,7 +132,7 @@
 
 // nextWaiting picks the waiting entry for a free slot. Without general room an
 // entry whose first task is long is passed over.
-func (t *Table) nextWaiting(room bool) *entry {
+func (t *Table) nextWaiting(room bool, prefer *entry) *entry {
 	var best *entry
 	for _, e := range t.entries {
 		if t.deficit(e) == 0 || (!room && e.demand.Class == wire.ClassLong) {
@@ -142,9 +142,22 @@
 			best = e
 		}
 	}
+	if best == nil || prefer == nil || prefer == best || t.opts.Policy.Grants == grantsByTurns {
+		return best
+	}
+	blocked := t.deficit(prefer) == 0 || !room && prefer.demand.Class == wire.ClassLong
+	if !blocked && prefer.demand.Key <= best.demand.Key+keyTolerance {
+		return prefer
+	}
 	return best
 }
 
+// keyTolerance is by how many seconds of order key an entry may be behind the
+// first and still get the slot that its own task has freed: the grant then rides
+// on the outcome, where a grant to another entry is a message of its own. It is
+// about the run time of a usual task.
+const keyTolerance = 2
+
 // before orders two waiting entries. Equal keys are served in turn.
 func (t *Table) before(a, b *entry) bool {
 	if t.opts.Policy.Grants != grantsByTurns && a.demand.Key != b.demand.Key {
