Divide team quotas among the entries

An entry counted only its own starts, so that a team could use its quota once per entry. The entry's quota book now keeps a quota.Divider: use and waiting demand are reported in PeerState messages, peers join and leave by links and by the list of members, and a lost entry's earlier run keeps its share because entries are named by name and incarnation.

A state message that carries no report (the last one has not settled) is marked as such, since an empty list would read as "uses nothing". Waiting demand is read from the schedulers every 20 ms instead of being pushed on every change of a queue: the divider only needs it when it reports. A report goes out early only if a team's demand changed by a tenth of its quota, so that idle fleets stay at two reports a second.

--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -29,6 +29,13 @@
 	Targets []TargetStatus
 }
 
+// AddWaiting adds the number of waiting tasks of each team to a sum.
+func (s *Scheduler) AddWaiting(byTeam map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.AddWaiting(byTeam)
+}
+
 // Status returns a reading of the scheduler.
 func (s *Scheduler) Status(now time.Time) Status {
 	s.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,13 +92,13 @@
 		incarnation: wire.NewIncarnation(time.Now()),
 		credentials: credentials,
 		config:      config.NewHolder(),
-		quotas:      newQuotaBook(),
 		started:     time.Now(),
 		agents:      make(map[*transport.Link]*agentLink),
 		peers:       make(map[*transport.Link]bool),
 		confirmed:   make(map[string]uint64),
 		calls:       callReporter{reported: make(map[platform.Count]uint64)},
 	}
+	e.quotas = newQuotaBook(o.Settings.Name, e.incarnation)
 	e.schedulers.Store(&map[string]*dispatch.Scheduler{})
 	if o.Store != nil {
 		e.store = platform.NewCounted(o.Store)
@@ -151,6 +151,7 @@
 	}
 	e.tomb.Go(e.configLoop)
 	e.tomb.Go(e.peerLoop)
+	e.tomb.Go(e.stateLoop)
 	e.tomb.Go(e.tickLoop)
 	e.tomb.Go(e.gaugeLoop)
 	e.log.Info("entry started", zap.String("name", e.settings.Name), zap.String("callers", e.callerAddr.String()))
@@ -271,11 +272,11 @@
 	for name := range current.Document().Services {
 		e.scheduler(name)
 	}
+	e.quotas.setTeams(current.Teams()) // before the schedulers start tasks of a new team
 	now := time.Now()
 	for _, s := range *e.schedulers.Load() {
 		s.SetRules(current, now)
 	}
-	e.quotas.setTeams(current.Teams(), now)
 	e.metrics.Set(metrics.ConfigRevision, float64(current.Revision()))
 	e.sendPeerState()
 	e.log.Info("configuration in force", zap.Uint64("revision", current.Revision()))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,8 +13,11 @@
 // Timing of the links between entries.
 const (
 	// peerStateInterval bounds how old an entry's picture of the others' use of
-	// quotas is.
+	// quotas is while demand changes little.
 	peerStateInterval = 500 * time.Millisecond
+	// quotaInterval is how often an entry looks whether demand has changed so
+	// much that its peers should hear of it at once.
+	quotaInterval = 20 * time.Millisecond
 	// dialInterval is the pause between attempts to reach a peer, jittered so
 	// that entries that start together do not dial in step.
 	dialInterval = time.Second
@@ -27,6 +30,7 @@
 	e.mu.Lock()
 	e.peers[l] = true
 	e.mu.Unlock()
+	e.followPeers()
 	e.log.Info("peer linked", zap.String("peer", l.Name()))
 	_ = l.Send(e.peersMessage())
 }
@@ -148,6 +152,7 @@
 	}
 	for {
 		changed := e.members.Snapshot().Changed()
+		e.followPeers()
 		for _, p := range e.members.Snapshot().Peers {
 			e.dialPeer(p.Address)
 		}
@@ -157,7 +162,24 @@
 		case <-changed:
 			e.tellPeers()
 		case <-ticker.C:
-			e.sendPeerState()
+		}
+	}
+}
+
+// stateLoop sends this entry's state to its peers, at intervals and soon after a
+// change of demand.
+func (e *Entry) stateLoop() error {
+	ticker := time.NewTicker(quotaInterval)
+	defer ticker.Stop()
+	var sent time.Time
+	for {
+		select {
+		case <-e.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			if e.peerStateDue(now.Sub(sent)) {
+				sent = now
+			}
 		}
 	}
 }
@@ -175,11 +197,33 @@
 	}
 }
 
+// peerStateDue sends this entry's state if it is time for it or if demand has
+// changed, and reports whether it did.
+func (e *Entry) peerStateDue(age time.Duration) bool {
+	e.followDemand()
+	if age < peerStateInterval && !e.quotas.due() {
+		return false
+	}
+	uses, ok := e.quotas.report(time.Now())
+	if !ok && age < peerStateInterval {
+		return false // the report goes out as soon as the last one has settled
+	}
+	e.sendState(uses, ok)
+	return true
+}
+
+// sendPeerState tells the peers of a change other than one of demand.
 func (e *Entry) sendPeerState() {
+	e.followDemand()
+	e.sendState(e.quotas.report(time.Now()))
+}
+
+func (e *Entry) sendState(uses []wire.TeamUse, reported bool) {
 	state := &wire.PeerState{
 		Revision: e.config.Current().Revision(),
-		Teams:    e.quotas.Report(),
+		Teams:    uses,
 		Leaving:  e.stopping.Load(),
+		Reported: reported,
 	}
 	for _, l := range e.peerLinks() {
 		_ = l.Send(state)
--- a/entry/quotas.go
+++ b/entry/quotas.go
@@ -1,65 +1,209 @@
 package entry
 
 import (
+	"maps"
+	"math"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/quota"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
 
-// quotaBook follows the teams' use of slots at this entry. It implements
-// dispatch.Quotas.
+// reportShare is the change of a team's demand, as a share of its quota or of
+// its last reported demand, that is worth a report before the regular one. Less
+// would move few slots between entries.
+const reportShare = 0.1
+
+// quotaBook follows the teams' use of slots at this entry and divides their
+// quotas with the other entries. It implements dispatch.Quotas.
+//
+// Entries are named by name and incarnation, so that the tasks of an earlier run
+// of an entry keep their share until they must have ended.
 type quotaBook struct {
-	mu      sync.Mutex
-	running map[string]int
-	teams   map[string]config.Team
+	mu       sync.Mutex
+	divider  *quota.Divider
+	limits   map[string]int
+	running  map[string]int
+	waiting  map[string]int
+	reported map[string]int  // demand by team in the last report
+	peers    map[string]bool // that the divider knows and that are not gone
+	changed  bool            // quotas or peers have changed since the last report
+}
+
+func newQuotaBook(name string, incarnation wire.Incarnation) *quotaBook {
+	return &quotaBook{
+		divider: quota.New(quotaName(name, incarnation), quota.Options{}),
+		running: make(map[string]int),
+		peers:   make(map[string]bool),
+	}
 }
 
-func newQuotaBook() *quotaBook {
-	return &quotaBook{running: make(map[string]int)}
+func quotaName(name string, incarnation wire.Incarnation) string {
+	return name + "/" + strconv.FormatUint(uint64(incarnation), 16)
 }
 
-func (q *quotaBook) setTeams(teams map[string]config.Team, _ time.Time) {
+// setTeams takes the teams' quotas into force.
+func (q *quotaBook) setTeams(teams map[string]config.Team) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.teams = teams
+	old := q.limits
+	q.limits = make(map[string]int)
+	for name, t := range teams {
+		if t.QuotaSlots > 0 {
+			q.limits[name] = t.QuotaSlots
+		}
+	}
+	if maps.Equal(old, q.limits) {
+		return
+	}
+	q.changed = true
+	for team := range old {
+		if _, limited := q.limits[team]; !limited {
+			q.divider.Own(team, 0, 0)
+		}
+	}
+	q.divider.SetQuotas(q.limits)
+	for team := range q.limits {
+		q.note(team)
+	}
+}
+
+// note tells the divider what a team with a quota uses.
+func (q *quotaBook) note(team string) {
+	if _, limited := q.limits[team]; limited {
+		q.divider.Own(team, q.running[team], q.waiting[team])
+	}
 }
 
 // Allow implements dispatch.Quotas.
 func (q *quotaBook) Allow(team string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	limit := q.teams[team].QuotaSlots
-	return limit == 0 || q.running[team] < limit
+	if _, limited := q.limits[team]; !limited {
+		return true
+	}
+	return q.divider.May(team, time.Now())
 }
 
 // Started implements dispatch.Quotas.
-func (q *quotaBook) Started(team string) {
+func (q *quotaBook) Started(team string) { q.add(team, 1) }
+
+// Ended implements dispatch.Quotas.
+func (q *quotaBook) Ended(team string) { q.add(team, -1) }
+
+func (q *quotaBook) add(team string, n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running[team] += n
+	if q.running[team] == 0 {
+		delete(q.running, team)
+	}
+	q.note(team)
+}
+
+// setWaiting takes in the tasks that wait at this entry, by team.
+func (q *quotaBook) setWaiting(waiting map[string]int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.running[team]++
+	q.waiting = waiting
+	for team := range q.limits {
+		q.note(team)
+	}
 }
 
-// Ended implements dispatch.Quotas.
-func (q *quotaBook) Ended(team string) {
+// due reports whether demand has changed so much that peers should hear of it
+// before the regular report.
+func (q *quotaBook) due() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.running[team]--
+	if q.changed {
+		return true
+	}
+	for team, limit := range q.limits {
+		was := q.reported[team]
+		change := math.Abs(float64(q.running[team] + q.waiting[team] - was))
+		if change > reportShare*float64(max(limit, was)) {
+			return true
+		}
+	}
+	return false
+}
+
+// report returns what to tell all peers. It reports false if the last report is
+// too recent.
+func (q *quotaBook) report(now time.Time) ([]wire.TeamUse, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	uses, ok := q.divider.Report(now)
+	if !ok {
+		return nil, false
+	}
+	q.changed = false
+	q.reported = make(map[string]int, len(uses))
+	for _, u := range uses {
+		q.reported[u.Team] = int(u.Running) + int(u.Waiting)
+	}
+	return uses, true
+}
+
+// receive takes in a peer's report.
+func (q *quotaBook) receive(peer string, uses []wire.TeamUse, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.peers[peer] = true
+	q.divider.Receive(peer, uses, now)
 }
 
-// Report returns what peers are told.
-func (q *quotaBook) Report() []wire.TeamUse {
+// setPeers takes in which other entries are live. Those that no longer are keep
+// their share for the tasks that they may have started.
+func (q *quotaBook) setPeers(live map[string]bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	uses := make([]wire.TeamUse, 0, len(q.running))
-	for team, n := range q.running {
-		if n > 0 {
-			uses = append(uses, wire.TeamUse{Team: team, Running: uint32(n)})
+	for peer := range live {
+		if !q.peers[peer] {
+			q.peers[peer] = true
+			q.divider.Join(peer, now)
+			q.changed = true
+		}
+	}
+	for peer := range q.peers {
+		if !live[peer] {
+			delete(q.peers, peer)
+			q.divider.Gone(peer, now)
 		}
 	}
-	return uses
 }
 
-func (e *Entry) handlePeerState(_ *transport.Link, _ *wire.PeerState) {}
+// handlePeerState takes in what a peer says of itself. A state without a report
+// says nothing about use.
+func (e *Entry) handlePeerState(l *transport.Link, m *wire.PeerState) {
+	if m.Reported {
+		e.quotas.receive(quotaName(l.Name(), l.Incarnation()), m.Teams, time.Now())
+	}
+}
+
+// followPeers tells the quotas which entries are live: those listed by the store
+// or by other processes, and those with a link.
+func (e *Entry) followPeers() {
+	live := make(map[string]bool)
+	for _, p := range e.members.Snapshot().Peers {
+		live[quotaName(p.Name, p.Incarnation)] = true
+	}
+	for _, l := range e.peerLinks() {
+		live[quotaName(l.Name(), l.Incarnation())] = true
+	}
+	e.quotas.setPeers(live, time.Now())
+}
+
+// followDemand tells the quotas what waits in the schedulers.
+func (e *Entry) followDemand() {
+	waiting := make(map[string]int)
+	for _, s := range *e.schedulers.Load() {
+		s.AddWaiting(waiting)
+	}
+	e.quotas.setWaiting(waiting)
+}
--- /dev/null
+++ b/entry/quotas_test.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// bookReport is a report on its way to another book.
+type bookReport struct {
+	due  time.Time
+	from string
+	to   int
+	uses []wire.TeamUse
+}
+
+// bookFleet joins quota books by messages that take up to 45 ms. Every book's
+// entry starts the waiting tasks of one team as far as the book allows.
+type bookFleet struct {
+	random  *rand.Rand
+	books   []*quotaBook
+	ends    [][]time.Time // of running tasks, by entry
+	waiting []int
+	reports []bookReport
+	sent    []time.Time
+}
+
+const testQuota = 20
+
+func newBookFleet(n int, seed uint64) *bookFleet {
+	f := &bookFleet{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		ends:    make([][]time.Time, n),
+		waiting: make([]int, n),
+		sent:    make([]time.Time, n),
+	}
+	live := make(map[string]bool)
+	for i := range n {
+		f.books = append(f.books, newQuotaBook("e", wire.Incarnation(i)))
+		live[quotaName("e", wire.Incarnation(i))] = true
+	}
+	for i, b := range f.books {
+		others := make(map[string]bool)
+		for name := range live {
+			if name != quotaName("e", wire.Incarnation(i)) {
+				others[name] = true
+			}
+		}
+		b.setTeams(map[string]config.Team{"t": {QuotaSlots: testQuota}, "free": {}})
+		b.setPeers(others, time.Now())
+	}
+	return f
+}
+
+// step runs one millisecond and returns the slots in use.
+func (f *bookFleet) step() int {
+	time.Sleep(time.Millisecond)
+	now := time.Now()
+	f.deliver(now)
+	used := 0
+	for i, b := range f.books {
+		f.run(i, b, now)
+		used += len(f.ends[i])
+		if age := now.Sub(f.sent[i]); age < peerStateInterval && !b.due() {
+			continue
+		}
+		if uses, ok := b.report(now); ok {
+			f.sent[i] = now
+			f.send(i, uses, now)
+		}
+	}
+	return used
+}
+
+func (f *bookFleet) run(i int, b *quotaBook, now time.Time) {
+	running := f.ends[i][:0]
+	for _, end := range f.ends[i] {
+		if end.After(now) {
+			running = append(running, end)
+			continue
+		}
+		b.Ended("t")
+	}
+	for f.waiting[i] > 0 && b.Allow("t") {
+		f.waiting[i]--
+		b.Started("t")
+		running = append(running, now.Add(time.Duration(1+f.random.IntN(300))*time.Millisecond))
+	}
+	f.ends[i] = running
+	b.setWaiting(map[string]int{"t": f.waiting[i]})
+}
+
+func (f *bookFleet) send(from int, uses []wire.TeamUse, now time.Time) {
+	for to := range f.books {
+		if to != from {
+			due := now.Add(time.Duration(1+f.random.IntN(45)) * time.Millisecond)
+			f.reports = append(f.reports, bookReport{due, quotaName("e", wire.Incarnation(from)), to, uses})
+		}
+	}
+}
+
+func (f *bookFleet) deliver(now time.Time) {
+	left := f.reports[:0]
+	for _, r := range f.reports {
+		if r.due.After(now) {
+			left = append(left, r)
+			continue
+		}
+		f.books[r.to].receive(r.from, r.uses, now)
+	}
+	f.reports = left
+}
+
+// Guards against entries that use more of a team's quota together than the bound
+// in package quota, and against slots that stay idle at one entry while work
+// waits at another, when demand is skewed and swings between entries.
+func TestBooksHoldOneQuotaTogether(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			entries := 2 + int(seed%2)
+			f := newBookFleet(entries, seed)
+			most, used, offered := 0, 0, 0
+			for ms := range 12_000 {
+				if ms%1500 == 0 {
+					clear(f.waiting)
+					f.waiting[ms/1500%entries] = 4000 // all of the demand is at one entry
+					f.waiting[(ms/1500+1)%entries] = f.random.IntN(20)
+				}
+				n := f.step()
+				most = max(most, n)
+				if ms > 4000 && ms%1500 > 700 {
+					used += n
+					offered += testQuota
+				}
+			}
+			if most > testQuota+entries {
+				t.Errorf("seed %d: %d slots in use, the bound is %d", seed, most, testQuota+entries)
+			}
+			if used*100 < offered*80 {
+				t.Errorf("seed %d: %d%% of the quota in use while work waits", seed, used*100/offered)
+			}
+		})
+	}
+}
+
+// Guards against a change of demand that peers learn of only by the regular
+// report, and against reports about teams without a quota.
+func TestReportFollowsAChangeOfDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBookFleet(2, 1).books[0]
+		if _, ok := b.report(time.Now()); !ok {
+			t.Fatal("the first report is refused")
+		}
+		b.Started("free")
+		b.setWaiting(map[string]int{"t": 1, "free": 100})
+		if b.due() {
+			t.Error("a small change, or one of a team without a quota, is reported at once")
+		}
+		b.setWaiting(map[string]int{"t": 5})
+		if !b.due() {
+			t.Error("a change by a quarter of the quota waits for the regular report")
+		}
+		time.Sleep(200 * time.Millisecond)
+		uses, ok := b.report(time.Now())
+		if !ok || len(uses) != 1 || uses[0] != (wire.TeamUse{Team: "t", Waiting: 5}) {
+			t.Errorf("reported %v, %v", uses, ok)
+		}
+	})
+}
+
+// Guards against a team that keeps an old limit after its quota was lifted, and
+// against use that is forgotten when a quota is set while tasks run.
+func TestQuotaChangeCountsRunningTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newQuotaBook("e", 1)
+		for range 3 {
+			b.Started("t")
+		}
+		b.setTeams(map[string]config.Team{"t": {QuotaSlots: 3}})
+		if b.Allow("t") {
+			t.Error("a fourth task may start under a quota of 3")
+		}
+		b.setTeams(map[string]config.Team{"t": {}})
+		if !b.Allow("t") {
+			t.Error("the lifted quota still limits")
+		}
+	})
+}
--- a/queue/team.go
+++ b/queue/team.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// AddWaiting adds the number of waiting tasks of each team to a sum.
+func (q *Queue) AddWaiting(byTeam map[string]int) {
+	for _, t := range q.active {
+		for _, b := range t.buckets {
+			byTeam[t.name] += b.waiting
+		}
+	}
+}
+
 func (q *Queue) deactivate(t *team) { q.unlist(t) }
 
 func (q *Queue) list(t *team) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -135,8 +135,8 @@
 func (d *Divider) settleTime() time.Duration { return 2 * d.options.Delay }
 
 // Join makes a peer known that has not reported yet. Until it does, or is stale,
-// it may be using all of a quota.
-func (d *Divider) Join(name string, now time.Time) { d.peer(name, now) }
+// it may be using all of a quota. A peer that was taken to be gone is back.
+func (d *Divider) Join(name string, now time.Time) { d.peer(name, now).gone = time.Time{} }
 
 func (d *Divider) peer(name string, now time.Time) *peer {
 	p, ok := d.peers[name]
--- a/wire/message.go
+++ b/wire/message.go
@@ -270,6 +270,7 @@
 	Revision uint64    `cbor:"1,keyasint"`
 	Teams    []TeamUse `cbor:"2,keyasint,omitempty"`
 	Leaving  bool      `cbor:"3,keyasint,omitempty"`
+	Reported bool      `cbor:"4,keyasint,omitempty"` // Teams is a report; otherwise it says nothing
 }
 
 // DocumentRequest asks a peer for its configuration document if it is newer.
