--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -178,6 +178,7 @@
 	if !done {
 		return
 	}
+	s.record.Duration(metrics.TaskSeconds, o.RunTime, metrics.TagTeam, a.job.job.Spec().Team, metrics.TagClass, a.class.String())
 	task := &a.job.job.Spec().Tasks[a.id.Index]
 	s.estimates.Observe(estimate.Key(a.job.labels, task.SizeBytes), task.RunTime, o.RunTime, now)
 	s.rate.Finished(a.expected, o.RunTime, now)
--- a/entry/links.go
+++ b/entry/links.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 	"go.uber.org/zap"
@@ -63,6 +64,7 @@
 	a := e.agents[l]
 	delete(e.agents, l)
 	e.mu.Unlock()
+	e.countClosed(err)
 	if a == nil || a.scheduler == nil {
 		return
 	}
@@ -70,6 +72,20 @@
 	e.log.Info("agent link closed", zap.String("agent", l.Name()), zap.Error(err))
 }
 
+// Values of the tag reason of links that closed.
+const (
+	linkClosed = "closed" // by this process
+	linkFailed = "failed" // by the peer, by silence or by an error
+)
+
+func (e *Entry) countClosed(err error) {
+	reason := linkClosed
+	if err != nil {
+		reason = linkFailed
+	}
+	e.metrics.Add(metrics.LinksClosed, 1, metrics.TagReason, reason)
+}
+
 // handleAgent handles a message from an agent. Until the agent has announced
 // its target there is nothing that its other messages could be about.
 func (e *Entry) handleAgent(l *transport.Link, m wire.Message) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -40,6 +40,7 @@
 	delete(e.peers, l)
 	gone := !e.linkedLocked(l.Name())
 	e.mu.Unlock()
+	e.countClosed(err)
 	if gone {
 		e.members.Unlinked(wire.Peer{Name: l.Name(), Incarnation: l.Incarnation()})
 		e.log.Info("peer link closed", zap.String("peer", l.Name()), zap.Error(err))
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -8,34 +8,32 @@
 // Counters of the caller's side of an entry. Entered equals complete + failed +
 // refused + running at any time.
 const (
-	JobsEntered  = "jobs_entered"  // every decoded request for a job
+	JobsEntered  = "jobs_entered"  // every request for a job
 	JobsComplete = "jobs_complete" // answered with every result
 	JobsFailed   = "jobs_failed"   // accepted and failed, by code
 	JobsRefused  = "jobs_refused"  // refused on arrival, not run, by code
 	JobsRunning  = "jobs_running"  // gauge: accepted and not yet answered
 	TasksWaiting = "tasks_waiting" // gauge: tasks not bound to a target
 	TasksOut     = "tasks_out"     // gauge: tasks sent without an outcome
-	QueuedBytes  = "queued_bytes"  // gauge: payload bytes of accepted jobs
+	QueuedBytes  = "queued_bytes"  // gauge: payload bytes of waiting tasks
 )
 
 // Counters of starts and outcomes.
 const (
-	TaskStarts        = "task_starts"        // start messages sent (entry) or tasks started on the target (agent)
-	TaskOutcomes      = "task_outcomes"      // outcomes, by state
-	StartRefusals     = "start_refusals"     // starts refused by an agent, by code
-	OutcomesIgnored   = "outcomes_ignored"   // late, duplicate or foreign outcomes
-	GrantsUnused      = "grants_unused"      // slots granted and returned, revoked or expired without a start
-	IdleSlotMillis    = "idle_slot_millis"   // slot time in ms that was idle while an entry had waiting work
-	BadViews          = "bad_views"          // configuration views that an agent could not decode
-	StatusFailures    = "status_failures"    // status requests to a target without a usable answer
-	TargetEjections   = "target_ejections"   // targets taken out for failures or slowness
-	TargetsEjected    = "targets_ejected"    // gauge: targets now ejected or on probation
-	AgentsLinked      = "agents_linked"      // gauge: agents with an open link
-	PeersLinked       = "peers_linked"       // gauge: entries with an open link
-	LinksClosed       = "links_closed"       // links that closed, by reason class
-	ConfigRevision    = "config_revision"    // gauge: revision in force in this process
-	ClaimCalls        = "claim_calls"        // store calls for claims, by operation
-	RetriesSuppressed = "retries_suppressed" // refusals whose hint was moved out by the retry budget
+	TaskStarts      = "task_starts"      // start messages sent (entry) or tasks started on the target (agent)
+	TaskOutcomes    = "task_outcomes"    // outcomes, by state
+	StartRefusals   = "start_refusals"   // starts refused by an agent, by code
+	OutcomesIgnored = "outcomes_ignored" // late, duplicate or foreign outcomes
+	GrantsUnused    = "grants_unused"    // slots granted and returned, revoked or expired without a start
+	IdleSlotMillis  = "idle_slot_millis" // slot time in ms that was idle while an entry had waiting work
+	BadViews        = "bad_views"        // configuration views that an agent could not decode
+	StatusFailures  = "status_failures"  // status requests to a target without a usable answer
+	TargetEjections = "target_ejections" // targets taken out for failures or slowness
+	TargetsEjected  = "targets_ejected"  // gauge: targets now ejected or on probation
+	AgentsLinked    = "agents_linked"    // gauge: agents with an open link
+	PeersLinked     = "peers_linked"     // gauge: entries with an open link
+	LinksClosed     = "links_closed"     // links that closed, by reason: closed by this process, or failed
+	ConfigRevision  = "config_revision"  // gauge: revision in force in this process
 )
 
 // Counters of messages between processes and of store calls.
