Let a restarted entry wait for agents that have yet to notice the restart

Cause: an entry without an agent reports itself ready after 3 s, but the agents of a killed predecessor notice after the silence limit of 3.5 s and dial within 1.5 s after that. In between, the entry refused every job with no_matching_target. Ruled out: a delay of the configuration (in force 1 ms after the start in the entry's log) and of the peers (linked 4 ms after it). Before: TestConfigClaimHoldsAcrossEntries, "at the successor: Code:no_matching_target". After: it passes; the entry waits for its first agent for at most 6 s.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 	"go.uber.org/zap"
 )
@@ -14,7 +15,9 @@
 	pollInterval = 20 * time.Millisecond
 	// agentGrace is how long a new entry waits for its first agent before it
 	// reports itself ready: a balancer should not send jobs that nothing can run.
-	agentGrace = 3 * time.Second
+	// Agents of a predecessor that was killed notice after the silence limit and
+	// then need up to a few attempts to dial.
+	agentGrace = transport.SilenceLimit + 2500*time.Millisecond
 	// leaveTimeout bounds the store calls of a stop.
 	leaveTimeout = 2 * time.Second
 )
