Let starts resume after a refusal for an old revision

Cause: an agent that refused a start for its revision was paused until the next rules, but of several starts in flight the later ones were refused after the newer rules had come into force, and nothing ended that pause. The scheduler also forgot the target's other grants without returning them; the agent keeps and renews grants of a live entry, and counts them against that entry's demand, so the last tasks that waited there got no slot. Ruled out: the queue (the job's entry is placed after each refusal), the merge of the agent's view (in force 11 ms after the refusal in the entry's log), the relay (other jobs were answered on the same link). Now a refusal pauses the target only if the start carried the newest revision known here, and grants stay. Before: TestConfigDrainReachesEntryCutOff failed in 4 of 6 runs at once: in 3, one job expired in the queue after 30 s ("208 expired_in_queue"), in 1, no job was answered for 60 s. After: 6 of 6 pass.

--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -164,8 +164,9 @@
 		t.announce.Draining = true
 		s.dropGrants(t)
 	case result.OldRevision:
-		t.stale = true
-		s.dropGrants(t)
+		// Rules that are newer than the refused start may be in force already;
+		// nothing would end the pause then. The agent keeps its other grants.
+		t.stale = a.revision >= s.revisionFor(t)
 	}
 }
 
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -201,7 +201,7 @@
 		return false
 	}
 	spec := j.job.Spec()
-	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: class, grant: grantID}
+	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: class, grant: grantID, revision: s.revisionFor(t)}
 	t.out[taskKey{j.seq, id.Index}] = a
 	j.at[index] = t
 	s.tasksOut++
@@ -215,7 +215,7 @@
 	s.send(t, &wire.Start{
 		Task:     id,
 		Grant:    grantID,
-		Revision: s.rules.RevisionFor(s.opts.Service, t.announce.Target),
+		Revision: a.revision,
 		Team:     spec.Team,
 		Class:    class,
 		TimeLeft: s.timeLeft(j, now),
@@ -226,6 +226,11 @@
 	return true
 }
 
+// revisionFor is the revision that a start on the target carries.
+func (s *Scheduler) revisionFor(t *target) uint64 {
+	return s.rules.RevisionFor(s.opts.Service, t.announce.Target)
+}
+
 // timeLeft is what a task may take: the time to the deadline, and no more than
 // the run-time limit of long work, since the class is only an estimate.
 func (s *Scheduler) timeLeft(j *activeJob, now time.Time) time.Duration {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -28,6 +28,7 @@
 	expected time.Duration
 	class    wire.Class
 	grant    wire.GrantID
+	revision uint64 // of the configuration that the start carried
 	overran  bool
 }
 
