Count an agent as linked only when its target takes jobs

Cause: a restarted entry reported itself ready between an agent's connection and its announcement, and refused a job in that moment with no_matching_target. Ruled out: the wait for the first agent (the connection came 4 s after the start, within it). Before: TestConfigClaimHoldsAcrossEntries failed in 1 of 4 runs, "at the successor: Code:no_matching_target". After: no failure in the runs of the package so far.

--- a/entry/links.go
+++ b/entry/links.go
@@ -16,6 +16,7 @@
 	announce  wire.Announce
 	scheduler *dispatch.Scheduler // set by the first announcement
 	spec      []byte              // configuration view last sent on this link
+	joined    bool                // its target takes jobs
 }
 
 // linkHandler passes what happens on links to the entry.
@@ -133,6 +134,9 @@
 		e.log.Info("agent linked", zap.String("agent", l.Name()), zap.String("target", m.Target))
 	}
 	s.HandleAnnounce(l.Name(), l, m, now)
+	e.mu.Lock()
+	a.joined = true
+	e.mu.Unlock()
 }
 
 // sendView sends an agent its view if the view has changed since it was last
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -36,10 +36,18 @@
 	return ""
 }
 
+// agentCount counts the agents whose targets take jobs. One that is linked but
+// has not announced its target yet does not count.
 func (e *Entry) agentCount() int {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return len(e.agents)
+	n := 0
+	for _, a := range e.agents {
+		if a.joined {
+			n++
+		}
+	}
+	return n
 }
 
 // drain is the planned stop: readiness fails first; after the balancer had time
