Draw the ports of all fleets of a process from one set

Cause: two fleets that start in parallel could draw the same port, since it is free until the process listens, and again during a restart. Before: package integration, "target-1 ended before it was ready: listen tcp 127.0.0.1:25190: bind: address already in use".

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 // plan holds the addresses that processes listen on.
@@ -25,7 +26,7 @@
 )
 
 func newPlan(options Options) (plan, error) {
-	ports := portPicker{taken: map[int]bool{}}
+	var ports portPicker
 	var p plan
 	if options.Store {
 		p.store = ports.tcp()
@@ -41,11 +42,32 @@
 	return p, ports.err
 }
 
-// portPicker draws free loopback ports. Another process may still take one
-// before it is used; the start then fails with that process's message.
+// takenPorts are the ports of all fleets of this process. A port that is drawn
+// stays free until the fleet's process listens, and again during a restart, so
+// fleets that run in parallel would otherwise draw the same one.
+var takenPorts struct {
+	mu    sync.Mutex
+	ports map[int]bool
+}
+
+// takePort reports whether a port was not taken before.
+func takePort(port int) bool {
+	takenPorts.mu.Lock()
+	defer takenPorts.mu.Unlock()
+	if takenPorts.ports == nil {
+		takenPorts.ports = map[int]bool{}
+	}
+	if takenPorts.ports[port] {
+		return false
+	}
+	takenPorts.ports[port] = true
+	return true
+}
+
+// portPicker draws free loopback ports. A process of another program may still
+// take one before it is used; the start then fails with that process's message.
 type portPicker struct {
-	taken map[int]bool
-	err   error
+	err error
 }
 
 func (p *portPicker) tcp() string {
@@ -71,10 +93,9 @@
 func (p *portPicker) pick(try func(address string) error) string {
 	for range portTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		if p.taken[port] {
+		if !takePort(port) {
 			continue
 		}
-		p.taken[port] = true
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if try(address) == nil {
 			return address
