--- /dev/null
+++ b/command/process.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/catkinline/catkinline/agent"
+	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/platform/httpstore"
+	"github.com/catkinline/catkinline/settings"
+	"go.uber.org/zap"
+)
+
+// process is a long-running role. Run serves until ctx is cancelled, which
+// begins a planned stop, and returns when that stop has ended.
+type process interface {
+	Run(ctx context.Context) error
+}
+
+type entryArgs struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
+}
+
+// Description implements arg.Described.
+func (entryArgs) Description() string {
+	return "Takes jobs from callers and dispatches their tasks. SIGTERM begins a planned stop."
+}
+
+// Epilogue implements arg.Epilogued.
+func (entryArgs) Epilogue() string {
+	return "Example:\n  catkinline entry --settings entry.json"
+}
+
+func runEntry(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a entryArgs
+	if exit, ok := parseArgs("entry", &a, args, stdout, stderr); !ok {
+		return exit
+	}
+	s, err := settings.LoadEntry(a.Settings)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store platform.Store) (process, error) {
+		return entry.New(entry.Options{Settings: s, Log: log, Store: store})
+	})
+}
+
+type agentArgs struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
+}
+
+// Description implements arg.Described.
+func (agentArgs) Description() string {
+	return "Runs beside one target: announces it and starts all of its tasks. SIGTERM begins a planned stop."
+}
+
+// Epilogue implements arg.Epilogued.
+func (agentArgs) Epilogue() string {
+	return "Example:\n  catkinline agent --settings agent.json"
+}
+
+func runAgent(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a agentArgs
+	if exit, ok := parseArgs("agent", &a, args, stdout, stderr); !ok {
+		return exit
+	}
+	s, err := settings.LoadAgent(a.Settings)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store platform.Store) (process, error) {
+		return agent.NewProcess(s, store, log)
+	})
+}
+
+// runProcess builds a role's logger and store, then the role, and runs it.
+func runProcess(ctx context.Context, stderr io.Writer, l settings.Log, s settings.Store,
+	build func(*zap.Logger, platform.Store) (process, error)) int {
+	log, err := settings.NewLogger(l, os.Stderr)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	store, err := newStore(s)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	p, err := build(log, store)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	if err := p.Run(ctx); err != nil {
+		return failed(stderr, err)
+	}
+	return exitOK
+}
+
+// newStore returns the adapter of the platform's store, or nil without one.
+func newStore(s settings.Store) (platform.Store, error) {
+	if s.URL == "" {
+		return nil, nil
+	}
+	timeout := time.Duration(s.TimeoutMS) * time.Millisecond
+	return httpstore.New(s.URL, httpstore.Options{Timeout: timeout})
+}
+
+func failed(stderr io.Writer, err error) int {
+	fmt.Fprintf(stderr, "error: %v\n", err)
+	return exitFailed
+}
