--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -71,6 +71,8 @@
 	down        bool
 	fail        bool // every task fails at once
 	lose        bool // starts are lost on the way
+	domain      string
+	region      string
 	refuse      bool // the target refuses every task as not run
 	links       map[string]*fakeLink
 	ran         int // tasks that started
@@ -172,7 +174,7 @@
 }
 
 func (f *fleet) newAgent(i, n int, policy settings.Policy) *fakeAgent {
-	a := &fakeAgent{f: f, name: fmt.Sprintf("target-%d", i), incarnation: wire.Incarnation(1000 + i), links: make(map[string]*fakeLink)}
+	a := &fakeAgent{f: f, name: fmt.Sprintf("target-%d", i), incarnation: wire.Incarnation(1000 + i), links: make(map[string]*fakeLink), domain: "saimaa", region: "fi"}
 	a.table = slots.New(a.incarnation, slots.Options{Slots: n, Policy: policy})
 	return a
 }
@@ -200,7 +202,7 @@
 	a.table.EntryUp(e.name, e.s.opts.Incarnation, a.f.now)
 	e.s.LinkUp(a.name, a.incarnation, l, a.f.now)
 	e.s.HandleAnnounce(a.name, l, &wire.Announce{
-		Target: a.name, Service: "frames", FailureDomain: "saimaa", Region: "fi", Slots: 8,
+		Target: a.name, Service: "frames", FailureDomain: a.domain, Region: a.region, Slots: 8,
 	}, a.f.now)
 	a.settle()
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -185,7 +185,8 @@
 }
 
 // reclassify finds running tasks that must be long. Their waiting siblings are
-// estimated again, so that the rest of the job no longer passes short work.
+// estimated again, so that the rest of the job no longer passes short work, and
+// once more each time the task has run twice as long as before.
 func (s *Scheduler) reclassify(now time.Time) {
 	for _, t := range s.ordered {
 		for _, a := range t.out {
@@ -198,11 +199,13 @@
 	task := &a.job.job.Spec().Tasks[a.id.Index]
 	key := estimate.Key(a.job.labels, task.SizeBytes)
 	elapsed := now.Sub(a.sent)
-	if a.overran || !s.estimates.Overrun(key, task.RunTime, elapsed) {
+	if elapsed < 2*a.overran || !s.estimates.Overrun(key, task.RunTime, elapsed) {
 		return
 	}
-	a.overran = true
-	s.estimates.ObserveOverrun(key, task.RunTime, elapsed, now)
+	if a.overran == 0 {
+		s.estimates.ObserveOverrun(key, task.RunTime, elapsed, now)
+	}
+	a.overran = elapsed
 	j := a.job
 	if j.job.Ended() {
 		return
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -28,8 +28,8 @@
 	expected time.Duration
 	class    wire.Class
 	grant    wire.GrantID
-	revision uint64 // of the configuration that the start carried
-	overran  bool
+	revision uint64        // of the configuration that the start carried
+	overran  time.Duration // run time at which it was last found to overrun
 }
 
 // grant is what is left of a grant.
