Add the scale tool, which measures what each role costs at several sizes

The target size of docs/design.md, section 1.6, cannot be run on one machine, so it has to be extrapolated from measured slopes. 'catkinline scale' runs entries as processes and many agents as library objects with timers as targets, linked over QUIC, and reports processor time (/proc), memory, messages, bytes on the wire (transport.Link.Traffic and 28 bytes of headers a packet) and store calls of each step: idle, two loads, four configuration changes, queues, restarts with and without the store, and a lost fifth of the agents.

Ruled out: wall time, since other work runs on the same machine; interface counters of loopback, which count other processes; go test -bench, which has no process per entry.

--- a/command/command.go
+++ b/command/command.go
@@ -35,6 +35,7 @@
 	{"submit", "send a job and print its answer", runSubmit},
 	{"demo", "run the whole path in one process", runDemo},
 	{"load", "drive a fleet of real processes and measure it", runLoad},
+	{"scale", "measure what each role costs at several sizes", runScale},
 	{"standin store", "serve a stand-in of the platform's store", runStandinStore},
 	{"standin target", "serve a stand-in target", runStandinTarget},
 	{"ctl", "show and change the configuration and the state of a running system", runCtl},
--- a/transport/link.go
+++ b/transport/link.go
@@ -103,6 +103,24 @@
 // Incarnation returns the peer's incarnation.
 func (l *Link) Incarnation() wire.Incarnation { return l.incarnation }
 
+// Traffic is what a link has carried as QUIC packets, acknowledgements and
+// retransmissions included, without the headers of UDP and IP.
+type Traffic struct {
+	BytesSent, BytesReceived     uint64
+	PacketsSent, PacketsReceived uint64
+}
+
+// Traffic returns the link's traffic since it was opened.
+func (l *Link) Traffic() Traffic {
+	s := l.conn.ConnectionStats()
+	return Traffic{
+		BytesSent:       s.BytesSent,
+		BytesReceived:   s.BytesReceived,
+		PacketsSent:     s.PacketsSent,
+		PacketsReceived: s.PacketsReceived,
+	}
+}
+
 // Send queues a message and never blocks. An error means that the link is
 // closed or was closed because the peer does not read.
 func (l *Link) Send(m wire.Message) error {
