Slow down the heartbeats of links that neither side has work on

Heartbeats of idle links are most of an entry's standing cost: each link costs two messages a second, and at the target size of 1,400 agents that alone is over the bound of 1.7% of a core. Heartbeats now say whether the sender has work on the link and when its next message comes at the latest. While both sides are idle the interval is 5 s in place of 1 s. A side with work keeps the limit of 3.5 s, counted from when the work began, so an idle link that went silent is noticed as soon after a start as before after any message. A changed revision still goes out within 1 s.

Grants at the agent last 3 s after a message and would lapse between slow heartbeats. They now last for the announced time longer, and a revocation cuts their life back to 3 s, so that waiting entries lose no more to a silent one.

Ruled out: an interval below the grants' life, which saves only half; QUIC keep alives, which do not carry the revision; one side slowing down by itself, which the other side would take for silence. A peer that announces nothing is met with the old interval.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -187,6 +187,14 @@
 	return a.table.Revision()
 }
 
+// Idle reports whether an entry has no work here, for the pace of its link's
+// heartbeats.
+func (a *Agent) Idle(entry string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Idle(entry)
+}
+
 // Stats returns a snapshot of the slot table.
 func (a *Agent) Stats() slots.Stats {
 	a.mu.Lock()
--- a/agent/handle.go
+++ b/agent/handle.go
@@ -116,6 +116,7 @@
 // first heartbeat with that view's revision, so a bare revision stands for the
 // last view of its own link.
 func (a *Agent) heartbeat(state *linkState, m *wire.Heartbeat, now time.Time) {
+	a.table.HeardUntil(state.Name(), min(max(0, m.Next), maxAnnounced), now)
 	if a.views.Heard(state.Name(), m.Revision) {
 		a.adopt(now)
 	}
@@ -124,6 +125,10 @@
 	}
 }
 
+// maxAnnounced bounds the interval that an entry may announce, since its grants
+// last for it.
+const maxAnnounced = 10 * time.Second
+
 // handBack sends the view to an entry that knows only an older revision.
 func (a *Agent) handBack(state *linkState) {
 	state.viewSent = a.table.Revision()
--- a/agent/process.go
+++ b/agent/process.go
@@ -221,6 +221,7 @@
 		Handler:     handler{p},
 		Revision:    p.agent.Revision,
 		Counter:     metrics.Messages{Registry: p.metrics},
+		Idle:        func(l *transport.Link) bool { return p.agent.Idle(l.Name()) },
 	}
 }
 
--- a/command/scale.go
+++ b/command/scale.go
@@ -15,8 +15,10 @@
 type scaleArguments struct {
 	Sizes   []int   `arg:"--sizes" help:"numbers of agents [default: 10 40 160 640]"`
 	Entries int     `arg:"--entries" default:"2" help:"number of entries"`
-	Idle    float64 `arg:"--idle" default:"8" help:"seconds of each step without load"`
+	Settle  float64 `arg:"--settle" default:"4" help:"seconds before the idle step; new links probe the path's packet size with some of their first packets"`
+	Idle    float64 `arg:"--idle" default:"8" help:"seconds of the idle step"`
 	Load    float64 `arg:"--load" default:"6" help:"seconds of each step with load"`
+	Only    bool    `arg:"--idle-only" help:"measure only the links' opening and the idle fleet"`
 	JSON    bool    `arg:"--json" help:"print JSON"`
 	Agents  bool    `arg:"--agents" help:"be the process of agents of another scale"`
 }
@@ -64,8 +66,10 @@
 		Executable: executable,
 		Sizes:      a.Sizes,
 		Entries:    a.Entries,
+		Settle:     time.Duration(a.Settle * float64(time.Second)),
 		Idle:       time.Duration(a.Idle * float64(time.Second)),
 		Load:       time.Duration(a.Load * float64(time.Second)),
+		IdleOnly:   a.Only,
 	}, func(s *scale.Step) { s.Print(lines) })
 	if err != nil {
 		return err
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -106,3 +106,12 @@
 	t.unanswered = false
 	return &d
 }
+
+// Idle reports whether a target has no task from here and believes that none
+// waits here, for the pace of its link's heartbeats.
+func (s *Scheduler) Idle(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	return t != nil && len(t.out) == 0 && len(t.acks) == 0 && t.demand.Waiting == 0
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,7 @@
 		Handler:     linkHandler{e},
 		Revision:    e.announced.Load,
 		Counter:     metrics.Messages{Registry: e.metrics},
+		Idle:        e.idleLink,
 	}
 }
 
--- a/entry/links.go
+++ b/entry/links.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// idleLink reports whether an agent has no work of this entry. Links to entries
+// are never idle: they carry each entry's state several times in a heartbeat's
+// interval.
+func (e *Entry) idleLink(l *transport.Link) bool {
+	s := e.schedulerOf(l)
+	return s != nil && s.Idle(l.Name())
+}
+
 func (e *Entry) schedulerOf(l *transport.Link) *dispatch.Scheduler {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
--- a/scale/agents.go
+++ b/scale/agents.go
@@ -76,6 +76,7 @@
 // agentState answers the parent's questions about all agents of a process.
 type agentState struct {
 	Linked   int
+	Opened   int // links so far
 	Starts   int64
 	Revision uint64 // the lowest of all agents
 	Traffic  Traffic
@@ -89,6 +90,7 @@
 	mu      sync.Mutex
 	members []*member
 	links   map[*transport.Link]bool
+	opened  int
 	closed  transport.Traffic // of links that are down
 	types   map[wire.Type]*Messages
 }
@@ -136,6 +138,7 @@
 	m.links.Store(l, own)
 	m.fleet.mu.Lock()
 	m.fleet.links[l] = true
+	m.fleet.opened++
 	m.fleet.mu.Unlock()
 	m.agent.LinkUp(own)
 }
@@ -196,6 +199,7 @@
 	options := transport.Options{
 		Self: self, Incarnation: incarnation, Credentials: credentials,
 		Handler: m, Revision: m.agent.Revision, Counter: f,
+		Idle: func(l *transport.Link) bool { return m.agent.Idle(l.Name()) },
 	}
 	for _, address := range entries {
 		f.tomb.Go(func() error {
@@ -237,7 +241,7 @@
 func (f *fleet) state() agentState {
 	f.mu.Lock()
 	members := f.members
-	s := agentState{Linked: len(f.links), Starts: f.starts.Load()}
+	s := agentState{Linked: len(f.links), Opened: f.opened, Starts: f.starts.Load()}
 	s.Traffic.Wire = f.closed
 	for l := range f.links {
 		add(&s.Traffic.Wire, l.Traffic())
--- a/scale/document.go
+++ b/scale/document.go
@@ -6,6 +6,7 @@
 
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/wire"
 )
 
 // service is the service of all measured agents.
@@ -57,3 +58,33 @@
 	}
 	return len(text)
 }
+
+// peerStateBytes is the size of an entry's report to its peers in which every
+// team has tasks out and waiting.
+func peerStateBytes() int {
+	state := &wire.PeerState{Revision: 1 << 40}
+	for i := range TargetTeams {
+		state.Teams = append(state.Teams, wire.TeamUse{Team: teamName(i), Running: 30, Waiting: 3000})
+	}
+	return encodedBytes(state)
+}
+
+// viewBytes is the size of one agent's view.
+func viewBytes() int {
+	d := document(1, 0, 1, 0)
+	s := d.Services[service]
+	view := config.AgentView{ServiceName: service, TargetName: targetName(0), Service: &s, Target: d.Targets[targetName(0)]}
+	spec, err := view.Encode()
+	if err != nil {
+		return 0
+	}
+	return encodedBytes(&wire.View{Revision: 1 << 40, Spec: spec})
+}
+
+func encodedBytes(m wire.Message) int {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return 0
+	}
+	return len(frame)
+}
--- a/scale/report.go
+++ b/scale/report.go
@@ -95,6 +95,8 @@
 	Steps         []*Step `json:"steps"`
 	Fits          []Fit   `json:"fits"`
 	DocumentBytes int     `json:"document_bytes"` // at the target size
+	PeerBytes     int     `json:"peer_bytes"`     // of one report of all teams' use to a peer
+	ViewBytes     int     `json:"view_bytes"`     // of one agent's view
 }
 
 // value returns a quantity of the step with a name at a size.
@@ -191,5 +193,5 @@
 		fmt.Fprintf(t, "%s\t%.4g\t%.2g\t%.4g\t%g\t%.4g\t\n", f.Quantity, f.Slope, f.Error, f.Intercept, f.Largest, f.Target)
 	}
 	_ = t.Flush()
-	fmt.Fprintf(w, "document at the target size: %d bytes\n", r.DocumentBytes)
+	fmt.Fprintf(w, "bytes at the target size: document %d, report to a peer %d, view %d\n", r.DocumentBytes, r.PeerBytes, r.ViewBytes)
 }
--- a/scale/run.go
+++ b/scale/run.go
@@ -42,13 +42,15 @@
 	Executable string
 	Sizes      []int // numbers of agents
 	Entries    int
-	Idle       time.Duration // of each step without load
+	Settle     time.Duration // before the idle step
+	Idle       time.Duration // of the idle step
 	Load       time.Duration // of each step with load
+	IdleOnly   bool          // leave out every step after the idle one
 }
 
 // Run measures each size in turn, with a fleet of its own.
 func Run(ctx context.Context, o Options, progress func(*Step)) (*Report, error) {
-	report := &Report{DocumentBytes: documentBytes()}
+	report := &Report{DocumentBytes: documentBytes(), PeerBytes: peerStateBytes(), ViewBytes: viewBytes()}
 	for _, n := range o.Sizes {
 		r := &run{options: o, agents: n, progress: progress}
 		err := r.measure(ctx)
--- a/scale/steps.go
+++ b/scale/steps.go
@@ -79,9 +79,13 @@
 }
 
 func (r *run) allSteps(ctx context.Context) error {
-	for _, f := range []func(context.Context) error{
+	steps := []func(context.Context) error{
 		r.linkAll, r.idle, r.loads, r.configuration, r.queues, r.restart, r.outage, r.domain,
-	} {
+	}
+	if r.options.IdleOnly {
+		steps = steps[:2]
+	}
+	for _, f := range steps {
 		if err := f(ctx); err != nil {
 			return err
 		}
@@ -102,7 +106,7 @@
 }
 
 func (r *run) idle(ctx context.Context) error {
-	if err := pause(ctx, 4*time.Second); err != nil {
+	if err := pause(ctx, r.options.Settle); err != nil {
 		return err
 	}
 	return r.step("idle", func(*Step) error { return pause(ctx, r.options.Idle) })
@@ -250,8 +254,14 @@
 	return pause(ctx, time.Second)
 }
 
-// restartEntries ends every entry at once and starts it again.
-func (r *run) restartEntries() error {
+// restartEntries ends every entry at once, starts it again and waits until every
+// agent has new links; the old ones count until the agents notice.
+func (r *run) restartEntries(ctx context.Context, s *Step) error {
+	before, err := r.fleet.ask(request{})
+	if err != nil {
+		return err
+	}
+	start := time.Now()
 	for _, e := range r.entries {
 		e.kill()
 	}
@@ -260,23 +270,15 @@
 			return err
 		}
 	}
-	return nil
+	_, err = r.await(ctx, linkLimit, func(a agentState) bool {
+		return r.whole(a) && a.Opened >= before.Opened+r.agents*len(r.entries)
+	})
+	s.WholeMS = time.Since(start).Milliseconds()
+	return err
 }
 
 func (r *run) restart(ctx context.Context) error {
-	return r.step("restart of all entries", func(s *Step) error {
-		start := time.Now()
-		if err := r.restartEntries(); err != nil {
-			return err
-		}
-		// The old links count until the agents notice.
-		if _, err := r.await(ctx, linkLimit, func(a agentState) bool { return !r.whole(a) }); err != nil {
-			return err
-		}
-		_, err := r.await(ctx, linkLimit, r.whole)
-		s.WholeMS = time.Since(start).Milliseconds()
-		return err
-	})
+	return r.step("restart of all entries", func(s *Step) error { return r.restartEntries(ctx, s) })
 }
 
 // outage restarts every entry while the store is down.
@@ -286,17 +288,9 @@
 		return err
 	}
 	err := r.step("restart, store down", func(s *Step) error {
-		start := time.Now()
-		if err := r.restartEntries(); err != nil {
-			return err
-		}
-		if _, err := r.await(ctx, linkLimit, func(a agentState) bool { return !r.whole(a) }); err != nil {
-			return err
-		}
-		if _, err := r.await(ctx, linkLimit, r.whole); err != nil {
+		if err := r.restartEntries(ctx, s); err != nil {
 			return err
 		}
-		s.WholeMS = time.Since(start).Milliseconds()
 		return r.drive(ctx, s, min(lowRate*r.agents, rateLimit/4), 2*time.Second)
 	})
 	if err != nil {
--- a/slots/entry.go
+++ b/slots/entry.go
@@ -92,7 +92,12 @@
 // Heard records a heartbeat of an entry and renews its grants. A grant that is
 // being revoked is not renewed, so that a Revoke without an answer ends with
 // the grant's expiry.
-func (t *Table) Heard(name string, now time.Time) {
+func (t *Table) Heard(name string, now time.Time) { t.HeardUntil(name, 0, now) }
+
+// HeardUntil is Heard for a message that announces the entry's next one within a
+// time: grants last for that time longer. Revocations cut a grant's life to the
+// ordinary one, so that waiting entries lose no more to one that went silent.
+func (t *Table) HeardUntil(name string, next time.Duration, now time.Time) {
 	t.advance(now)
 	e := t.find(name)
 	if e == nil || !e.up {
@@ -100,12 +105,19 @@
 	}
 	for _, g := range t.grants {
 		if g.entry == e && g.revoking == 0 {
-			g.expiry = t.clock.Add(t.opts.GrantTTL)
+			g.expiry = later(g.expiry, t.clock.Add(t.opts.GrantTTL+next))
 			g.kept = false
 		}
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // SetDemand records an entry's latest demand.
 func (t *Table) SetDemand(name string, d wire.Demand, now time.Time) {
 	t.advance(now)
@@ -156,3 +168,9 @@
 	}
 	return nil
 }
+
+// Idle reports whether nothing of an entry runs, waits or is retained here.
+func (t *Table) Idle(name string) bool {
+	e := t.find(name)
+	return e == nil || e.running == 0 && e.demand.Waiting == 0 && t.retained.Len() == 0
+}
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -257,6 +257,9 @@
 			return out
 		}
 		g.revoking++
+		if limit := t.clock.Add(t.opts.GrantTTL); g.expiry.After(limit) {
+			g.expiry = limit
+		}
 		out = mergeRevocation(out, g, t.agent)
 	}
 	return out
--- a/slots/sharing_test.go
+++ b/slots/sharing_test.go
@@ -257,3 +257,28 @@
 	}, gen.SliceOf(one)))
 	properties.TestingRun(t)
 }
+
+// Guards against grants that lapse between the heartbeats of an idle entry, and
+// against one that went silent while idle and keeps slots that others wait for.
+func TestGrantsOfAnIdleEntry(t *testing.T) {
+	f := newFixture(t, Options{Slots: 4}, "a", "b")
+	const next = 5 * time.Second
+	f.HeardUntil("a", next, f.now)
+	f.HeardUntil("b", next, f.now)
+	f.now = f.now.Add(next)
+	f.Expire(f.now)
+	if got := f.allocate(); len(got) != 0 {
+		t.Fatalf("grants lapsed between announced heartbeats: %v", got)
+	}
+	f.HeardUntil("a", next, f.now)
+	f.HeardUntil("b", next, f.now)
+	f.demand("a", 4, 1, wire.ClassShort)
+	if asked := f.Revocations(f.now); len(asked) == 0 || asked[0].Entry != "b" {
+		t.Fatalf("not asked back: %v", asked)
+	}
+	f.now = f.now.Add(DefaultGrantTTL)
+	f.Heard("a", f.now)
+	if got := f.allocate(); got["a"] == 0 {
+		t.Fatalf("the silent entry keeps its slots: %v", got)
+	}
+}
--- a/transport/connect.go
+++ b/transport/connect.go
@@ -13,7 +13,7 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  handshakeTimeout,
-		MaxIdleTimeout:        2 * SilenceLimit,
+		MaxIdleTimeout:        2 * (IdleHeartbeatInterval + silenceSlack),
 		MaxIncomingUniStreams: maxLargeStreams,
 		MaxIncomingStreams:    1,
 	}
--- a/transport/link.go
+++ b/transport/link.go
@@ -22,8 +22,9 @@
 	handshakeTimeout = 2 * time.Second
 )
 
-// Heartbeat timing. A link is closed after SilenceLimit without a message,
-// which bounds how long tasks wait behind a connection that went silent.
+// Heartbeat timing of links with work. Such a link is closed after SilenceLimit
+// without a message, which bounds how long tasks wait behind a connection that
+// went silent.
 const (
 	HeartbeatInterval = time.Second
 	SilenceLimit      = 3500 * time.Millisecond
@@ -54,6 +55,10 @@
 	Handler     Handler
 	Revision    func() uint64
 	Counter     Counter
+	// Idle reports whether this process has no work on a link: no task is out,
+	// waits or has an outcome to acknowledge. Nil keeps every link's heartbeats
+	// at the shortest interval.
+	Idle func(l *Link) bool
 }
 
 // Link is one connection to a peer process.
@@ -72,6 +77,7 @@
 	wake   chan struct{}
 	large  chan struct{}
 
+	pace   pace
 	opened time.Time
 	heard  atomic.Int64 // nanoseconds from opened to the last message received
 	sent   atomic.Int64 // nanoseconds from opened to the last message sent
@@ -136,7 +142,11 @@
 		l.Close(err)
 		return err
 	}
-	l.sent.Store(int64(l.age()))
+	now := l.age()
+	l.sent.Store(int64(now))
+	if m.Type() != wire.TypeHeartbeat {
+		l.pace.working(now)
+	}
 	if l.opts.Counter != nil {
 		l.opts.Counter.CountMessage(m.Type(), len(frame), true)
 	}
@@ -185,6 +195,7 @@
 
 func (l *Link) received(m wire.Message, bytes int) {
 	l.heard.Store(int64(l.age()))
+	l.pace.received(m)
 	if l.opts.Counter != nil {
 		l.opts.Counter.CountMessage(m.Type(), bytes, false)
 	}
@@ -260,7 +271,8 @@
 	return Error.Wrap(s.Close())
 }
 
-// heartbeatLoop sends a heartbeat when nothing else was sent for an interval
+// heartbeatLoop sends a heartbeat when nothing else was sent for an interval or
+// the revision changed, which an idle link also tells within HeartbeatInterval,
 // and closes the link when the peer has been silent for too long.
 func (l *Link) heartbeatLoop() error {
 	ticker := time.NewTicker(HeartbeatInterval)
@@ -272,14 +284,16 @@
 			return tomb.ErrDying
 		case <-ticker.C:
 			now := l.age()
-			silent := now - time.Duration(l.heard.Load())
-			if silent > SilenceLimit {
-				return Error.New("%s was silent for %s", l.peer.Name, silent.Round(time.Millisecond))
-			}
-			idle := now-time.Duration(l.sent.Load()) >= HeartbeatInterval/2
-			if known := l.opts.Revision(); idle || known != revision {
+			heard := time.Duration(l.heard.Load())
+			idle := l.opts.Idle != nil && l.opts.Idle(l)
+			known := l.opts.Revision()
+			if h, ok := l.pace.due(now, time.Duration(l.sent.Load()), idle, known != revision); ok {
 				revision = known
-				_ = l.Send(&wire.Heartbeat{Revision: known})
+				h.Revision = known
+				_ = l.Send(h)
+			}
+			if l.pace.silent(now, heard) {
+				return Error.New("%s was silent for %s", l.peer.Name, (now - heard).Round(time.Millisecond))
 			}
 		}
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -248,9 +248,13 @@
 	Tasks []TaskID `cbor:"1,keyasint"`
 }
 
-// Heartbeat shows that the sender is alive and which revision it knows.
+// Heartbeat shows that the sender is alive and which revision it knows. Idle says
+// that the sender has no work on the link. Next is the longest time to the
+// sender's next message; 0 is the shortest interval.
 type Heartbeat struct {
-	Revision uint64 `cbor:"1,keyasint"`
+	Revision uint64        `cbor:"1,keyasint"`
+	Idle     bool          `cbor:"2,keyasint,omitempty"`
+	Next     time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Leave announces a planned stop of the sender.
