--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -31,6 +31,7 @@
 
 func (s *Scheduler) accept(j *activeJob) {
 	s.jobs[j.seq] = j
+	s.lastJob = max(s.lastJob, j.seq)
 	s.expiry.push(j)
 }
 
@@ -68,10 +69,43 @@
 		for s.startNext(now) {
 		}
 	}
+	s.sendStarts(now)
 	s.trackRate(now)
 	s.sendDemand(now)
 }
 
+// readyStart is a start that leaves at the end of the pump.
+type readyStart struct {
+	target *target
+	start  *wire.Start
+}
+
+// sendStarts sends the starts of this pump. The last one to each target carries
+// what still waits after all of them: what waited in between would have agents
+// take slots from other entries for tasks that have just been started.
+func (s *Scheduler) sendStarts(now time.Time) {
+	if len(s.ready) == 0 {
+		return
+	}
+	heads := make(map[string]wire.Demand, 1)
+	seen := make(map[*target]bool, len(s.ready))
+	for _, r := range slices.Backward(s.ready) {
+		if seen[r.target] {
+			continue
+		}
+		seen[r.target] = true
+		d := s.demandFor(r.target, heads)
+		s.noteDemand(r.target, d, now)
+		r.target.unanswered = false
+		r.start.Demand = &d
+		r.start.Acks = r.target.takeAcks()
+	}
+	for _, r := range s.ready {
+		s.send(r.target, r.start)
+	}
+	s.ready = s.ready[:0]
+}
+
 func (s *Scheduler) startNext(now time.Time) bool {
 	if s.queue.Waiting() == 0 {
 		return false
@@ -201,7 +235,7 @@
 		return false
 	}
 	spec := j.job.Spec()
-	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: class, grant: grantID}
+	a := &attempt{id: id, job: j, sent: now, expected: j.expected[index], class: class, grant: grantID, revision: s.revisionFor(t)}
 	t.out[taskKey{j.seq, id.Index}] = a
 	j.at[index] = t
 	t.noteStart(now)
@@ -213,20 +247,23 @@
 	s.adjust(j, -1, -int64(len(spec.Tasks[index].Payload)))
 	s.updateItem(j)
 	s.recordStart(j, now)
-	s.send(t, &wire.Start{
+	s.ready = append(s.ready, readyStart{t, &wire.Start{
 		Task:     id,
 		Grant:    grantID,
-		Revision: s.rules.RevisionFor(s.opts.Service, t.announce.Target),
+		Revision: a.revision,
 		Team:     spec.Team,
 		Class:    class,
 		TimeLeft: s.timeLeft(j, now),
 		Payload:  spec.Tasks[index].Payload,
-		Demand:   s.demandOnStart(t, now),
-		Acks:     t.takeAcks(),
-	})
+	}})
 	return true
 }
 
+// revisionFor is the revision that a start on the target carries.
+func (s *Scheduler) revisionFor(t *target) uint64 {
+	return s.rules.RevisionFor(s.opts.Service, t.announce.Target)
+}
+
 // timeLeft is what a task may take: the time to the deadline, and no more than
 // the run-time limit of long work, since the class is only an estimate.
 func (s *Scheduler) timeLeft(j *activeJob, now time.Time) time.Duration {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -28,7 +28,8 @@
 	expected time.Duration
 	class    wire.Class
 	grant    wire.GrantID
-	overran  bool
+	revision uint64        // of the configuration that the start carried
+	overran  time.Duration // run time at which it was last found to overrun
 }
 
 // grant is what is left of a grant.
@@ -58,6 +59,8 @@
 	load        uint32 // tasks running and waiting at the target, as last heard
 	acks        []wire.TaskID
 	bound       []boundTask // push baselines only
+	below       uint64      // last job number sent below which every job is over
+	belowAt     time.Time
 	acksSince   time.Time
 	demand      wire.Demand // last sent
 	demandAt    time.Time
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -87,7 +87,7 @@
 	var made []*grant
 	for t.free() > 0 {
 		room := t.generalRoom() > 0
-		e := t.nextWaiting(room)
+		e := t.nextWaiting(room, prefer)
 		if e == nil {
 			e = t.nextAhead(prefer)
 		}
@@ -132,7 +132,7 @@
 
 // nextWaiting picks the waiting entry for a free slot. Without general room an
 // entry whose first task is long is passed over.
-func (t *Table) nextWaiting(room bool) *entry {
+func (t *Table) nextWaiting(room bool, prefer *entry) *entry {
 	var best *entry
 	for _, e := range t.entries {
 		if t.deficit(e) == 0 || (!room && e.demand.Class == wire.ClassLong) {
@@ -142,9 +142,22 @@
 			best = e
 		}
 	}
+	if best == nil || prefer == nil || prefer == best || t.opts.Policy.Grants == grantsByTurns {
+		return best
+	}
+	blocked := t.deficit(prefer) == 0 || !room && prefer.demand.Class == wire.ClassLong
+	if !blocked && prefer.demand.Key <= best.demand.Key+keyTolerance {
+		return prefer
+	}
 	return best
 }
 
+// keyTolerance is by how many seconds of order key an entry may be behind the
+// first and still get the slot that its own task has freed: the grant then rides
+// on the outcome, where a grant to another entry is a message of its own. It is
+// about the run time of a usual task.
+const keyTolerance = 2
+
 // before orders two waiting entries. Equal keys are served in turn.
 func (t *Table) before(a, b *entry) bool {
 	if t.opts.Policy.Grants != grantsByTurns && a.demand.Key != b.demand.Key {
@@ -249,7 +262,7 @@
 }
 
 // revoke asks for up to n unused slots back, one at a time from the entry with
-// the most to spare, and merges the requests by grant.
+// the most to spare, and merges the requests to one entry.
 func (t *Table) revoke(out []Revocation, n int, shortToo bool) []Revocation {
 	for ; n > 0; n-- {
 		g := t.spareGrant(shortToo)
@@ -257,6 +270,9 @@
 			return out
 		}
 		g.revoking++
+		if limit := t.clock.Add(t.opts.GrantTTL); g.expiry.After(limit) {
+			g.expiry = limit
+		}
 		out = mergeRevocation(out, g, t.agent)
 	}
 	return out
@@ -264,13 +280,19 @@
 
 func mergeRevocation(out []Revocation, g *grant, agent wire.Incarnation) []Revocation {
 	id := wire.GrantID{Agent: agent, Seq: g.seq}
-	for i := range out {
-		if out[i].Revoke.ID == id {
-			out[i].Revoke.Slots++
+	at := slices.IndexFunc(out, func(r Revocation) bool { return r.Entry == g.entry.name })
+	if at < 0 {
+		return append(out, Revocation{g.entry.name, wire.Revoke{Grants: []wire.GrantSlots{{ID: id, Slots: 1}}}})
+	}
+	grants := out[at].Revoke.Grants
+	for i := range grants {
+		if grants[i].ID == id {
+			grants[i].Slots++
 			return out
 		}
 	}
-	return append(out, Revocation{Entry: g.entry.name, Revoke: wire.Revoke{ID: id, Slots: 1}})
+	out[at].Revoke.Grants = append(grants, wire.GrantSlots{ID: id, Slots: 1})
+	return out
 }
 
 // spareGrant returns a grant with a slot to spare of the entry that has most of
@@ -302,11 +324,18 @@
 	return general + short - g.entry.waiting()
 }
 
-// Return takes unused slots of a grant back. A return of slots that are no
-// longer granted has no effect.
+// Return takes unused slots of grants back. A return of slots that are no longer
+// granted has no effect.
 func (t *Table) Return(name string, r wire.Return, now time.Time) {
 	t.advance(now)
-	g := t.lookupGrant(t.find(name), r.ID)
+	for _, back := range r.Grants {
+		t.takeBack(t.find(name), back)
+	}
+	t.dropUsedUp()
+}
+
+func (t *Table) takeBack(e *entry, r wire.GrantSlots) {
+	g := t.lookupGrant(e, r.ID)
 	if g == nil {
 		return
 	}
@@ -315,7 +344,6 @@
 	g.revoking = 0
 	g.left -= n
 	t.counters.unused += n
-	t.dropUsedUp()
 }
 
 // lookupGrant returns the entry's live grant of an id, or nil.
--- a/wire/message.go
+++ b/wire/message.go
@@ -151,17 +151,22 @@
 	Load      uint32        `cbor:"5,keyasint,omitempty"`
 }
 
-// Revoke asks for unused slots of a grant back: at most Slots of them, or all
-// where Slots is 0. The entry answers with one Return, also when it has none.
+// Revoke asks for unused slots of grants back: of each grant at most Slots, or
+// all where Slots is 0. The entry answers with one Return that names every
+// grant, also those of which it has no slot left.
 type Revoke struct {
+	Grants []GrantSlots `cbor:"1,keyasint"`
+}
+
+// GrantSlots is a number of unused slots of one grant.
+type GrantSlots struct {
 	ID    GrantID `cbor:"1,keyasint"`
 	Slots uint32  `cbor:"2,keyasint,omitempty"`
 }
 
-// Return gives back unused slots of a grant. The sender will not use them.
+// Return gives back unused slots of grants. The sender will not use them.
 type Return struct {
-	ID    GrantID `cbor:"1,keyasint"`
-	Slots uint32  `cbor:"2,keyasint"`
+	Grants []GrantSlots `cbor:"1,keyasint"`
 }
 
 // Start asks the agent to start one task. Its loss is ambiguous until a Query
@@ -248,9 +253,13 @@
 	Tasks []TaskID `cbor:"1,keyasint"`
 }
 
-// Heartbeat shows that the sender is alive and which revision it knows.
+// Heartbeat shows that the sender is alive and which revision it knows. Idle says
+// that the sender has no work on the link. Next is the longest time to the
+// sender's next message; 0 is the shortest interval.
 type Heartbeat struct {
-	Revision uint64 `cbor:"1,keyasint"`
+	Revision uint64        `cbor:"1,keyasint"`
+	Idle     bool          `cbor:"2,keyasint,omitempty"`
+	Next     time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Leave announces a planned stop of the sender.
@@ -270,6 +279,7 @@
 	Revision uint64    `cbor:"1,keyasint"`
 	Teams    []TeamUse `cbor:"2,keyasint,omitempty"`
 	Leaving  bool      `cbor:"3,keyasint,omitempty"`
+	Reported bool      `cbor:"4,keyasint,omitempty"` // Teams is a report; otherwise it says nothing
 }
 
 // DocumentRequest asks a peer for its configuration document if it is newer.
