Test with real processes that a leaving target gets no new work

SIGTERM of the agent, drain, a label change out of the selector; a drain with one entry cut off from the store and the other entry; a drain while an entry is frozen for longer than its lease (11 s and more) and thawed.

--- /dev/null
+++ b/integration/config_leaving_test.go
@@ -0,0 +1,160 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/faultproxy"
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/operator"
+)
+
+// quietJobs is the number of jobs that must be answered without a start on a
+// target before it counts as left alone. Before that, the target has about an
+// equal share of the starts.
+const quietJobs = 60
+
+// becomesQuiet waits until a target gets no starts while jobs go on, and returns
+// its number of starts and the time to the last one.
+func (f *configFleet) becomesQuiet(target int, l *configLoad) (starts int, took time.Duration) {
+	f.t.Helper()
+	begin := time.Now()
+	starts = f.starts(target).Identities
+	answered := l.complete.Load()
+	f.eventually("the target gets no starts", func() bool {
+		if now := f.starts(target).Identities; now != starts {
+			starts, answered, took = now, l.complete.Load(), time.Since(begin)
+		}
+		return l.complete.Load() >= answered+quietJobs
+	})
+	return starts, took
+}
+
+// isBusy waits until a target has got starts.
+func (f *configFleet) isBusy(target int) {
+	f.t.Helper()
+	before := f.starts(target).Identities
+	f.eventually("the target gets starts", func() bool { return f.starts(target).Identities > before+5 })
+}
+
+func inTurn(entries int) func(int64) int {
+	return func(n int64) int { return int(n) % entries }
+}
+
+// Guards against a target that still gets work after its agent was asked to
+// stop, after an operator drained it, or after its labels ceased to match the
+// service's selector; and against a job that the change interrupts.
+func TestConfigLeavingTargetGetsNoWork(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 2, 4, nil)
+	l := f.load(8, inTurn(2))
+	leave := []struct {
+		name string
+		do   func()
+	}{
+		{"SIGTERM of the agent", func() { f.must(f.Terminate("agent-0")) }},
+		{"drain", func() { f.expectAccepted(f.change(0, "drain", "target-1")) }},
+		{"label", func() { f.expectAccepted(f.change(1, "label", "target-2", "stage=old")) }},
+	}
+	var final []int
+	for i, way := range leave {
+		f.isBusy(i)
+		way.do()
+		starts, took := f.becomesQuiet(i, l)
+		t.Logf("%s: last start %v after the change", way.name, took)
+		final = append(final, starts)
+	}
+	if status, err := f.WaitExit(t.Context(), "agent-0"); err != nil || status != 0 {
+		t.Errorf("the agent ended with status %d, %v", status, err)
+	}
+	f.expectAccepted(f.change(0, "undrain", "target-1"))
+	f.isBusy(1)
+	l.checkComplete(t)
+	for _, i := range []int{0, 2} {
+		if n := f.starts(i).Identities; n != final[i] {
+			t.Errorf("target-%d got %d starts later", i, n-final[i])
+		}
+	}
+	f.checkStarts()
+}
+
+func (f *configFleet) expectAccepted(c operator.Change) {
+	f.t.Helper()
+	if c.Outcome != "accepted" {
+		f.t.Errorf("the change was not accepted: %+v", c)
+	}
+}
+
+// isolate cuts entry-1 off from the store and from entry-0, but not from agents.
+func (f *configFleet) isolate() {
+	f.t.Helper()
+	f.must(f.Relay("store/entry-1").Set(faultproxy.Faults{Cut: faultproxy.CutBoth}))
+	for _, i := range []string{"0", "1"} {
+		other := map[string]string{"0": "entry-1", "1": "entry-0"}[i]
+		f.must(f.Relay("link/entry-" + i).Set(faultproxy.Faults{Cut: faultproxy.CutBoth, Clients: []string{other}}))
+	}
+}
+
+func withRelays(o *fleet.Options) {
+	o.Network.Links = true
+	o.Network.Stores = true
+}
+
+// Guards against an entry that goes on using a drained target because the
+// change reached it neither from the store nor from another entry; it must hear
+// of it from the agents. Once it is reachable again it must have the document.
+func TestConfigDrainReachesEntryCutOff(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 2, 2, withRelays)
+	f.isolate()
+	l := f.load(6, func(int64) int { return 1 }) // only the entry that is cut off
+	f.isBusy(0)
+	c := f.change(0, "drain", "target-0")
+	f.expectAccepted(c)
+	starts, took := f.becomesQuiet(0, l)
+	t.Logf("last start %v after the answer; confirmed by %v, missing %v", took, c.Confirmed, c.Missing)
+	if r := f.revision(1); r >= c.Revision {
+		t.Errorf("the entry has the whole document of revision %d, so it was not cut off", r)
+	}
+	for _, relay := range f.Relays() {
+		relay.Restore()
+	}
+	f.eventually("the document reaches the entry", func() bool { return f.revision(1) >= c.Revision })
+	l.checkComplete(t)
+	if n := f.starts(0).Identities; n != starts {
+		t.Errorf("%d starts on the drained target later", n-starts)
+	}
+}
+
+// Guards against starts under an old revision by an entry that was frozen for
+// longer than its lease, its links and its grants last, and an entry that comes
+// back with the old configuration and keeps it.
+func TestConfigDrainHoldsAgainstThawedEntry(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 2, 2, nil)
+	frozen := f.load(6, func(int64) int { return 1 })
+	f.isBusy(0)
+	f.must(f.Freeze("entry-1"))
+	l := f.load(4, func(int64) int { return 0 })
+	c := f.change(0, "drain", "target-0")
+	f.expectAccepted(c)
+	starts, _ := f.becomesQuiet(0, l)
+	// The longest limit is the lease of 10 s.
+	time.Sleep(11 * time.Second)
+	f.must(f.Resume("entry-1"))
+	before := frozen.complete.Load()
+	f.eventually("the entry learns the revision", func() bool { return f.revision(1) >= c.Revision })
+	f.eventually("the entry answers jobs", func() bool { return frozen.complete.Load() > before+quietJobs })
+	frozen.end()
+	l.checkComplete(t)
+	if n := f.starts(0).Identities; n != starts {
+		t.Errorf("%d starts on the drained target after the thaw", n-starts)
+	}
+	refused := 0.0
+	for _, agent := range f.AgentURLs() {
+		refused += f.metric(agent, "start_refusals", "")
+	}
+	t.Logf("%.0f starts refused by agents; jobs at the frozen entry: %d sent, %d complete, %d refused, %d broken", refused,
+		frozen.sent.Load(), frozen.complete.Load(), frozen.refused.Load(), frozen.broken.Load())
+	f.checkStarts()
+}
