Test configuration changes, operator races and store outages with real processes

Changes with the store healthy, slow (300 ms a call), with reads 2.5 s old, and down right after the acceptance; an entry and an agent started during the outage; two operators on the same and on different objects through two entries; a change whose answer is lost and that is repeated elsewhere. An outage of 12 s with a killed entry, a twice restarted one and one frozen beyond its lease; store down from the first second with and without a peer.

--- /dev/null
+++ b/integration/config_effect_test.go
@@ -0,0 +1,300 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/operator"
+	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/standin"
+)
+
+// reach waits until a revision is in force at entries, and returns the time
+// since start.
+func (f *configFleet) reach(revision uint64, start time.Time, entries ...int) time.Duration {
+	f.t.Helper()
+	for _, i := range entries {
+		f.eventually(fmt.Sprintf("revision %d is in force at entry-%d", revision, i), func() bool {
+			return f.revision(i) >= revision
+		})
+	}
+	return time.Since(start)
+}
+
+// watchRevisions samples the revisions in force until the test ends and fails
+// when one falls, other than to 0 by a restart.
+func (f *configFleet) watchRevisions(entries int) {
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	for i := range entries {
+		done.Go(func() {
+			last := uint64(0)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(configPoll):
+				}
+				now := f.revision(i)
+				if now != 0 && now < last {
+					f.t.Errorf("entry-%d went back from revision %d to %d", i, last, now)
+				}
+				last = max(last, now)
+			}
+		})
+	}
+	f.t.Cleanup(func() {
+		close(stop)
+		done.Wait()
+	})
+}
+
+// Guards against an accepted change that does not reach every entry, or that an
+// entry takes back, while the store is slow, answers with old data, or goes down
+// right after the acceptance.
+func TestConfigChangeTakesEffectDespiteTheStore(t *testing.T) {
+	t.Parallel()
+	const entries = 3
+	f := startConfigFleet(t, entries, 2, nil)
+	f.watchRevisions(entries)
+	slow, stale, none := 300, 2500, 0
+	faults := []struct {
+		name          string
+		before, after standin.StoreFaultChange
+	}{
+		{"healthy", standin.StoreFaultChange{}, standin.StoreFaultChange{}},
+		{"slow", standin.StoreFaultChange{LatencyMS: &slow}, standin.StoreFaultChange{LatencyMS: &none}},
+		{"stale reads", standin.StoreFaultChange{}, standin.StoreFaultChange{StaleReadsMS: &stale}},
+	}
+	for n, fault := range faults {
+		f.storeFaults(fault.before)
+		start := time.Now()
+		c := f.change(n%entries, "label", "target-0", fmt.Sprint("round=", n))
+		f.storeFaults(fault.after)
+		f.expectAccepted(c)
+		t.Logf("store %s: in force everywhere %v after the request", fault.name, f.reach(c.Revision, start, 0, 1, 2))
+	}
+	// Each entry reads the store again within 2.5 s and meets the old document.
+	time.Sleep(time.Duration(stale) * time.Millisecond)
+	f.storeFaults(standin.StoreFaultChange{StaleReadsMS: &none})
+
+	before := f.storeFaults(standin.StoreFaultChange{}).Revision
+	answer := make(chan operator.Change, 1)
+	start := time.Now()
+	go func() { answer <- f.change(0, "drain", "target-0") }()
+	f.eventually("the change is in the store", func() bool {
+		return f.storeFaults(standin.StoreFaultChange{}).Revision > before
+	})
+	f.storeDown(true)
+	c := <-answer
+	f.expectAccepted(c)
+	t.Logf("store down after the acceptance: in force everywhere %v after the request", f.reach(c.Revision, start, 0, 1, 2))
+	if refused := f.change(1, "drain", "target-1"); refused.Outcome != config.Refused || refused.Code != result.ConfigUnavailable {
+		t.Errorf("a change with the store down: %+v", refused)
+	}
+
+	// An entry and an agent that start during the outage learn it from others.
+	f.must(f.Kill("entry-2"))
+	f.must(f.Restart("entry-2"))
+	f.must(f.WaitReady(t.Context(), "entry-2"))
+	f.reach(c.Revision, time.Now(), 2)
+	f.must(f.Kill("agent-0"))
+	f.must(f.Restart("agent-0"))
+	f.must(f.WaitReady(t.Context(), "agent-0"))
+	f.allLinked(entries, 2)
+	starts := f.starts(0).Identities
+	for i := range 3 * entries {
+		f.complete(i%entries, configJob(fmt.Sprint("drained-", i), true, 10, 10, 10))
+	}
+	if n := f.starts(0).Identities; n != starts {
+		t.Errorf("%d starts on the drained target", n-starts)
+	}
+	f.storeDown(false)
+}
+
+// document reads the operators' document from the store.
+func (f *configFleet) document(entryIndex int) operator.Document {
+	f.t.Helper()
+	var d operator.Document
+	f.eventually("the document is read", func() bool {
+		exit, output := f.ctl(entryIndex, "get", "--json")
+		return exit == 0 && json.Unmarshal([]byte(output), &d) == nil
+	})
+	return d
+}
+
+// Guards against a lost or doubled change, or an untrue answer, when two
+// operators change the same object or different objects at once through two
+// entries, and when the answer to a change's write is lost.
+func TestConfigOperatorsRace(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 2, 2, nil)
+	conflicts := 0
+	for round := range 10 {
+		var same, other [2]operator.Change
+		var all sync.WaitGroup
+		for i := range 2 {
+			all.Go(func() {
+				same[i] = f.change(i, "label", "target-0", fmt.Sprintf("owner=%d-%d", round, i))
+			})
+			all.Go(func() {
+				other[i] = f.change(i, "label", fmt.Sprint("other-", i), fmt.Sprint("round=", round))
+			})
+		}
+		all.Wait()
+		winner := operator.Change{}
+		want := ""
+		for i := range 2 {
+			f.expectAccepted(other[i])
+			switch {
+			case same[i].Outcome == config.Accepted && same[i].Revision > winner.Revision:
+				winner, want = same[i], fmt.Sprintf("%d-%d", round, i)
+			case same[i].Code == result.ConfigConflict && same[i].Conflict != nil:
+				conflicts++
+			case same[i].Outcome != config.Accepted:
+				t.Errorf("round %d: %+v", round, same[i])
+			}
+		}
+		d := f.document(0).Document
+		if got := d.Targets["target-0"].Labels["owner"]; got != want {
+			t.Errorf("round %d: owner is %q, the last accepted change set %q", round, got, want)
+		}
+		for i := range 2 {
+			if got := d.Targets[fmt.Sprint("other-", i)].Labels["round"]; got != fmt.Sprint(round) {
+				t.Errorf("round %d: an accepted change of other-%d is lost, it has %q", round, i, got)
+			}
+		}
+	}
+	t.Logf("%d conflicts in 10 rounds", conflicts)
+	f.lostAnswers()
+}
+
+// lostAnswers loses the answer to the write of each of some changes.
+func (f *configFleet) lostAnswers() {
+	for round := range 5 {
+		lost := 1
+		id := fmt.Sprint("lost-", round)
+		f.storeFaults(standin.StoreFaultChange{DropWriteAnswers: &lost})
+		first := f.change(0, "label", "target-1", fmt.Sprint("lost=", round), "--change-id", id)
+		again := f.change(1, "label", "target-1", fmt.Sprint("lost=", round), "--change-id", id)
+		f.expectAccepted(first)
+		f.expectAccepted(again)
+		if first.Revision != again.Revision {
+			f.t.Errorf("the change %s was applied at revisions %d and %d", id, first.Revision, again.Revision)
+		}
+		n := 0
+		for _, c := range f.document(1).Document.Changes {
+			if c.ID == id {
+				n++
+			}
+		}
+		if n != 1 {
+			f.t.Errorf("the change %s is recorded %d times", id, n)
+		}
+	}
+}
+
+// storeCalls is the number of an entry's store calls so far.
+func (f *configFleet) storeCalls(entryIndex int) float64 {
+	return f.metric(f.EntryURLs()[entryIndex], "store_calls", "")
+}
+
+// Guards against ordinary jobs that notice a long outage of the store, an entry
+// that cannot start without the store although a peer is reachable, one whose
+// lease lapsed while it was frozen and that does not come back, and a stampede
+// of calls after the outage. All of them happen in one outage.
+func TestConfigLongStoreOutage(t *testing.T) {
+	t.Parallel()
+	const entries = 5
+	f := startConfigFleet(t, entries, 3, func(o *fleet.Options) { o.Network.Links = true })
+	l := f.load(6, inTurn(2)) // entries 0 and 1 only
+	f.storeDown(true)
+	start := time.Now()
+	f.must(f.Freeze("entry-3"))
+	f.must(f.Kill("entry-2"))
+	f.must(f.Restart("entry-2"))
+	f.must(f.WaitReady(t.Context(), "entry-2"))
+	f.complete(2, configJob("new-entry", true, 20, 20))
+	// Longer than the leases of 10 s; entry-4 is restarted a second time.
+	f.must(f.Kill("entry-4"))
+	f.must(f.Restart("entry-4"))
+	time.Sleep(12*time.Second - time.Since(start))
+	f.must(f.WaitReady(t.Context(), "entry-4"))
+	f.complete(4, configJob("second-entry", true, 20, 20))
+	f.must(f.Resume("entry-3"))
+	f.eventually("the thawed entry runs jobs without the store", func() bool {
+		a, err := f.submit(3, configJob("thawed", true, 20, 20))
+		return err == nil && len(a.Results) == 2
+	})
+	var before [entries]float64
+	for i := range entries {
+		before[i] = f.storeCalls(i)
+	}
+	began := time.Now()
+	f.storeDown(false)
+	f.eventually("every entry is registered", func() bool {
+		for i := range entries {
+			exit, output := f.ctl(i, "status", "--json")
+			var s operator.Status
+			if exit != 0 || json.Unmarshal([]byte(output), &s) != nil || len(s.Entries) != entries {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(5 * time.Second)
+	took := time.Since(began).Seconds()
+	for i := range entries {
+		// An idle entry makes about two calls a second: a renewal, a watch of
+		// the configuration and one of the entries.
+		calls := f.storeCalls(i) - before[i]
+		t.Logf("entry-%d made %.0f store calls in %.1f s after the outage", i, calls, took)
+		if calls == 0 || calls > 40+8*took {
+			t.Errorf("entry-%d made %.0f store calls in %.1f s after the outage", i, calls, took)
+		}
+	}
+	l.checkComplete(t)
+	f.expectAccepted(f.change(3, "drain", "target-0"))
+	f.checkStarts()
+}
+
+// Guards against an entry that never becomes ready, or becomes ready without a
+// configuration, when the store is down from the first second of its life.
+func TestConfigEntryStartsWithoutStore(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 2, 1, nil)
+	f.storeDown(true)
+	for _, name := range []string{"entry-0", "entry-1"} {
+		f.must(f.Kill(name))
+		f.must(f.Restart(name))
+		f.must(f.WaitReady(t.Context(), name))
+	}
+	// With both gone there is no peer to ask: neither may accept a job.
+	f.must(f.Kill("entry-0"))
+	f.must(f.Kill("entry-1"))
+	for _, name := range []string{"entry-0", "entry-1"} {
+		f.must(f.Restart(name))
+	}
+	f.eventually("the entries answer", func() bool {
+		for _, url := range f.EntryURLs() {
+			response, err := http.Get(url + "/healthz")
+			if err != nil {
+				return false
+			}
+			response.Body.Close()
+		}
+		return true
+	})
+	f.expectCode("no configuration anywhere", 0, configJob("early", true, 10), result.NotConfigured)
+	f.storeDown(false)
+	for i, name := range []string{"entry-0", "entry-1"} {
+		f.must(f.WaitReady(t.Context(), name))
+		f.complete(i, configJob(fmt.Sprint("late-", i), true, 10))
+	}
+}
