Let an agent link to a subset of the entries

With links to every entry, an entry's standing cost and the grants that agents shift between entries grow with both fleets. The setting entry_links (default 0: all) has an agent link to that many entries, chosen by rendezvous hashing of the names over the entries that its linked entries list. One link moves at a time: the new one is up before the old one is told to leave, finishes its tasks and closes. While none is linked the agent tries one known entry at random, so that a starting fleet does not open every link.

Ruled out: assignment by the entries or by the store, which needs an exchange and an owner; a ring of names, which is less even; closing the old link at once, which makes the entry wait for a lost agent and fail its tasks as unknown.

The tool's agents take entries in turn; the process's choice is covered by its test.

It stays off by default: an entry must have targets of every service in its subset, or it refuses that service's jobs, and docs/CAPACITY.md gives the number of links that this needs.

--- /dev/null
+++ b/agent/links.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+)
+
+const (
+	// arrangeInterval is the mean time between two looks at the subset; a move
+	// takes a few of them.
+	arrangeInterval = 500 * time.Millisecond
+	// leaveTime is how long a link stays after it was told to leave, so that
+	// starts which were on their way arrive on it.
+	leaveTime = 2 * time.Second
+)
+
+// subsetLinks is the state of an agent that links to a subset of the entries.
+type subsetLinks struct {
+	lists  map[string][]wire.Peer // by the entry that sent the list, itself first
+	hold   map[string]bool        // addresses to keep a link to
+	ending map[string]time.Time   // by entry name: told to leave at
+}
+
+func newSubsetLinks() subsetLinks {
+	return subsetLinks{
+		lists:  make(map[string][]wire.Peer),
+		hold:   make(map[string]bool),
+		ending: make(map[string]time.Time),
+	}
+}
+
+// arrangeLoop keeps links to the agent's subset of the live entries.
+func (p *Process) arrangeLoop() error {
+	for p.tomb.Alive() {
+		p.mu.Lock()
+		open, closing := p.arrange(time.Now())
+		p.mu.Unlock()
+		for _, address := range open {
+			p.dial(address)
+		}
+		for _, l := range closing {
+			_ = l.Close(nil)
+		}
+		p.pause(arrangeInterval)
+	}
+	return nil
+}
+
+// arrange moves at most one link and returns the addresses to dial and the links
+// to close. It must be called with mu held.
+func (p *Process) arrange(now time.Time) (dial []string, closing []*transport.Link) {
+	linked := p.linkedNames()
+	live := p.liveEntries(linked)
+	if len(linked) == 0 {
+		p.bootstrap(live)
+	}
+	staying := slices.DeleteFunc(slices.Clone(linked), func(name string) bool { return !p.subset.ending[name].IsZero() })
+	chosen := subset(p.settings.Name, live, p.settings.EntryLinks)
+	open, end := move(chosen, staying, p.settings.EntryLinks)
+	for _, peer := range open {
+		p.subset.hold[peer.Address] = true
+	}
+	if end != "" {
+		p.subset.ending[end] = now
+		p.agent.LeaveEntry(end)
+	}
+	for address := range p.subset.hold {
+		dial = append(dial, address)
+	}
+	return dial, p.ended(now)
+}
+
+// bootstrap holds one entry at random while none is linked, so that a fleet that
+// starts does not open every link of every agent.
+func (p *Process) bootstrap(live []wire.Peer) {
+	addresses := slices.Clone(p.settings.Entries)
+	for _, peer := range live {
+		addresses = append(addresses, peer.Address)
+	}
+	clear(p.subset.hold)
+	if len(addresses) > 0 {
+		p.subset.hold[addresses[rand.N(len(addresses))]] = true
+	}
+}
+
+// ended returns the links that were told to leave and have no work any more.
+func (p *Process) ended(now time.Time) (closing []*transport.Link) {
+	for l := range p.links {
+		since := p.subset.ending[l.Name()]
+		if since.IsZero() || now.Sub(since) < leaveTime || !p.agent.Idle(l.Name()) {
+			continue
+		}
+		if list := p.subset.lists[l.Name()]; len(list) > 0 {
+			delete(p.subset.hold, list[0].Address)
+		}
+		closing = append(closing, l)
+	}
+	return closing
+}
+
+func (p *Process) linkedNames() []string {
+	var names []string
+	for l := range p.links {
+		if !slices.Contains(names, l.Name()) {
+			names = append(names, l.Name())
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// liveEntries returns the entries that linked entries list, or those that were
+// listed last while none is linked.
+func (p *Process) liveEntries(linked []string) []wire.Peer {
+	latest := make(map[string]wire.Peer)
+	for source, list := range p.subset.lists {
+		if len(linked) > 0 && !slices.Contains(linked, source) {
+			continue
+		}
+		for _, peer := range list {
+			if peer.Incarnation >= latest[peer.Name].Incarnation {
+				latest[peer.Name] = peer
+			}
+		}
+	}
+	var out []wire.Peer
+	for _, peer := range latest {
+		out = append(out, peer)
+	}
+	return out
+}
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -160,6 +160,16 @@
 	return a.Kill()
 }
 
+// LeaveEntry tells one entry to send no further work; tasks from it finish.
+func (a *Agent) LeaveEntry(name string) {
+	a.mu.Lock()
+	defer a.unlock()
+	now := time.Now()
+	a.table.EntryLeaving(name, now)
+	a.sendTo(name, &wire.Leave{Reason: "this agent moves its link to another entry"})
+	a.flush(now)
+}
+
 // waitUntil waits until a condition on the locked state holds or ctx ends.
 func (a *Agent) waitUntil(ctx context.Context, holds func() bool) {
 	for {
--- a/agent/process.go
+++ b/agent/process.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,8 @@
 	mu    sync.Mutex
 	links map[*transport.Link]Link
 	peers map[string]map[string]bool // addresses that each linked entry lists, by its name
+
+	subset subsetLinks // used with settings.EntryLinks, under mu
 }
 
 // NewProcess returns a process that Run starts.
@@ -69,6 +72,7 @@
 		store:       store,
 		links:       make(map[*transport.Link]Link),
 		peers:       make(map[string]map[string]bool),
+		subset:      newSubsetLinks(),
 	}, nil
 }
 
@@ -89,8 +93,12 @@
 		_ = p.agent.Kill()
 		return err
 	}
-	for _, address := range p.settings.Entries {
-		p.dial(address)
+	if p.settings.EntryLinks > 0 {
+		p.tomb.Go(p.arrangeLoop)
+	} else {
+		for _, address := range p.settings.Entries {
+			p.dial(address)
+		}
 	}
 	p.tomb.Go(p.lookupLoop)
 	p.log.Info("agent started", zap.String("name", p.settings.Name), zap.String("target", p.settings.Target.URL))
@@ -153,6 +161,11 @@
 // wanted reports whether an address belongs to a configured entry or to one that
 // a linked entry lists.
 func (p *Process) wanted(address string) bool {
+	if p.settings.EntryLinks > 0 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.subset.hold[address]
+	}
 	for _, e := range p.settings.Entries {
 		if e == address {
 			return true
@@ -201,6 +214,12 @@
 
 // learn dials the entries that one source lists.
 func (p *Process) learn(source string, peers []wire.Peer) {
+	if p.settings.EntryLinks > 0 {
+		p.mu.Lock()
+		p.subset.lists[source] = peers
+		p.mu.Unlock()
+		return
+	}
 	listed := make(map[string]bool, len(peers))
 	for _, peer := range peers {
 		listed[peer.Address] = true
@@ -250,6 +269,9 @@
 	h.p.mu.Lock()
 	link := h.p.links[l]
 	delete(h.p.links, l)
+	if !slices.Contains(h.p.linkedNames(), l.Name()) {
+		delete(h.p.subset.ending, l.Name())
+	}
 	h.p.mu.Unlock()
 	h.p.log.Info("entry link closed", zap.String("entry", l.Name()), zap.Error(err))
 	h.p.agent.LinkDown(link)
--- /dev/null
+++ b/agent/subset_test.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+)
+
+func livePeers(n int) []wire.Peer {
+	var out []wire.Peer
+	for i := range n {
+		out = append(out, wire.Peer{Name: fmt.Sprintf("entry-%d", i)})
+	}
+	return out
+}
+
+// Guards against a hash that leaves some entries with far more agents than
+// others, at the target size of 1,400 agents.
+func TestSubsetIsBalanced(t *testing.T) {
+	counts := map[string]int{}
+	for i := range 1400 {
+		for _, p := range subset(fmt.Sprintf("target-%04d", i), livePeers(30), 4) {
+			counts[p.Name]++
+		}
+	}
+	low, high := 5600, 0
+	for _, n := range counts {
+		low, high = min(low, n), max(high, n)
+	}
+	t.Logf("%d to %d agents an entry, mean %.0f", low, high, 5600.0/30)
+	if len(counts) != 30 || high > 243 || low < 131 {
+		t.Errorf("%d entries have %d to %d agents, want 30 within 30%% of the mean", len(counts), low, high)
+	}
+}
+
+// Guards against links that move although the entry that came or went is not
+// theirs.
+func TestSubsetMovesOneLink(t *testing.T) {
+	moved := 0
+	for i := range 1400 {
+		name := fmt.Sprintf("target-%04d", i)
+		before, after := subset(name, livePeers(30), 4), subset(name, livePeers(31), 4)
+		lost := 0
+		for _, p := range before {
+			if !slices.Contains(after, p) {
+				lost++
+			}
+		}
+		if lost > 1 {
+			t.Fatalf("%s moves %d links", name, lost)
+		}
+		moved += lost
+	}
+	t.Logf("%d of 5600 links move when a 31st entry comes", moved)
+	if moved == 0 || moved > 250 {
+		t.Errorf("%d links move, want about 181", moved)
+	}
+}
+
+// Guards against an old link that leaves before its successor is up, and
+// against several links that move at once.
+func TestMoveOpensBeforeItEnds(t *testing.T) {
+	chosen := livePeers(3) // entry-0, entry-1, entry-2
+	open, end := move(chosen, []string{"entry-8", "entry-9", "entry-0"}, 3)
+	if len(open) != 1 || open[0].Name != "entry-1" || end != "" {
+		t.Errorf("first: open %v, end %q", open, end)
+	}
+	open, end = move(chosen, []string{"entry-8", "entry-9", "entry-0", "entry-1"}, 3)
+	if len(open) != 1 || end != "entry-8" {
+		t.Errorf("then: open %v, end %q", open, end)
+	}
+	if open, end = move(chosen, []string{"entry-0", "entry-1", "entry-2"}, 3); len(open) != 0 || end != "" {
+		t.Errorf("at rest: open %v, end %q", open, end)
+	}
+	if open, _ = move(chosen, nil, 3); len(open) != 3 {
+		t.Errorf("at the start: open %v", open)
+	}
+}
+
+// listingEntry is an entry that only tells its agents of the live entries.
+type listingEntry struct {
+	self wire.Peer
+	list func(self wire.Peer) []wire.Peer
+	up   chan string
+	left chan string
+}
+
+func (e *listingEntry) LinkUp(l *transport.Link) {
+	_ = l.Send(&wire.Peers{Peers: e.list(e.self)})
+	e.up <- e.self.Name
+}
+
+func (e *listingEntry) Handle(l *transport.Link, m wire.Message) {
+	switch m.(type) {
+	case *wire.Leave:
+		e.left <- e.self.Name
+	case *wire.Heartbeat:
+		_ = l.Send(&wire.Peers{Peers: e.list(e.self)})
+	}
+}
+
+func (e *listingEntry) LinkDown(*transport.Link, error) {}
+
+// Guards against an agent process that links to entries outside its subset for
+// good, leaves without a word, or does not follow when an entry goes.
+func TestProcessLinksToItsSubset(t *testing.T) {
+	up, left := make(chan string, 64), make(chan string, 64)
+	peers := livePeers(3)
+	first := subset("target-1", peers, 1)[0].Name
+	var gone atomic.Bool
+	list := func(self wire.Peer) []wire.Peer {
+		out := []wire.Peer{self}
+		for _, p := range peers {
+			if p.Name != self.Name && !(gone.Load() && p.Name == first) {
+				out = append(out, p)
+			}
+		}
+		return out
+	}
+	var addresses []string
+	listeners := map[string]*transport.Listener{}
+	for i := range peers {
+		e := &listingEntry{list: list, up: up, left: left}
+		identity := transport.Identity{Role: wire.RoleEntry, Name: peers[i].Name}
+		credentials, err := transport.NewCredentials(settings.TLS{DevelopmentSecret: "s"}, identity)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := transport.Listen("127.0.0.1:0", transport.Options{
+			Self: identity, Incarnation: wire.Incarnation(i + 1), Credentials: credentials,
+			Handler: e, Revision: func() uint64 { return 0 },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		peers[i].Address = l.Address().String()
+		e.self = peers[i]
+		listeners[peers[i].Name] = l
+		addresses = append(addresses, peers[i].Address)
+	}
+	other := slices.IndexFunc(peers, func(p wire.Peer) bool { return p.Name != first })
+	p, err := NewProcess(settings.Agent{
+		Name: "target-1", Entries: addresses[other : other+1], EntryLinks: 1,
+		TLS: settings.TLS{DevelopmentSecret: "s"}, Target: settings.Target{Name: "target-1"},
+	}, nil, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go p.Run(t.Context())
+	for _, want := range []string{peers[other].Name, first} {
+		if got := <-up; got != want {
+			t.Fatalf("linked to %s, want %s", got, want)
+		}
+	}
+	if got := <-left; got != peers[other].Name {
+		t.Fatalf("left %s, want %s", got, peers[other].Name)
+	}
+	gone.Store(true)
+	listeners[first].Close()
+	for {
+		if got := <-up; got != first {
+			break
+		}
+	}
+}
--- a/command/scale.go
+++ b/command/scale.go
@@ -15,6 +15,7 @@
 type scaleArguments struct {
 	Sizes   []int   `arg:"--sizes" help:"numbers of agents [default: 10 40 160 640]"`
 	Entries int     `arg:"--entries" default:"2" help:"number of entries"`
+	Links   int     `arg:"--links" default:"0" help:"entries that each agent links to; 0: all"`
 	Settle  float64 `arg:"--settle" default:"4" help:"seconds before the idle step; new links probe the path's packet size with some of their first packets"`
 	Idle    float64 `arg:"--idle" default:"8" help:"seconds of the idle step"`
 	Load    float64 `arg:"--load" default:"6" help:"seconds of each step with load"`
@@ -66,6 +67,7 @@
 		Executable: executable,
 		Sizes:      a.Sizes,
 		Entries:    a.Entries,
+		Links:      a.Links,
 		Settle:     time.Duration(a.Settle * float64(time.Second)),
 		Idle:       time.Duration(a.Idle * float64(time.Second)),
 		Load:       time.Duration(a.Load * float64(time.Second)),
--- a/scale/child.go
+++ b/scale/child.go
@@ -19,6 +19,7 @@
 	First   int      // number of the first one
 	Service string   // of the agents to add
 	Entries []string // that the agents to add link to
+	Links   int      // entries of each agent, in turn
 	Lose    int      // agents to end at once
 }
 
@@ -33,7 +34,7 @@
 			return nil
 		}
 		for i := range r.Start {
-			if err := f.start(r.First+i, r.Service, r.Entries); err != nil {
+			if err := f.start(r.First+i, r.Service, inTurn(r.Entries, r.First+i, r.Links)); err != nil {
 				return err
 			}
 		}
@@ -46,6 +47,15 @@
 	}
 }
 
+// inTurn returns n entries from the i-th on, so that all get equally many agents.
+func inTurn(entries []string, i, n int) []string {
+	out := make([]string, n)
+	for j := range out {
+		out[j] = entries[(i+j)%len(entries)]
+	}
+	return out
+}
+
 // agentsProcess is the parent's side of a process of agents.
 type agentsProcess struct {
 	cmd     *exec.Cmd
--- a/scale/run.go
+++ b/scale/run.go
@@ -42,6 +42,7 @@
 	Executable string
 	Sizes      []int // numbers of agents
 	Entries    int
+	Links      int           // entries that each agent links to; 0: all
 	Settle     time.Duration // before the idle step
 	Idle       time.Duration // of the idle step
 	Load       time.Duration // of each step with load
@@ -206,6 +207,13 @@
 	return out
 }
 
+func (r *run) linksEach() int {
+	if n := r.options.Links; n > 0 && n < len(r.entries) {
+		return n
+	}
+	return len(r.entries)
+}
+
 // stop ends what the run started.
 func (r *run) stop() {
 	if r.fleet != nil {
@@ -245,7 +253,7 @@
 }
 
 func (r *run) whole(s agentState) bool {
-	return s.Linked == r.agents*len(r.entries) && s.Revision >= r.revision
+	return s.Linked == r.agents*r.linksEach() && s.Revision >= r.revision
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/scale/steps.go
+++ b/scale/steps.go
@@ -95,7 +95,7 @@
 
 func (r *run) linkAll(ctx context.Context) error {
 	return r.step("link", func(s *Step) error {
-		_, err := r.fleet.ask(request{Start: r.agents, Service: service, Entries: r.links()})
+		_, err := r.fleet.ask(request{Start: r.agents, Service: service, Entries: r.links(), Links: r.linksEach()})
 		if err != nil {
 			return err
 		}
@@ -271,7 +271,7 @@
 		}
 	}
 	_, err = r.await(ctx, linkLimit, func(a agentState) bool {
-		return r.whole(a) && a.Opened >= before.Opened+r.agents*len(r.entries)
+		return r.whole(a) && a.Opened >= before.Opened+r.agents*r.linksEach()
 	})
 	s.WholeMS = time.Since(start).Milliseconds()
 	return err
@@ -324,7 +324,7 @@
 		return err
 	}
 	return r.step("domain back", func(s *Step) error {
-		_, err := r.fleet.ask(request{Start: lost, First: r.agents - lost, Service: service, Entries: r.links()})
+		_, err := r.fleet.ask(request{Start: lost, First: r.agents - lost, Service: service, Entries: r.links(), Links: r.linksEach()})
 		if err != nil {
 			return err
 		}
--- a/settings/types.go
+++ b/settings/types.go
@@ -31,6 +31,7 @@
 	Region        string   `json:"region"`
 	AdminAddress  string   `json:"admin_address"` // TCP ip:port for health and metrics; required
 	Entries       []string `json:"entries"`       // UDP ip:port of entries to dial
+	EntryLinks    int      `json:"entry_links"`   // entries to link to, by hash of the names; 0 (default): all
 	Store         Store    `json:"store"`         // optional: a second way to find entries
 	TLS           TLS      `json:"tls"`
 	Log           Log      `json:"log"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -15,6 +15,7 @@
 	maxQueuedTasks  = 1 << 24
 	maxQueuedBytes  = 1 << 36
 	maxSlots        = 4096
+	maxEntryLinks   = 256 // names of entries that an agent's slot table remembers
 	maxConnections  = 1 << 16
 
 	// A payload or a result travels in one message with its header.
@@ -69,6 +70,7 @@
 		c.Listen("admin_address", a.AdminAddress)
 	}
 	c.DialList("entries", a.Entries)
+	CheckRange(c, "entry_links", a.EntryLinks, 0, maxEntryLinks)
 	if len(a.Entries) == 0 && a.Store.URL == "" {
 		c.Add("entries", "is required unless store.url is set")
 	}
