Close an agent's link to an entry when a later run of it is listed

An entry that dies without closing its links leaves idle links that agents give up after 7.5 s since heartbeats slow down, 3.5 s before. Until then its next run at the same address has no link to them and refuses jobs for want of targets. Where another entry lives, it lists the next run as soon as it links to it or the store shows it; the agent now closes the link to the earlier run then and dials again.

Ruled out: a shorter idle interval, which gives up what it saves. QUIC's stateless reset would also cover the death of all entries at once, but needs a key that outlives a process; it is left open.

Before, with the call removed: the test ends at its limit of 15 s without a new link. After: it passes, also under the race detector. The time to a new link in a fleet was not measured.

--- a/agent/process.go
+++ b/agent/process.go
@@ -214,6 +214,7 @@
 
 // learn dials the entries that one source lists.
 func (p *Process) learn(source string, peers []wire.Peer) {
+	p.closeReplaced(peers)
 	if p.settings.EntryLinks > 0 {
 		p.mu.Lock()
 		p.subset.lists[source] = peers
@@ -232,6 +233,25 @@
 	}
 }
 
+// closeReplaced closes links to earlier runs of listed entries. An entry that
+// died does not close its links, and an idle link takes several seconds to be
+// given up; until then the entry's next run has no link to this agent.
+func (p *Process) closeReplaced(peers []wire.Peer) {
+	p.mu.Lock()
+	var replaced []*transport.Link
+	for l := range p.links {
+		for _, peer := range peers {
+			if peer.Name == l.Name() && peer.Incarnation > l.Incarnation() {
+				replaced = append(replaced, l)
+			}
+		}
+	}
+	p.mu.Unlock()
+	for _, l := range replaced {
+		_ = l.Close(errReplaced)
+	}
+}
+
 func (p *Process) linkOptions() transport.Options {
 	return transport.Options{
 		Self:        transport.Identity{Role: wire.RoleAgent, Name: p.settings.Name},
--- a/agent/subset_test.go
+++ b/agent/subset_test.go
@@ -108,6 +108,58 @@
 
 func (e *listingEntry) LinkDown(*transport.Link, error) {}
 
+func (e *listingEntry) listen(t *testing.T, name string, i wire.Incarnation) *transport.Listener {
+	t.Helper()
+	identity := transport.Identity{Role: wire.RoleEntry, Name: name}
+	credentials, err := transport.NewCredentials(settings.TLS{DevelopmentSecret: "s"}, identity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := transport.Listen("127.0.0.1:0", transport.Options{
+		Self: identity, Incarnation: i, Credentials: credentials,
+		Handler: e, Revision: func() uint64 { return 0 },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// Guards against an agent that waits for the silence limit of an idle link while
+// another entry already lists the next run of the one that died.
+func TestLinkToReplacedEntryIsClosed(t *testing.T) {
+	up := make(chan string, 64)
+	var restarted atomic.Bool
+	peers := livePeers(2)
+	list := func(self wire.Peer) []wire.Peer {
+		out := slices.Clone(peers)
+		if restarted.Load() {
+			out[0].Incarnation = 100
+		}
+		return out
+	}
+	for i := range peers {
+		e := &listingEntry{list: list, up: up, self: peers[i]}
+		peers[i].Incarnation = wire.Incarnation(i + 1)
+		peers[i].Address = e.listen(t, peers[i].Name, peers[i].Incarnation).Address().String()
+	}
+	p, err := NewProcess(settings.Agent{
+		Name: "target-1", Entries: []string{peers[0].Address, peers[1].Address},
+		TLS: settings.TLS{DevelopmentSecret: "s"}, Target: settings.Target{Name: "target-1"},
+	}, nil, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go p.Run(t.Context())
+	<-up
+	<-up
+	restarted.Store(true)
+	if got := <-up; got != peers[0].Name {
+		t.Errorf("linked again to %s, want %s", got, peers[0].Name)
+	}
+}
+
 // Guards against an agent process that links to entries outside its subset for
 // good, leaves without a word, or does not follow when an entry goes.
 func TestProcessLinksToItsSubset(t *testing.T) {
@@ -128,19 +180,7 @@
 	listeners := map[string]*transport.Listener{}
 	for i := range peers {
 		e := &listingEntry{list: list, up: up, left: left}
-		identity := transport.Identity{Role: wire.RoleEntry, Name: peers[i].Name}
-		credentials, err := transport.NewCredentials(settings.TLS{DevelopmentSecret: "s"}, identity)
-		if err != nil {
-			t.Fatal(err)
-		}
-		l, err := transport.Listen("127.0.0.1:0", transport.Options{
-			Self: identity, Incarnation: wire.Incarnation(i + 1), Credentials: credentials,
-			Handler: e, Revision: func() uint64 { return 0 },
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
+		l := e.listen(t, peers[i].Name, wire.Incarnation(i+1))
 		peers[i].Address = l.Address().String()
 		e.self = peers[i]
 		listeners[peers[i].Name] = l
