Test links that went silent while they were idle

Idle links keep longer heartbeat intervals since, so a silence there is noticed only after work has come: by the entry 3.5 s after its first start, by the agent up to 7.5 s after the last message, and the entry gives an agent up 8 s after it lost the link. Ruled out by the test: a job that is given up in between.

--- a/integration/tasks_silent_test.go
+++ b/integration/tasks_silent_test.go
@@ -14,6 +14,7 @@
 	"github.com/catkinline/catkinline/internal/fleet"
 	"github.com/catkinline/catkinline/platform/httpstore"
 	"github.com/catkinline/catkinline/result"
+	"github.com/catkinline/catkinline/transport"
 )
 
 // Guards against a caller whose kept connections went silent and that can send
@@ -67,6 +68,23 @@
 	f.checkCounts(0)
 }
 
+// Guards against a job that is given up because the links went silent while
+// they were idle, when both sides wait longer for a heartbeat: its starts are
+// the first that anyone could miss.
+func TestTasksSilentIdleLinks(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) { o.Network.Links = true })
+	time.Sleep(2 * transport.IdleHeartbeatInterval) // lets both sides slow down
+	if f.Relay("link/entry-0").SilenceFlows() == 0 {
+		t.Error("no link to silence")
+	}
+	silenced := time.Now()
+	j := tasksJob("first", 60_000, tasksRepeat(16, 100)...)
+	f.checkWhole("first", j, f.wait(f.submit(0, j)))
+	t.Logf("answered %v after the silence", time.Since(silenced).Round(10*time.Millisecond))
+	f.checkStarts()
+	f.checkCounts(0)
+}
+
 // Guards against a target that is lost because connections to it went silent:
 // a task behind one ends at its job's deadline, new tasks use new connections,
 // and the slots come back.
