Test and harden what comes in from outside

Messages between processes, selectors, callers' bodies, answers to the client and certificates had few or no tests on hostile input.

The client put a service name into the address unescaped, so that "s/../x" reached another service; it is escaped now and "." and ".." are refused. Changed certificate files were noticed only if their time was later than before; copied or unpacked files keep an older one, so any change of time or size now counts. A file watch was ruled out: a look at each handshake, at most once a second, needs no goroutine.

--- a/client/client.go
+++ b/client/client.go
@@ -77,13 +77,16 @@
 // of class Error where the job was certainly not sent, and otherwise wrap
 // ErrBroken.
 func (c *Client) Submit(ctx context.Context, service string, j Job) (entry.Answer, error) {
+	if service == "" || service == "." || service == ".." {
+		return entry.Answer{}, Error.New("%s is not a service's name", label.Quote(service))
+	}
 	body, err := json.Marshal(j)
 	if err != nil {
 		return entry.Answer{}, Error.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(j.DeadlineMS)*time.Millisecond+answerGrace)
 	defer cancel()
-	address := c.base.JoinPath("v1", "services", service, "jobs").String()
+	address := c.base.JoinPath("v1", "services", url.PathEscape(service), "jobs").String()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
 	if err != nil {
 		return entry.Answer{}, Error.Wrap(err)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -25,15 +25,18 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	handler := operator.NewHandler(operator.Options{
+	e.serveHTTP(tls.NewListener(l, e.credentials.TLS("http/1.1")), e.operatorRoutes())
+	return nil
+}
+
+func (e *Entry) operatorRoutes() http.Handler {
+	return operator.NewHandler(operator.Options{
 		Applier:   &config.Applier{Store: e.store, Holder: e.config},
 		Role:      operatorRole,
 		Confirmer: e,
 		Status:    e,
 		Log:       e.log,
 	})
-	e.serveHTTP(tls.NewListener(l, e.credentials.TLS("http/1.1")), handler)
-	return nil
 }
 
 func operatorRole(req *http.Request) (wire.Role, bool) {
--- a/transport/identity.go
+++ b/transport/identity.go
@@ -10,6 +10,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"fmt"
 	"math/big"
 	"net/url"
 	"os"
@@ -40,9 +41,9 @@
 }
 
 type material struct {
-	cert     tls.Certificate
-	roots    *x509.CertPool
-	modified time.Time
+	cert    tls.Certificate
+	roots   *x509.CertPool
+	version string // of the files, see filesVersion
 }
 
 // Credentials hold a process's certificate and the authority that it trusts.
@@ -73,7 +74,7 @@
 }
 
 func (c *Credentials) readFiles() (*material, error) {
-	modified := c.newestFile()
+	version := c.filesVersion()
 	cert, err := tls.LoadX509KeyPair(c.files.Certificate, c.files.Key)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -86,18 +87,19 @@
 	if !roots.AppendCertsFromPEM(pem) {
 		return nil, Error.New("file %s holds no certificate authority", c.files.CA)
 	}
-	return &material{cert: cert, roots: roots, modified: modified}, nil
+	return &material{cert: cert, roots: roots, version: version}, nil
 }
 
-func (c *Credentials) newestFile() time.Time {
-	var newest time.Time
+// filesVersion is a text that changes when a file does. Times may also go back:
+// files that are copied or unpacked keep the time at which they were made.
+func (c *Credentials) filesVersion() string {
+	var b strings.Builder
 	for _, f := range []string{c.files.CA, c.files.Certificate, c.files.Key} {
-		info, err := os.Stat(f)
-		if err == nil && info.ModTime().After(newest) {
-			newest = info.ModTime()
+		if info, err := os.Stat(f); err == nil {
+			fmt.Fprintf(&b, "%d %d,", info.ModTime().UnixNano(), info.Size())
 		}
 	}
-	return newest
+	return b.String()
 }
 
 func (c *Credentials) material() *material {
@@ -110,7 +112,7 @@
 		return m
 	}
 	c.checked = time.Now()
-	if !c.newestFile().After(m.modified) {
+	if c.filesVersion() == m.version {
 		return m
 	}
 	fresh, err := c.readFiles()
@@ -173,22 +175,29 @@
 	return Identity{}, Error.New("the certificate carries no %s role", identityScheme)
 }
 
-// developmentMaterial derives the authority's key from the secret, so that
-// every process with the same secret has the same authority.
-func developmentMaterial(secret string, self Identity) (*material, error) {
+// developmentAuthority derives the authority's key from the secret, so that every
+// process with the same secret has the same authority.
+func developmentAuthority(secret string) (*x509.Certificate, ed25519.PrivateKey, error) {
 	seed := sha256.Sum256([]byte("catkinline development authority " + secret))
-	caKey := ed25519.NewKeyFromSeed(seed[:])
-	caTemplate := certificateTemplate(pkix.Name{CommonName: "catkinline development"}, big.NewInt(1))
-	caTemplate.IsCA = true
-	caTemplate.BasicConstraintsValid = true
-	caTemplate.KeyUsage = x509.KeyUsageCertSign
-	caDER, err := x509.CreateCertificate(rand.Reader, caTemplate, caTemplate, caKey.Public(), caKey)
+	key := ed25519.NewKeyFromSeed(seed[:])
+	template := certificateTemplate(pkix.Name{CommonName: "catkinline development"}, big.NewInt(1))
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, nil, Error.Wrap(err)
 	}
-	ca, err := x509.ParseCertificate(caDER)
+	ca, err := x509.ParseCertificate(der)
+	return ca, key, Error.Wrap(err)
+}
+
+// developmentMaterial makes a certificate for this process under the secret's
+// authority.
+func developmentMaterial(secret string, self Identity) (*material, error) {
+	ca, caKey, err := developmentAuthority(secret)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
 	_, leafKey, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
