Bound the sum of a job's results

Each result was limited to 4 MiB, but a job of 160 tasks could hold 640 MiB of an entry's memory until its answer left. limits.answer_bytes (default 64 MiB) bounds the sum; the job aggregate ends a job that goes over it with result_too_large and drops what it holds.

A bound over all jobs of an entry was ruled out for now: results are held by the aggregate and afterwards by the answer being written, so that a bound needs accounting across dispatch and the HTTP handler. A new result code was ruled out, since the cause and the caller's remedy are those of one large result.

Before: without the check the new test fails at a limit of 14 bytes.

--- a/entry/submit.go
+++ b/entry/submit.go
@@ -58,6 +58,7 @@
 	l.BodyBytes = s.BodyBytes
 	l.PayloadBytes = s.PayloadBytes
 	l.ResultBytes = s.ResultBytes
+	l.AnswerBytes = s.AnswerBytes
 	l.Tasks = s.Tasks
 	return l
 }
--- a/job/decode.go
+++ b/job/decode.go
@@ -69,6 +69,7 @@
 		Idempotent:  b.Idempotent,
 		Tasks:       make([]Task, 0, len(b.Tasks)),
 		ResultBytes: l.ResultBytes,
+		AnswerBytes: l.AnswerBytes,
 	}
 	for i, t := range b.Tasks {
 		if t == nil {
--- a/job/job.go
+++ b/job/job.go
@@ -44,6 +44,7 @@
 	waiting  []int // indices of waiting tasks, next first
 	out      int
 	done     int
+	held     int64 // bytes of the results so far
 	answer   *Answer
 	ignored  Ignored
 	endedOut []int // tasks that were out when the job ended
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// Guards against results that are each within their limit and together fill the
+// entry's memory, and against a job at the limit that is refused.
+func TestResultsTogetherAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		limit int64
+		code  result.Code
+	}{{15, 0}, {14, result.ResultTooLarge}, {0, 0}} {
+		j := newJob(3)
+		j.spec.AnswerBytes = c.limit
+		ids := []wire.TaskID{send(t, j), send(t, j), send(t, j)}
+		for _, id := range ids {
+			j.Apply(wire.Outcome{Task: id, State: wire.StateDone, Result: make([]byte, 5)})
+		}
+		a, ok := j.Answer()
+		switch {
+		case !ok, c.code == 0 && (a.Err != nil || len(a.Results) != 3):
+			t.Errorf("limit %d: answered %v, error %v", c.limit, ok, a.Err)
+		case c.code != 0 && (a.Err == nil || a.Err.Code != c.code || a.Err.Ran != result.RanYes || len(a.Results) > 0):
+			t.Errorf("limit %d: %d results, error %v", c.limit, len(a.Results), a.Err)
+		}
+		if j.Out() != 0 || c.code != 0 && j.tasks[0].result != nil {
+			t.Errorf("limit %d: %d tasks out, results are kept", c.limit, j.Out())
+		}
+	}
+}
+
 // Guards against an ending with a wrong code or with a Ran that is more certain
 // than the outcomes.
 func TestEndings(t *testing.T) {
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -104,6 +104,11 @@
 		j.settle(index, taskFailed)
 		return j.end(result.Newf(result.ResultTooLarge, "task %d has %d bytes, the limit is %d", index, len(o.Result), limit))
 	}
+	if limit := j.spec.AnswerBytes; limit > 0 && j.held+int64(len(o.Result)) > limit {
+		j.settle(index, taskFailed)
+		return j.end(result.Newf(result.ResultTooLarge, "the results with that of task %d have %d bytes, the limit is %d", index, j.held+int64(len(o.Result)), limit))
+	}
+	j.held += int64(len(o.Result))
 	j.settle(index, taskDone)
 	j.tasks[index].result = o.Result
 	j.spec.Tasks[index].Payload = nil
--- a/job/spec.go
+++ b/job/spec.go
@@ -27,7 +27,8 @@
 	Deadline    time.Duration // from arrival to the answer
 	Idempotent  bool
 	Tasks       []Task
-	ResultBytes int // limit of one task's result; zero: none
+	ResultBytes int   // limit of one task's result; zero: none
+	AnswerBytes int64 // limit of all results together; zero: none
 }
 
 // PayloadBytes returns the sum of the payloads' sizes.
@@ -45,6 +46,7 @@
 	Tasks           int           // TooManyTasks
 	PayloadBytes    int           // PayloadTooLarge, per task
 	ResultBytes     int           // ResultTooLarge, per task
+	AnswerBytes     int64         // ResultTooLarge, all results of the job
 	Labels          int           // TooManyLabels
 	LabelKeyBytes   int           // LabelTooLong
 	LabelValueBytes int           // LabelTooLong
@@ -63,6 +65,7 @@
 		Tasks:           160,
 		PayloadBytes:    1 << 20,
 		ResultBytes:     4 << 20,
+		AnswerBytes:     64 << 20,
 		Labels:          label.MaxLabels,
 		LabelKeyBytes:   label.MaxKeyBytes,
 		LabelValueBytes: label.MaxValueBytes,
--- a/result/table.go
+++ b/result/table.go
@@ -35,7 +35,7 @@
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, RanUnknown, "the outcome of a task is not known"},
 	DeadlineExceeded: {"deadline_exceeded", http.StatusGatewayTimeout, RanYes, "the deadline passed before every task was done"},
 	Cancelled:        {"cancelled", statusClientClosedRequest, RanYes, "the caller went away"},
-	ResultTooLarge:   {"result_too_large", http.StatusBadGateway, RanYes, "a result is over the size limit"},
+	ResultTooLarge:   {"result_too_large", http.StatusBadGateway, RanYes, "a result, or the job's results together, are over the size limit"},
 	TargetTimeout:    {"target_timeout", http.StatusGatewayTimeout, RanUnknown, "the target did not answer within the time limit"},
 	AttemptsSpent:    {"attempts_spent", http.StatusServiceUnavailable, NotRun, "every attempt to start a task was refused"},
 	TargetLost:       {"target_lost", http.StatusBadGateway, RanUnknown, "the agent or target was lost while a task was out"},
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -10,6 +10,7 @@
 	DefaultBodyBytes    = 32 << 20
 	DefaultPayloadBytes = 1 << 20
 	DefaultResultBytes  = 4 << 20
+	DefaultAnswerBytes  = 64 << 20 // 160 results of the greatest size would take 640 MiB of an entry's memory
 	DefaultTasks        = 160
 	DefaultQueuedJobs   = 20_000
 	DefaultQueuedTasks  = 400_000
@@ -46,6 +47,7 @@
 	fill(&l.BodyBytes, DefaultBodyBytes)
 	fill(&l.PayloadBytes, DefaultPayloadBytes)
 	fill(&l.ResultBytes, DefaultResultBytes)
+	fill(&l.AnswerBytes, DefaultAnswerBytes)
 	fill(&l.Tasks, DefaultTasks)
 	fill(&l.QueuedJobs, DefaultQueuedJobs)
 	fill(&l.QueuedTasks, DefaultQueuedTasks)
--- a/settings/types.go
+++ b/settings/types.go
@@ -77,6 +77,7 @@
 	BodyBytes    int64 `json:"body_bytes"`    // of one job; default 32 MiB
 	PayloadBytes int   `json:"payload_bytes"` // of one task; default 1 MiB
 	ResultBytes  int   `json:"result_bytes"`  // of one task; default 4 MiB
+	AnswerBytes  int64 `json:"answer_bytes"`  // of all results of one job; default 64 MiB
 	Tasks        int   `json:"tasks"`         // in one job; default 160
 	QueuedJobs   int   `json:"queued_jobs"`   // waiting or running; default 20000
 	QueuedTasks  int   `json:"queued_tasks"`  // waiting; default 400000
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -10,6 +10,7 @@
 	maxTimeoutMS    = 60_000
 	maxDrainSeconds = 600
 	maxBodyBytes    = 1 << 30
+	maxAnswerBytes  = 1 << 30
 	maxTasks        = 10_000 // index ranges and acknowledgements stay far below the wire limits
 	maxQueuedJobs   = 1 << 20
 	maxQueuedTasks  = 1 << 24
@@ -126,6 +127,7 @@
 	CheckRange(c, "limits.body_bytes", l.BodyBytes, 1, maxBodyBytes)
 	CheckRange(c, "limits.payload_bytes", l.PayloadBytes, 1, maxPayloadBytes)
 	CheckRange(c, "limits.result_bytes", l.ResultBytes, 1, maxPayloadBytes)
+	CheckRange(c, "limits.answer_bytes", l.AnswerBytes, 1, maxAnswerBytes)
 	CheckRange(c, "limits.tasks", l.Tasks, 1, maxTasks)
 	CheckRange(c, "limits.queued_jobs", l.QueuedJobs, 1, maxQueuedJobs)
 	CheckRange(c, "limits.queued_tasks", l.QueuedTasks, 1, maxQueuedTasks)
@@ -133,6 +135,9 @@
 	if int64(l.PayloadBytes) > l.BodyBytes {
 		c.Add("limits.payload_bytes", "is over body_bytes")
 	}
+	if l.AnswerBytes < int64(l.ResultBytes) {
+		c.Add("limits.answer_bytes", "is below result_bytes: no result of full size could be answered")
+	}
 	if l.Tasks > l.QueuedTasks {
 		c.Add("limits.queued_tasks", "is below tasks: no job of full size could wait")
 	}
