Make the retention of claims a setting

How long the request key of a non-idempotent job is remembered was fixed at 24 hours in package claim. claim_retention_hours of an entry's settings (default 24, at least a quarter of an hour, which is the longest deadline) is passed on to it.

A field of the configuration document was ruled out: the retention decides which store entries are deleted, so a mistaken change would take effect on every claim within seconds. settings.SetDefaults fills the new field, so that settings made by a program are valid when they are written to a file.

Before: 24 h whatever the settings say.

--- a/entry/members.go
+++ b/entry/members.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/catkinline/catkinline/claim"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/member"
@@ -16,7 +18,16 @@
 	e.members = member.New(e.store, e.self(), member.Options{Log: e.log})
 	e.members.Start()
 	e.watcher = config.StartWatcher(e.store, e.config, e.log)
-	e.claims = claim.New(e.store, e.incarnation, claim.Options{Live: e.members.Live, Scopes: e.claimScopes, Log: e.log})
+	e.claims = claim.New(e.store, e.incarnation, e.claimOptions())
 	e.claims.Start()
 	return nil
 }
+
+func (e *Entry) claimOptions() claim.Options {
+	return claim.Options{
+		Retention: time.Duration(e.settings.ClaimRetentionHours * float64(time.Hour)),
+		Live:      e.members.Live,
+		Scopes:    e.claimScopes,
+		Log:       e.log,
+	}
+}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -3,18 +3,19 @@
 // Defaults that are not a plain text. The reasons are those of the users'
 // workloads in docs/design.md, section 1.
 const (
-	DefaultDrainSeconds = 2    // a load balancer needs about two probes to notice
-	DefaultTimeoutMS    = 1000 // the store answers in milliseconds when it is well
-	DefaultSlots        = 8
-	DefaultConnections  = 64
-	DefaultBodyBytes    = 32 << 20
-	DefaultPayloadBytes = 1 << 20
-	DefaultResultBytes  = 4 << 20
-	DefaultAnswerBytes  = 64 << 20 // 160 results of the greatest size would take 640 MiB of an entry's memory
-	DefaultTasks        = 160
-	DefaultQueuedJobs   = 20_000
-	DefaultQueuedTasks  = 400_000
-	DefaultQueuedBytes  = 256 << 20
+	DefaultDrainSeconds        = 2    // a load balancer needs about two probes to notice
+	DefaultClaimRetentionHours = 24   // users repeat their requests daily, under new keys
+	DefaultTimeoutMS           = 1000 // the store answers in milliseconds when it is well
+	DefaultSlots               = 8
+	DefaultConnections         = 64
+	DefaultBodyBytes           = 32 << 20
+	DefaultPayloadBytes        = 1 << 20
+	DefaultResultBytes         = 4 << 20
+	DefaultAnswerBytes         = 64 << 20 // 160 results of the greatest size would take 640 MiB of an entry's memory
+	DefaultTasks               = 160
+	DefaultQueuedJobs          = 20_000
+	DefaultQueuedTasks         = 400_000
+	DefaultQueuedBytes         = 256 << 20
 )
 
 // fill sets a zero field to its default.
@@ -25,6 +26,12 @@
 	}
 }
 
+// SetDefaults fills zero fields. Zero drain seconds are a valid setting, so their
+// default is set only where a file is read.
+func (e *Entry) SetDefaults() {
+	fill(&e.ClaimRetentionHours, DefaultClaimRetentionHours)
+}
+
 // SetDefaults fills zero fields.
 func (t *Target) SetDefaults() {
 	fill(&t.Slots, DefaultSlots)
--- a/settings/types.go
+++ b/settings/types.go
@@ -20,7 +20,10 @@
 	Log             Log      `json:"log"`
 	Limits          Limits   `json:"limits"`
 	Policy          Policy   `json:"policy"`
-	DrainSeconds    float64  `json:"drain_seconds"` // how long readiness is false before a planned stop refuses jobs; default 2
+	// ClaimRetentionHours is how long the request key of a non-idempotent job is
+	// remembered after its end; default 24.
+	ClaimRetentionHours float64 `json:"claim_retention_hours"`
+	DrainSeconds        float64 `json:"drain_seconds"` // how long readiness is false before a planned stop refuses jobs; default 2
 }
 
 // Agent is the settings file of an agent. At least one of Entries and
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -9,6 +9,8 @@
 const (
 	maxTimeoutMS    = 60_000
 	maxDrainSeconds = 600
+	maxClaimHours   = 24 * 366
+	minClaimHours   = 0.25 // the longest deadline: a shorter retention could forget a job that runs
 	maxBodyBytes    = 1 << 30
 	maxAnswerBytes  = 1 << 30
 	maxTasks        = 10_000 // index ranges and acknowledgements stay far below the wire limits
@@ -41,6 +43,7 @@
 	e.Log.check(c)
 	e.Limits.check(c)
 	e.Policy.check(c)
+	CheckRange(c, "claim_retention_hours", e.ClaimRetentionHours, minClaimHours, maxClaimHours)
 	CheckRange(c, "drain_seconds", e.DrainSeconds, 0, maxDrainSeconds)
 }
 
