--- a/settings/types.go
+++ b/settings/types.go
@@ -20,7 +20,10 @@
 	Log             Log      `json:"log"`
 	Limits          Limits   `json:"limits"`
 	Policy          Policy   `json:"policy"`
-	DrainSeconds    float64  `json:"drain_seconds"` // how long readiness is false before a planned stop refuses jobs; default 2
+	// ClaimRetentionHours is how long the request key of a non-idempotent job is
+	// remembered after its end; default 24.
+	ClaimRetentionHours float64 `json:"claim_retention_hours"`
+	DrainSeconds        float64 `json:"drain_seconds"` // how long readiness is false before a planned stop refuses jobs; default 2
 }
 
 // Agent is the settings file of an agent. At least one of Entries and
@@ -78,6 +81,7 @@
 	BodyBytes    int64 `json:"body_bytes"`    // of one job; default 32 MiB
 	PayloadBytes int   `json:"payload_bytes"` // of one task; default 1 MiB
 	ResultBytes  int   `json:"result_bytes"`  // of one task; default 4 MiB
+	AnswerBytes  int64 `json:"answer_bytes"`  // of all results of one job; default 64 MiB
 	Tasks        int   `json:"tasks"`         // in one job; default 160
 	QueuedJobs   int   `json:"queued_jobs"`   // waiting or running; default 20000
 	QueuedTasks  int   `json:"queued_tasks"`  // waiting; default 400000
