--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -104,6 +104,11 @@
 		s.addGrant(t, o.Grant)
 	}
 	t.load = o.Load
+	if o.Code == result.TargetTimeout {
+		// A start's time limit ends with its job's deadline. The job then ends for
+		// its deadline and not, before the next tick, for a fault of the target.
+		s.expireJobs(now)
+	}
 	s.applyOutcome(t, o, now)
 	s.pump(now)
 }
@@ -125,11 +130,12 @@
 	s.record.Add(metrics.TaskOutcomes, 1, metrics.TagState, o.State.String())
 	switch o.State {
 	case wire.StateRefused:
-		s.refused(t, a, o)
+		s.refused(t, a, o, now)
 		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateNeverSeen:
 		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateDone, wire.StateFailed, wire.StateUnknown:
+		t.pause = 0
 		s.observe(t, a, o, now)
 	}
 	s.charge(a, o)
@@ -154,7 +160,7 @@
 }
 
 // refused adjusts what the scheduler believes of a target that refused a start.
-func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome) {
+func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome, now time.Time) {
 	s.record.Add(metrics.StartRefusals, 1, metrics.TagCode, o.Code.String())
 	s.waste(2) // the start and its refusal
 	switch o.Code {
@@ -167,6 +173,8 @@
 		// Rules that are newer than the refused start may be in force already;
 		// nothing would end the pause then. The agent keeps its other grants.
 		t.stale = a.revision >= s.revisionFor(t)
+	case result.TargetRefused:
+		t.pauseAfterRefusal(now)
 	}
 }
 
