Keep the log to one line for each change of state

zap adds a second field with a stack trace for errors of package errs, and some lines went past the log: quic-go's warning of a small receive buffer and net/http's report of every faulty connection. The log's core now writes messages of errors only, the standard logger is captured as warnings while a process runs, and HTTP servers report single connections at level debug.

A link that either side closes is no longer reported with an error, and the line about revision 0 and the second line about each new configuration are gone.

Before: errorVerbose with a stack for each wrapped error.

--- a/agent/process.go
+++ b/agent/process.go
@@ -280,7 +280,7 @@
 	r.GET("/healthz", writeOK)
 	r.GET("/readyz", writeOK)
 	r.GET("/metrics", bunrouter.HTTPHandler(p.metrics.Handler()))
-	server := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, ErrorLog: settings.ServerLog(p.log)}
 	p.tomb.Go(func() error {
 		<-p.tomb.Dying()
 		return server.Close()
--- a/command/agent.go
+++ b/command/agent.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
+	defer settings.CaptureStandardLog(log)()
 	store, err := newStore(s.Store)
 	if err != nil {
 		return failed(stderr, err)
--- a/command/demo.go
+++ b/command/demo.go
@@ -55,6 +55,7 @@
 			return failed(stderr, err)
 		}
 	}
+	defer settings.CaptureStandardLog(log)()
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
 	d := &demo{out: stdout, log: log, failure: make(chan error, 1)}
--- a/command/entry.go
+++ b/command/entry.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
+	defer settings.CaptureStandardLog(log)()
 	store, err := newStore(s.Store)
 	if err != nil {
 		return failed(stderr, err)
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -181,7 +181,7 @@
 		return
 	}
 	if changed {
-		w.log.Info("configuration adopted", zap.Uint64("revision", e.Version))
+		w.log.Debug("configuration adopted", zap.Uint64("revision", e.Version))
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -178,7 +178,12 @@
 // serveHTTP serves until the tomb dies. The planned stop waits for requests
 // first, so that Shutdown finds none.
 func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          settings.ServerLog(e.log),
+	}
 	e.tomb.Go(func() error {
 		<-e.tomb.Dying()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -279,5 +284,8 @@
 	}
 	e.metrics.Set(metrics.ConfigRevision, float64(current.Revision()))
 	e.sendPeerState()
+	if current.Revision() == 0 {
+		return
+	}
 	e.log.Info("configuration in force", zap.Uint64("revision", current.Revision()))
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -74,8 +74,8 @@
 
 // Values of the tag reason of links that closed.
 const (
-	linkClosed = "closed" // by this process
-	linkFailed = "failed" // by the peer, by silence or by an error
+	linkClosed = "closed" // by this process or the peer
+	linkFailed = "failed" // by silence or an error
 )
 
 func (e *Entry) countClosed(err error) {
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -32,7 +32,7 @@
 	TargetsEjected  = "targets_ejected"  // gauge: targets now ejected or on probation
 	AgentsLinked    = "agents_linked"    // gauge: agents with an open link
 	PeersLinked     = "peers_linked"     // gauge: entries with an open link
-	LinksClosed     = "links_closed"     // links that closed, by reason: closed by this process, or failed
+	LinksClosed     = "links_closed"     // links that closed, by reason: closed by a side, or failed
 	ConfigRevision  = "config_revision"  // gauge: revision in force in this process
 )
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"flag"
+	stdlog "log"
 	"os"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+	"go.uber.org/zap"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -136,6 +138,29 @@
 	}
 }
 
+// Guards against stack traces in the log, and against a line of a library that
+// goes to standard error past the log's format and level.
+func TestLogHasOneLineForEachEvent(t *testing.T) {
+	var out bytes.Buffer
+	log, err := NewLogger(Log{}, &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	failure := ErrLog.Wrap(errors.New("the cause"))
+	log.Named("a").With(zap.Error(failure)).Warn("first", zap.NamedError("other", failure), zap.Error(nil))
+	restore := CaptureStandardLog(log)
+	stdlog.Print("second")
+	restore()
+	ServerLog(log).Print("of one connection")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 2 || !strings.Contains(lines[1], `"level":"warn"`) || !strings.Contains(lines[1], `"msg":"second"`) {
+		t.Fatalf("log %q", lines)
+	}
+	if strings.Contains(lines[0], "Verbose") || strings.Contains(lines[0], ".go") || strings.Count(lines[0], `:"log settings: the cause"`) != 2 {
+		t.Errorf("line %s", lines[0])
+	}
+}
+
 // Guards against a panic or an unbounded list on any settings file.
 func FuzzSettings(f *testing.F) {
 	for _, name := range []string{"entry.json", "agent.json", "entry_faults.json"} {
--- a/transport/link.go
+++ b/transport/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,6 +152,9 @@
 		return nil
 	})
 	err := l.tomb.Wait()
+	if closed := (*quic.ApplicationError)(nil); errors.As(err, &closed) && closed.ErrorCode == 0 {
+		err = nil // one of the two sides closed the link
+	}
 	l.opts.Handler.LinkDown(l, err)
 	return err
 }
--- a/transport/link_test.go
+++ b/transport/link_test.go
@@ -58,7 +58,8 @@
 	return l
 }
 
-// Guards against a large result that holds up, loses or corrupts messages.
+// Guards against a large result that holds up, loses or corrupts messages, and
+// against a closed link that is reported as a fault.
 func TestLinkCarriesSmallAndLargeMessages(t *testing.T) {
 	entry, agent := newRecorder(), newRecorder()
 	l := listen(t, entry)
@@ -86,8 +87,12 @@
 		t.Errorf("peer is %s %s", h.Role(), h.Name())
 	}
 	cancel()
-	<-agent.down
-	<-entry.down
+	if err := <-agent.down; err != nil {
+		t.Errorf("the side that closed the link: %v", err)
+	}
+	if err := <-entry.down; err != nil {
+		t.Errorf("the other side: %v", err)
+	}
 	if err := up.Send(&wire.Leave{}); err == nil {
 		t.Error("a closed link accepted a message")
 	}
