--- a/command/process.go
+++ b/command/process.go
@@ -84,6 +84,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
+	defer settings.CaptureStandardLog(log)()
 	store, err := newStore(s)
 	if err != nil {
 		return failed(stderr, err)
