--- a/client/answer_test.go
+++ b/client/answer_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"github.com/catkinline/catkinline/api"
 )
 
 // answerWith returns the error of a submission to a server with this handler.
@@ -17,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = c.Submit(t.Context(), "frames", Job{DeadlineMS: 30_000})
+	_, err = c.Submit(t.Context(), "frames", api.Job{DeadlineMS: 30_000})
 	return err
 }
 
@@ -64,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = c.Submit(t.Context(), "frames", Job{DeadlineMS: 1000})
+	_, err = c.Submit(t.Context(), "frames", api.Job{DeadlineMS: 1000})
 	if err == nil || errors.Is(err, ErrBroken) || !Error.Has(err) {
 		t.Errorf("error %v, want one of class Error", err)
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -13,7 +13,7 @@
 	"net/url"
 	"time"
 
-	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/label"
 	"github.com/zeebo/errs"
 )
@@ -26,23 +26,6 @@
 // non-idempotent one with the same key.
 var ErrBroken = errors.New("client: the connection broke, it is not known whether the job ran")
 
-// Job is the body of a submission.
-type Job struct {
-	Key        string    `json:"key"`  // names the submission within its team
-	Team       string    `json:"team"` // accounting unit of the caller
-	Labels     label.Set `json:"labels,omitempty"`
-	DeadlineMS int64     `json:"deadline_ms"` // from arrival to the answer
-	Idempotent bool      `json:"idempotent"`
-	Tasks      []Task    `json:"tasks"`
-}
-
-// Task is one task of a job. Size and run time are hints.
-type Task struct {
-	Payload   string  `json:"payload"`
-	SizeBytes int64   `json:"size_bytes,omitempty"`
-	RunMS     float64 `json:"run_ms,omitempty"`
-}
-
 // Limits of a client.
 const (
 	// maxAnswerBytes bounds an answer's memory; it is above what an entry sends.
@@ -78,27 +61,27 @@
 // Submit sends a job and returns its answer, complete or failed. Its errors are
 // of class Error where the job was certainly not sent, and otherwise wrap
 // ErrBroken.
-func (c *Client) Submit(ctx context.Context, service string, j Job) (entry.Answer, error) {
+func (c *Client) Submit(ctx context.Context, service string, j api.Job) (api.Answer, error) {
 	if service == "" || service == "." || service == ".." {
-		return entry.Answer{}, Error.New("%s is not a service's name", label.Quote(service))
+		return api.Answer{}, Error.New("%s is not a service's name", label.Quote(service))
 	}
 	body, err := json.Marshal(j)
 	if err != nil {
-		return entry.Answer{}, Error.Wrap(err)
+		return api.Answer{}, Error.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(j.DeadlineMS)*time.Millisecond+answerGrace)
 	defer cancel()
 	address := c.base.JoinPath("v1", "services", url.PathEscape(service), "jobs").String()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
 	if err != nil {
-		return entry.Answer{}, Error.Wrap(err)
+		return api.Answer{}, Error.Wrap(err)
 	}
 	// A request without a replayable body is never sent twice by the transport.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return entry.Answer{}, sendError(err)
+		return api.Answer{}, sendError(err)
 	}
 	defer resp.Body.Close()
 	return readAnswer(resp.Body)
@@ -112,17 +95,17 @@
 	return fmt.Errorf("%w: %v", ErrBroken, err)
 }
 
-func readAnswer(r io.Reader) (entry.Answer, error) {
+func readAnswer(r io.Reader) (api.Answer, error) {
 	raw, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes))
 	if err != nil {
-		return entry.Answer{}, fmt.Errorf("%w: %v", ErrBroken, err)
+		return api.Answer{}, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
-	var a entry.Answer
+	var a api.Answer
 	if err := json.Unmarshal(raw, &a); err != nil {
-		return entry.Answer{}, fmt.Errorf("%w: the answer is not valid: %v", ErrBroken, err)
+		return api.Answer{}, fmt.Errorf("%w: the answer is not valid: %v", ErrBroken, err)
 	}
-	if a.State != entry.StateComplete && a.State != entry.StateFailed {
-		return entry.Answer{}, fmt.Errorf("%w: the answer has state %q", ErrBroken, a.State)
+	if a.State != api.StateComplete && a.State != api.StateFailed {
+		return api.Answer{}, fmt.Errorf("%w: the answer has state %q", ErrBroken, a.State)
 	}
 	return a, nil
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/api"
 )
 
-var testJob = Job{Key: "k", Team: "t", DeadlineMS: 60_000, Tasks: []Task{{Payload: "p"}}}
+var testJob = api.Job{Key: "k", Team: "t", DeadlineMS: 60_000, Tasks: []api.Task{{Payload: "p"}}}
 
 func newTestClient(t *testing.T, handler http.HandlerFunc) *Client {
 	t.Helper()
@@ -101,7 +101,7 @@
 		_, _ = w.Write([]byte(`{"state":"failed","code":201,"name":"queue_full","ran":"not_run","retry_after_ms":1500}`))
 	})
 	a, err := c.Submit(t.Context(), "s/../x", testJob)
-	if err != nil || a.State != entry.StateFailed || a.RetryAfterMS != 1500 || a.Ran != "not_run" {
+	if err != nil || a.State != api.StateFailed || a.RetryAfterMS != 1500 || a.Ran != "not_run" {
 		t.Errorf("answer %+v, error %v", a, err)
 	}
 }
--- a/command/demo.go
+++ b/command/demo.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/catkinline/catkinline/agent"
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/entry"
@@ -226,23 +227,23 @@
 }
 
 // demoJobs are previews, an exposure check and a panorama, sent at once.
-func demoJobs() []client.Job {
-	task := func(ms int) client.Task {
+func demoJobs() []api.Job {
+	task := func(ms int) api.Task {
 		payload, _ := json.Marshal(map[string]any{"run_ms": ms, "echo": fmt.Sprintf("frame of %d ms", ms)})
-		return client.Task{Payload: string(payload), RunMS: float64(ms)}
+		return api.Task{Payload: string(payload), RunMS: float64(ms)}
 	}
-	previews := client.Job{Key: "previews", Team: "north-crew", DeadlineMS: 10_000, Idempotent: true, Labels: label.Set{"kind": "preview"}}
+	previews := api.Job{Key: "previews", Team: "north-crew", DeadlineMS: 10_000, Idempotent: true, Labels: label.Set{"kind": "preview"}}
 	for i := range 24 {
 		previews.Tasks = append(previews.Tasks, task(50+25*(i%8)))
 	}
-	check := client.Job{Key: "exposure", Team: "south-crew", DeadlineMS: 10_000, Idempotent: true, Tasks: []client.Task{task(80)}}
-	panorama := client.Job{Key: "panorama", Team: "north-crew", DeadlineMS: 15_000, Labels: label.Set{"kind": "panorama"}, Tasks: []client.Task{task(1500), task(900)}}
-	return []client.Job{previews, check, panorama}
+	check := api.Job{Key: "exposure", Team: "south-crew", DeadlineMS: 10_000, Idempotent: true, Tasks: []api.Task{task(80)}}
+	panorama := api.Job{Key: "panorama", Team: "north-crew", DeadlineMS: 15_000, Labels: label.Set{"kind": "panorama"}, Tasks: []api.Task{task(1500), task(900)}}
+	return []api.Job{previews, check, panorama}
 }
 
 type demoTime struct {
-	job    client.Job
-	answer entry.Answer
+	job    api.Job
+	answer api.Answer
 	err    error
 	took   time.Duration
 }
@@ -272,7 +273,7 @@
 		if t.err != nil {
 			return t.err
 		}
-		if t.answer.State != entry.StateComplete {
+		if t.answer.State != api.StateComplete {
 			return fmt.Errorf("job %s failed: %d %s: %s", t.job.Key, t.answer.Code, t.answer.Name, t.answer.Reason)
 		}
 		longest := 0.0
--- a/command/submit.go
+++ b/command/submit.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
-	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/settings"
 )
 
@@ -54,8 +54,8 @@
 	return printAnswer(answer, a.JSON, stdout, stderr)
 }
 
-func readJob(path string) (client.Job, error) {
-	var job client.Job
+func readJob(path string) (api.Job, error) {
+	var job api.Job
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return job, err
@@ -63,9 +63,9 @@
 	return job, settings.Decode(data, &job).Err()
 }
 
-func printAnswer(a entry.Answer, asJSON bool, stdout, stderr io.Writer) int {
+func printAnswer(a api.Answer, asJSON bool, stdout, stderr io.Writer) int {
 	exit := exitOK
-	if a.State != entry.StateComplete {
+	if a.State != api.StateComplete {
 		exit = exitFailed
 		if a.Ran == "unknown" {
 			exit = exitUnknown
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,69 +2,19 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
-	"unicode/utf8"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/result"
 	"github.com/uptrace/bunrouter"
 )
 
-// Result is one task's result in an answer: a JSON string where the bytes are
-// UTF-8, otherwise an object with the bytes in base64.
-type Result []byte
-
-// MarshalJSON implements json.Marshaler.
-func (r Result) MarshalJSON() ([]byte, error) {
-	if utf8.Valid(r) {
-		return json.Marshal(string(r))
-	}
-	return json.Marshal(struct {
-		Base64 string `json:"base64"`
-	}{base64.StdEncoding.EncodeToString(r)})
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (r *Result) UnmarshalJSON(data []byte) error {
-	var text string
-	if json.Unmarshal(data, &text) == nil {
-		*r = Result(text)
-		return nil
-	}
-	var object struct {
-		Base64 []byte `json:"base64"`
-	}
-	if err := json.Unmarshal(data, &object); err != nil {
-		return err
-	}
-	*r = object.Base64
-	return nil
-}
-
-// Answer is the body of every answer to a caller. A complete answer has all
-// results in the order of the tasks; a failed one has none.
-type Answer struct {
-	State        string      `json:"state"` // complete, failed
-	Results      []Result    `json:"results,omitempty"`
-	Code         result.Code `json:"code,omitempty"`
-	Name         string      `json:"name,omitempty"`
-	Reason       string      `json:"reason,omitempty"`
-	Ran          result.Ran  `json:"ran,omitempty"`
-	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
-}
-
-// The states of an Answer.
-const (
-	StateComplete = "complete"
-	StateFailed   = "failed"
-)
-
 // readTimeout bounds how long a caller may take to send a job, so that silent
 // connections do not keep memory.
 const readTimeout = 30 * time.Second
@@ -145,7 +95,7 @@
 // encodeAnswer returns the whole body before the status is sent, so that an
 // answer that cannot be encoded is not sent in part.
 func encodeAnswer(a job.Answer) ([]byte, int) {
-	out := Answer{State: StateComplete}
+	out := api.Answer{State: api.StateComplete}
 	status := http.StatusOK
 	if a.Err != nil {
 		out = failedAnswer(a.Err)
@@ -153,7 +103,7 @@
 		status = info.Status
 	}
 	for _, r := range a.Results {
-		out.Results = append(out.Results, Result(r))
+		out.Results = append(out.Results, api.Result(r))
 	}
 	body, err := json.Marshal(out)
 	if err != nil {
@@ -163,9 +113,9 @@
 	return append(body, '\n'), status
 }
 
-func failedAnswer(err *result.Error) Answer {
-	return Answer{
-		State:        StateFailed,
+func failedAnswer(err *result.Error) api.Answer {
+	return api.Answer{
+		State:        api.StateFailed,
 		Code:         err.Code,
 		Name:         err.Code.String(),
 		Reason:       err.Reason,
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
@@ -52,11 +53,11 @@
 	return e, link
 }
 
-func post(ctx context.Context, e *Entry, path, body string) (*httptest.ResponseRecorder, Answer) {
+func post(ctx context.Context, e *Entry, path, body string) (*httptest.ResponseRecorder, api.Answer) {
 	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
 	w := httptest.NewRecorder()
 	e.callerRoutes().ServeHTTP(w, req)
-	var a Answer
+	var a api.Answer
 	_ = json.Unmarshal(w.Body.Bytes(), &a)
 	return w, a
 }
@@ -103,7 +104,7 @@
 	}
 	for _, c := range cases {
 		w, a := post(t.Context(), e, c.path, c.body)
-		if w.Code != c.status || a.Code != c.code || a.State != StateFailed || a.Ran != result.NotRun || a.Name != c.code.String() {
+		if w.Code != c.status || a.Code != c.code || a.State != api.StateFailed || a.Ran != result.NotRun || a.Name != c.code.String() {
 			t.Errorf("%.60s: status %d, answer %+v, want %d %s", c.body, w.Code, a, c.status, c.code)
 		}
 	}
--- a/integration/config_claims_test.go
+++ b/integration/config_claims_test.go
@@ -5,8 +5,7 @@
 	"sync"
 	"testing"
 
-	"github.com/catkinline/catkinline/client"
-	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/standin"
 )
@@ -26,7 +25,7 @@
 	t.Parallel()
 	f := startConfigFleet(t, 2, 2, nil)
 	j := configJob("reserve", false, 1500)
-	first := make(chan entry.Answer, 1)
+	first := make(chan api.Answer, 1)
 	go func() {
 		a, _ := f.submit(0, j)
 		first <- a
@@ -34,7 +33,7 @@
 	f.eventually("the job runs", func() bool { return f.echoes("reserve") > 0 })
 	f.expectCode("while it runs, elsewhere", 1, j, result.AlreadyClaimed)
 	f.expectCode("while it runs, same entry", 0, j, result.AlreadyClaimed)
-	if a := <-first; a.State != entry.StateComplete {
+	if a := <-first; a.State != api.StateComplete {
 		t.Errorf("the first submission: %+v", a)
 	}
 	f.expectCode("after its end", 1, j, result.AlreadyClaimed)
@@ -73,9 +72,9 @@
 
 // submitTwice sends a job to two entries at once and checks that at most one
 // submission ran and that every answer is true.
-func (f *configFleet) submitTwice(j client.Job) (complete int) {
+func (f *configFleet) submitTwice(j api.Job) (complete int) {
 	f.t.Helper()
-	var answers [2]entry.Answer
+	var answers [2]api.Answer
 	var errs [2]error
 	var both sync.WaitGroup
 	for i := range answers {
@@ -86,7 +85,7 @@
 		switch {
 		case errs[i] != nil:
 			f.t.Errorf("job %s: %v", j.Key, errs[i])
-		case a.State == entry.StateComplete:
+		case a.State == api.StateComplete:
 			complete++
 		case a.Ran != result.NotRun:
 			f.t.Errorf("job %s: %+v", j.Key, a)
--- a/integration/config_helper_test.go
+++ b/integration/config_helper_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
 	"github.com/catkinline/catkinline/command"
-	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/internal/fleet"
 	"github.com/catkinline/catkinline/label"
 	"github.com/catkinline/catkinline/operator"
@@ -196,30 +196,30 @@
 	}
 }
 
-func configJob(key string, idempotent bool, runMS ...int) client.Job {
-	j := client.Job{Key: key, Team: "crew", DeadlineMS: 30_000, Idempotent: idempotent}
+func configJob(key string, idempotent bool, runMS ...int) api.Job {
+	j := api.Job{Key: key, Team: "crew", DeadlineMS: 30_000, Idempotent: idempotent}
 	for i, ms := range runMS {
 		echo := key
 		if i > 0 {
 			echo = fmt.Sprintf("%s/%d", key, i)
 		}
 		payload, _ := json.Marshal(standin.TargetPayload{RunMS: float64(ms), Echo: echo})
-		j.Tasks = append(j.Tasks, client.Task{Payload: string(payload), RunMS: float64(ms)})
+		j.Tasks = append(j.Tasks, api.Task{Payload: string(payload), RunMS: float64(ms)})
 	}
 	return j
 }
 
-func (f *configFleet) submit(entryIndex int, j client.Job) (entry.Answer, error) {
+func (f *configFleet) submit(entryIndex int, j api.Job) (api.Answer, error) {
 	c, err := client.New(f.CallerURLs()[entryIndex])
 	if err != nil {
-		return entry.Answer{}, err
+		return api.Answer{}, err
 	}
 	return c.Submit(context.Background(), "frames", j)
 }
 
 // expectCode submits a job and checks that it is refused with a code as not
 // run.
-func (f *configFleet) expectCode(what string, entryIndex int, j client.Job, code result.Code) {
+func (f *configFleet) expectCode(what string, entryIndex int, j api.Job, code result.Code) {
 	f.t.Helper()
 	a, err := f.submit(entryIndex, j)
 	if err != nil || a.Code != code || a.Ran != result.NotRun {
@@ -229,17 +229,17 @@
 
 // complete submits a job until it is answered in full. Every refusal before
 // that must say that nothing ran.
-func (f *configFleet) complete(entryIndex int, j client.Job) {
+func (f *configFleet) complete(entryIndex int, j api.Job) {
 	f.t.Helper()
 	f.eventually("job "+j.Key+" is complete", func() bool {
 		a, err := f.submit(entryIndex, j)
-		if err != nil || a.State != entry.StateComplete && a.Ran != result.NotRun {
+		if err != nil || a.State != api.StateComplete && a.Ran != result.NotRun {
 			f.t.Fatalf("job %s: %+v, %v", j.Key, a, err)
 		}
 		if a.Code == result.AlreadyClaimed && !strings.Contains(a.Reason, `"running"`) {
 			f.t.Fatalf("job %s, which did not run, keeps its key: %+v", j.Key, a)
 		}
-		return a.State == entry.StateComplete
+		return a.State == api.StateComplete
 	})
 }
 
@@ -322,12 +322,12 @@
 	return l
 }
 
-func (l *configLoad) record(a entry.Answer, err error) {
+func (l *configLoad) record(a api.Answer, err error) {
 	switch {
 	case err != nil:
 		l.broken.Add(1)
 		l.failures.Store(err.Error(), true)
-	case a.State == entry.StateComplete && len(a.Results) == 2:
+	case a.State == api.StateComplete && len(a.Results) == 2:
 		l.complete.Add(1)
 	default:
 		l.refused.Add(1)
--- a/integration/tasks_answer_test.go
+++ b/integration/tasks_answer_test.go
@@ -9,8 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
-	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/standin"
 )
@@ -137,7 +137,7 @@
 	f.must(err)
 	defer response.Body.Close()
 	beginning := make([]byte, 1<<10)
-	if _, err := io.ReadFull(response.Body, beginning); err != nil || !strings.Contains(string(beginning), entry.StateComplete) {
+	if _, err := io.ReadFull(response.Body, beginning); err != nil || !strings.Contains(string(beginning), api.StateComplete) {
 		t.Fatalf("beginning %.60q, error %v", beginning, err)
 	}
 	// The rest of 48 MB does not fit into the buffers on the way.
--- a/integration/tasks_helper_test.go
+++ b/integration/tasks_helper_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
 	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/internal/fleet"
@@ -110,7 +111,7 @@
 	f.until("a job that reaches every target", func() bool {
 		n++
 		a, err := f.clients[0].Submit(f.ctx, tasksService, tasksJob(fmt.Sprintf("warm-up-%d", n), 10_000, tasksRepeat(8*targets, 20)...))
-		return err == nil && a.State == entry.StateComplete && f.used() == targets
+		return err == nil && a.State == api.StateComplete && f.used() == targets
 	})
 }
 
@@ -136,27 +137,27 @@
 func tasksEcho(job string, index int) string { return fmt.Sprintf("%s/%d", job, index) }
 
 // tasksJob is a job whose tasks echo their own place in it.
-func tasksJob(name string, deadlineMS int64, runMS ...float64) client.Job {
-	j := client.Job{Key: name, Team: "a", DeadlineMS: deadlineMS, Idempotent: true}
+func tasksJob(name string, deadlineMS int64, runMS ...float64) api.Job {
+	j := api.Job{Key: name, Team: "a", DeadlineMS: deadlineMS, Idempotent: true}
 	for i, ms := range runMS {
 		j.Tasks = append(j.Tasks, tasksTask(standin.TargetPayload{RunMS: ms, Echo: tasksEcho(name, i)}))
 	}
 	return j
 }
 
-func tasksTask(p standin.TargetPayload) client.Task {
+func tasksTask(p standin.TargetPayload) api.Task {
 	payload, _ := json.Marshal(p) // plain fields cannot fail
-	return client.Task{Payload: string(payload), RunMS: p.RunMS}
+	return api.Task{Payload: string(payload), RunMS: p.RunMS}
 }
 
 // tasksAnswer is what a caller got.
 type tasksAnswer struct {
-	entry.Answer
+	api.Answer
 	err error
 }
 
 // submit sends a job to an entry in the background.
-func (f *tasksFleet) submit(entryIndex int, j client.Job) <-chan tasksAnswer {
+func (f *tasksFleet) submit(entryIndex int, j api.Job) <-chan tasksAnswer {
 	out := make(chan tasksAnswer, 1)
 	go func() {
 		a, err := f.clients[entryIndex].Submit(f.ctx, tasksService, j)
@@ -178,9 +179,9 @@
 
 // checkWhole fails the test unless an answer is complete with the results of
 // its own job in order.
-func (f *tasksFleet) checkWhole(name string, j client.Job, a tasksAnswer) {
+func (f *tasksFleet) checkWhole(name string, j api.Job, a tasksAnswer) {
 	f.t.Helper()
-	if a.err != nil || a.State != entry.StateComplete || len(a.Results) != len(j.Tasks) {
+	if a.err != nil || a.State != api.StateComplete || len(a.Results) != len(j.Tasks) {
 		f.t.Errorf("%s: error %v, answer %s %d %s %q with %d of %d results", name, a.err, a.State, a.Code, a.Name, a.Reason, len(a.Results), len(j.Tasks))
 		return
 	}
@@ -196,9 +197,9 @@
 
 // checkFailed fails the test unless an answer is a failure without results. A
 // job of which a task started must not be called not run.
-func (f *tasksFleet) checkFailed(j client.Job, a tasksAnswer, code result.Code) {
+func (f *tasksFleet) checkFailed(j api.Job, a tasksAnswer, code result.Code) {
 	f.t.Helper()
-	if a.err != nil || a.State != entry.StateFailed || len(a.Results) != 0 || code != 0 && a.Code != code {
+	if a.err != nil || a.State != api.StateFailed || len(a.Results) != 0 || code != 0 && a.Code != code {
 		f.t.Errorf("error %v, answer %s %d %s (%s) with %d results; want a failure with code %d", a.err, a.State, a.Code, a.Name, a.Reason, len(a.Results), code)
 	}
 	if n := f.started(j); n > 0 && a.Ran == result.NotRun {
@@ -221,7 +222,7 @@
 }
 
 // started returns how many starts the targets counted for a job's tasks.
-func (f *tasksFleet) started(j client.Job) int {
+func (f *tasksFleet) started(j api.Job) int {
 	f.t.Helper()
 	n := 0
 	for _, s := range f.starts() {
--- a/integration/tasks_isolation_test.go
+++ b/integration/tasks_isolation_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/catkinline/catkinline/client"
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/internal/faultproxy"
 	"github.com/catkinline/catkinline/internal/fleet"
 )
@@ -14,9 +14,9 @@
 
 // tasksMixedJobs returns jobs of different teams and sizes under one request
 // key. Every task has its own echo.
-func tasksMixedJobs(n int, seed uint64) []client.Job {
+func tasksMixedJobs(n int, seed uint64) []api.Job {
 	random := rand.New(rand.NewPCG(seed, 0))
-	jobs := make([]client.Job, n)
+	jobs := make([]api.Job, n)
 	for i := range jobs {
 		run := make([]float64, 1+random.IntN(24))
 		for k := range run {
@@ -31,7 +31,7 @@
 
 // checkMixedJobs sends jobs over two entries at once, lets the fault happen
 // once a quarter of the first job's tasks are out, and checks every answer.
-func (f *tasksFleet) checkMixedJobs(jobs []client.Job, fault func()) {
+func (f *tasksFleet) checkMixedJobs(jobs []api.Job, fault func()) {
 	f.t.Helper()
 	answers := make([]<-chan tasksAnswer, len(jobs))
 	for i, j := range jobs {
--- a/integration/tasks_notrun_test.go
+++ b/integration/tasks_notrun_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
 	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/internal/fleet"
@@ -21,9 +22,9 @@
 )
 
 // tasksSend posts a body as it is and returns the entry's answer.
-func (f *tasksFleet) tasksSend(service string, body []byte) entry.Answer {
+func (f *tasksFleet) tasksSend(service string, body []byte) api.Answer {
 	f.t.Helper()
-	var a entry.Answer
+	var a api.Answer
 	response, err := http.Post(f.CallerURLs()[0]+"/v1/services/"+service+"/jobs", "application/json", bytes.NewReader(body))
 	if err != nil {
 		f.t.Error(err)
@@ -41,9 +42,9 @@
 
 // checkNotRun fails the test unless an answer has a code and says not run, and
 // no task of the job started.
-func (f *tasksFleet) checkNotRun(j client.Job, a entry.Answer, code result.Code) {
+func (f *tasksFleet) checkNotRun(j api.Job, a api.Answer, code result.Code) {
 	f.t.Helper()
-	if a.State != entry.StateFailed || a.Code != code || a.Ran != result.NotRun || len(a.Results) > 0 {
+	if a.State != api.StateFailed || a.Code != code || a.Ran != result.NotRun || len(a.Results) > 0 {
 		f.t.Errorf("answer %s %d %s (%s), ran %s; want code %d, not run", a.State, a.Code, a.Name, a.Reason, a.Ran, code)
 	}
 	if n := f.started(j); n != 0 {
@@ -57,7 +58,7 @@
 	f := startTasksFleet(t, func(o *fleet.Options) {
 		o.EditEntry = func(_ int, s *settings.Entry) { s.Limits.BodyBytes, s.Limits.PayloadBytes = 1<<20, 64<<10 }
 	})
-	plain := func(j *client.Job) {}
+	plain := func(j *api.Job) {}
 	replace := func(old, new string) func(string) string {
 		return func(body string) string { return strings.Replace(body, old, new, 1) }
 	}
@@ -65,39 +66,39 @@
 	cases := []struct {
 		code    result.Code
 		service string
-		edit    func(j *client.Job)
+		edit    func(j *api.Job)
 		text    func(body string) string
 	}{
 		{result.BadRequest, "frames", plain, func(body string) string { return body[:len(body)-1] }},
-		{result.BadRequest, "quotes", func(j *client.Job) { j.Idempotent = false }, same},
+		{result.BadRequest, "quotes", func(j *api.Job) { j.Idempotent = false }, same},
 		{result.UnknownField, "frames", plain, replace(`{`, `{"prio":1,`)},
 		{result.BodyTooLarge, "frames", plain, replace(`{`, `{`+strings.Repeat(" ", 1<<20))},
-		{result.TooManyTasks, "frames", func(j *client.Job) {
+		{result.TooManyTasks, "frames", func(j *api.Job) {
 			for len(j.Tasks) <= settings.DefaultTasks {
 				j.Tasks = append(j.Tasks, j.Tasks[0])
 			}
 		}, same},
-		{result.NoTasks, "frames", func(j *client.Job) { j.Tasks = []client.Task{} }, same},
-		{result.PayloadTooLarge, "frames", func(j *client.Job) { j.Tasks[3].Payload += strings.Repeat(" ", 64<<10) }, same},
-		{result.TooManyLabels, "frames", func(j *client.Job) {
+		{result.NoTasks, "frames", func(j *api.Job) { j.Tasks = []api.Task{} }, same},
+		{result.PayloadTooLarge, "frames", func(j *api.Job) { j.Tasks[3].Payload += strings.Repeat(" ", 64<<10) }, same},
+		{result.TooManyLabels, "frames", func(j *api.Job) {
 			j.Labels = label.Set{}
 			for i := range label.MaxLabels + 1 {
 				j.Labels[fmt.Sprintf("label-%d", i)] = "x"
 			}
 		}, same},
-		{result.LabelTooLong, "frames", func(j *client.Job) { j.Labels = label.Set{"x": strings.Repeat("x", label.MaxValueBytes+1)} }, same},
+		{result.LabelTooLong, "frames", func(j *api.Job) { j.Labels = label.Set{"x": strings.Repeat("x", label.MaxValueBytes+1)} }, same},
 		{result.NestingTooDeep, "frames", plain, replace(`{`, `{"labels":`+strings.Repeat("[", 9)+strings.Repeat("]", 9)+`,`)},
-		{result.BadDeadline, "frames", func(j *client.Job) { j.DeadlineMS = -1 }, same},
-		{result.BadDeadline, "frames", func(j *client.Job) { j.DeadlineMS = 60_001 }, same},
+		{result.BadDeadline, "frames", func(j *api.Job) { j.DeadlineMS = -1 }, same},
+		{result.BadDeadline, "frames", func(j *api.Job) { j.DeadlineMS = 60_001 }, same},
 		{result.UnknownService, "kites", plain, same},
-		{result.UnknownTeam, "frames", func(j *client.Job) { j.Team = "nobody" }, same},
-		{result.MissingKey, "frames", func(j *client.Job) { j.Key = "" }, same},
-		{result.BadLabel, "frames", func(j *client.Job) { j.Labels = label.Set{"x": "a,b"} }, same},
-		{result.BadHint, "frames", func(j *client.Job) { j.Tasks[2].RunMS = -1 }, same},
-		{result.NoMatchingTarget, "frames", func(j *client.Job) { j.Labels = label.Set{"kind": "panorama"} }, same},
+		{result.UnknownTeam, "frames", func(j *api.Job) { j.Team = "nobody" }, same},
+		{result.MissingKey, "frames", func(j *api.Job) { j.Key = "" }, same},
+		{result.BadLabel, "frames", func(j *api.Job) { j.Labels = label.Set{"x": "a,b"} }, same},
+		{result.BadHint, "frames", func(j *api.Job) { j.Tasks[2].RunMS = -1 }, same},
+		{result.NoMatchingTarget, "frames", func(j *api.Job) { j.Labels = label.Set{"kind": "panorama"} }, same},
 		{result.NoMatchingTarget, "quotes", plain, same},
 	}
-	jobs := make([]client.Job, len(cases))
+	jobs := make([]api.Job, len(cases))
 	for i, c := range cases {
 		jobs[i] = tasksJob(fmt.Sprintf("refused-%d", i), 30_000, tasksRepeat(4, 10)...)
 		jobs[i].Team = tasksTeams[i%len(tasksTeams)]
@@ -118,7 +119,7 @@
 
 // settled waits until a job is answered or a task of it has started, and
 // reports whether it was answered.
-func (f *tasksFleet) settled(j client.Job, answer <-chan tasksAnswer) (a tasksAnswer, answered bool) {
+func (f *tasksFleet) settled(j api.Job, answer <-chan tasksAnswer) (a tasksAnswer, answered bool) {
 	f.t.Helper()
 	f.until("an answer or a start", func() bool {
 		select {
@@ -139,9 +140,9 @@
 	})
 	f.setTarget(0, standin.TargetFaults{Hang: true})
 	f.setTarget(1, standin.TargetFaults{Hang: true})
-	var refused []client.Job
+	var refused []api.Job
 	var accepted []<-chan tasksAnswer
-	var held []client.Job
+	var held []api.Job
 	fill := func(team string, stop result.Code) {
 		for i := range 9 {
 			j := tasksJob(fmt.Sprintf("%s-%d", team, i), 50_000, 10)
@@ -279,7 +280,7 @@
 // configuration.
 func TestTasksNotRunWithoutClaimOrConfiguration(t *testing.T) {
 	f := startTasksFleet(t, nil)
-	once := func(key, name string) client.Job {
+	once := func(key, name string) api.Job {
 		j := tasksJob(name, 20_000, tasksRepeat(2, 20)...)
 		j.Key, j.Idempotent = key, false
 		return j
@@ -343,7 +344,7 @@
 // target died, or it hung until the deadline.
 func TestTasksThatMayHaveRunAreNotCalledNotRun(t *testing.T) {
 	f := startTasksFleet(t, nil)
-	check := func(j client.Job, a tasksAnswer, ran ...result.Ran) {
+	check := func(j api.Job, a tasksAnswer, ran ...result.Ran) {
 		t.Helper()
 		f.checkFailed(j, a, 0)
 		for _, r := range ran {
--- a/integration/tasks_silent_test.go
+++ b/integration/tasks_silent_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
 	"github.com/catkinline/catkinline/config"
-	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/internal/fleet"
 	"github.com/catkinline/catkinline/platform/httpstore"
 	"github.com/catkinline/catkinline/result"
@@ -122,7 +122,7 @@
 // run for at most a call's timeout, and a new configuration arrives.
 func TestTasksSilentStoreConnections(t *testing.T) {
 	f := startTasksFleet(t, func(o *fleet.Options) { o.Network.Stores = true })
-	once := func(n int) client.Job {
+	once := func(n int) api.Job {
 		j := tasksJob(fmt.Sprintf("once-%d", n), 20_000, tasksRepeat(2, 20)...)
 		j.Idempotent = false
 		return j
@@ -137,10 +137,10 @@
 	f.until("a claim", func() bool {
 		n++
 		a := f.wait(f.submit(0, once(n)))
-		if a.State != entry.StateComplete {
+		if a.State != api.StateComplete {
 			f.checkNotRun(once(n), a.Answer, result.ClaimUnavailable)
 		}
-		return a.State == entry.StateComplete
+		return a.State == api.StateComplete
 	})
 	f.addTeam("late")
 	n = 0
@@ -148,7 +148,7 @@
 		n++
 		j := tasksJob(fmt.Sprintf("late-%d", n), 20_000, 20)
 		j.Team = "late"
-		return f.wait(f.submit(0, j)).State == entry.StateComplete
+		return f.wait(f.submit(0, j)).State == api.StateComplete
 	})
 	f.checkStarts()
 	f.checkCounts(0)
--- a/integration/tasks_start_test.go
+++ b/integration/tasks_start_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/client"
-	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/internal/faultproxy"
 	"github.com/catkinline/catkinline/internal/fleet"
 	"github.com/catkinline/catkinline/result"
@@ -36,7 +36,7 @@
 
 // submitUntilAccepted repeats a job that was refused without having run; an
 // entry that has just started may have no agent yet.
-func (f *tasksFleet) submitUntilAccepted(entryIndex int, j client.Job) tasksAnswer {
+func (f *tasksFleet) submitUntilAccepted(entryIndex int, j api.Job) tasksAnswer {
 	f.t.Helper()
 	var a tasksAnswer
 	f.until("a job that is accepted", func() bool {
@@ -114,7 +114,7 @@
 
 // tasksUnnamed returns a job of n short tasks that have no echo, so that it may
 // be repeated.
-func tasksUnnamed(j client.Job, n int) client.Job {
+func tasksUnnamed(j api.Job, n int) api.Job {
 	j.Tasks = nil
 	for range n {
 		j.Tasks = append(j.Tasks, tasksTask(standin.TargetPayload{RunMS: 50}))
@@ -167,7 +167,7 @@
 		return tasksLinkClosed(f.Log("agent-0"), "entry-0") && tasksLinkClosed(f.Log("agent-1"), "entry-0")
 	})
 	f.must(f.Resume("entry-0"))
-	if a := f.wait(answer); a.State == entry.StateComplete {
+	if a := f.wait(answer); a.State == api.StateComplete {
 		f.checkWhole("frozen", j, a)
 	} else {
 		f.checkFailed(j, a, 0)
--- a/load/answer.go
+++ b/load/answer.go
@@ -8,27 +8,11 @@
 	"io"
 	"strings"
 
-	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/standin"
 )
 
-// request is the JSON body of a job in the caller API.
-type request struct {
-	Key        string        `json:"key"`
-	Team       string        `json:"team"`
-	Labels     label.Set     `json:"labels,omitempty"`
-	DeadlineMS int64         `json:"deadline_ms"`
-	Idempotent bool          `json:"idempotent"`
-	Tasks      []requestTask `json:"tasks"`
-}
-
-type requestTask struct {
-	Payload   string  `json:"payload"`
-	SizeBytes int64   `json:"size_bytes"`
-	RunMS     float64 `json:"run_ms"`
-}
-
 // taskPayload is the stand-in target's payload with padding, which the target
 // ignores.
 type taskPayload struct {
@@ -73,7 +57,7 @@
 // body returns the request of a job.
 func (d *driver) body(i int) io.Reader {
 	job := d.records[i].job
-	q := request{
+	q := api.Job{
 		Key:        fmt.Sprintf("%s-%d", d.run, i),
 		Team:       job.team,
 		Labels:     job.class.Labels,
@@ -87,7 +71,7 @@
 		payload.Fail = job.class.Fail
 		payload.Echo = d.echo(i, t)
 		text, _ := json.Marshal(payload) // numbers and ASCII strings always encode
-		q.Tasks = append(q.Tasks, requestTask{
+		q.Tasks = append(q.Tasks, api.Task{
 			Payload:   string(text),
 			SizeBytes: int64(len(text)),
 			RunMS:     job.declared[t],
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/internal/fleet"
 	"github.com/catkinline/catkinline/standin"
 )
@@ -57,7 +58,7 @@
 }
 
 func (f *fakeSystem) serveJob(w http.ResponseWriter, r *http.Request) {
-	var q request
+	var q api.Job
 	if json.NewDecoder(r.Body).Decode(&q) != nil {
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
--- a/scale/report.go
+++ b/scale/report.go
@@ -6,7 +6,7 @@
 	"sync"
 	"text/tabwriter"
 
-	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/api"
 )
 
 // Step is one measurement. Processor time and memory are means over the
@@ -38,7 +38,7 @@
 }
 
 // noteFailure keeps the reason of the last failed job.
-func (s *Step) noteFailure(answer entry.Answer, err error) {
+func (s *Step) noteFailure(answer api.Answer, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
--- a/scale/steps.go
+++ b/scale/steps.go
@@ -7,8 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkinline/catkinline/client"
-	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/api"
 	"github.com/catkinline/catkinline/standin"
 )
 
@@ -139,7 +138,7 @@
 		sent.Go(func() {
 			j := job(teamName(i%TargetTeams), tasksPerJob, taskMS, 30_000)
 			answer, err := r.entries[i%len(r.entries)].client.Submit(ctx, service, j)
-			if err != nil || answer.State != entry.StateComplete {
+			if err != nil || answer.State != api.StateComplete {
 				failed.Add(1)
 				s.noteFailure(answer, err)
 				return
@@ -160,10 +159,10 @@
 // jobs numbers the request keys.
 var jobs atomic.Uint64
 
-func job(team string, tasks, ms int, deadline int64) client.Job {
-	j := client.Job{Key: strconv.FormatUint(jobs.Add(1), 10), Team: team, DeadlineMS: deadline, Idempotent: true}
+func job(team string, tasks, ms int, deadline int64) api.Job {
+	j := api.Job{Key: strconv.FormatUint(jobs.Add(1), 10), Team: team, DeadlineMS: deadline, Idempotent: true}
 	for range tasks {
-		j.Tasks = append(j.Tasks, client.Task{Payload: strconv.Itoa(ms), RunMS: float64(ms)})
+		j.Tasks = append(j.Tasks, api.Task{Payload: strconv.Itoa(ms), RunMS: float64(ms)})
 	}
 	return j
 }
