--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -104,6 +104,11 @@
 		s.addGrant(t, o.Grant)
 	}
 	t.load = o.Load
+	if o.Code == result.TargetTimeout {
+		// A start's time limit ends with its job's deadline. The job then ends for
+		// its deadline and not, before the next tick, for a fault of the target.
+		s.expireJobs(now)
+	}
 	s.applyOutcome(t, o, now)
 	s.pump(now)
 }
@@ -125,11 +130,12 @@
 	s.record.Add(metrics.TaskOutcomes, 1, metrics.TagState, o.State.String())
 	switch o.State {
 	case wire.StateRefused:
-		s.refused(t, a, o)
+		s.refused(t, a, o, now)
 		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateNeverSeen:
 		s.adjust(a.job, 1, int64(len(a.job.job.Spec().Tasks[key.index].Payload)))
 	case wire.StateDone, wire.StateFailed, wire.StateUnknown:
+		t.pause = 0
 		s.observe(t, a, o, now)
 	}
 	s.charge(a, o)
@@ -154,7 +160,7 @@
 }
 
 // refused adjusts what the scheduler believes of a target that refused a start.
-func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome) {
+func (s *Scheduler) refused(t *target, a *attempt, o *wire.Outcome, now time.Time) {
 	s.record.Add(metrics.StartRefusals, 1, metrics.TagCode, o.Code.String())
 	s.waste(2) // the start and its refusal
 	switch o.Code {
@@ -164,8 +170,11 @@
 		t.announce.Draining = true
 		s.dropGrants(t)
 	case result.OldRevision:
-		t.stale = true
-		s.dropGrants(t)
+		// Rules that are newer than the refused start may be in force already;
+		// nothing would end the pause then. The agent keeps its other grants.
+		t.stale = a.revision >= s.revisionFor(t)
+	case result.TargetRefused:
+		t.pauseAfterRefusal(now)
 	}
 }
 
@@ -190,7 +199,7 @@
 	t.grants = append(t.grants, grant{id: g.ID, left: g.Slots, shortOnly: g.ShortOnly})
 }
 
-// HandleRevoke gives the unused slots of a grant back.
+// HandleRevoke gives unused slots of grants back.
 func (s *Scheduler) HandleRevoke(name string, link Sender, r *wire.Revoke, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,12 +207,17 @@
 	if t == nil || t.link != link {
 		return
 	}
-	left, used := t.giveBack(r.ID, r.Slots)
-	if !used {
-		s.waste(1) // the grant led to no start
+	s.waste(2) // the request and its answer
+	back := &wire.Return{Grants: make([]wire.GrantSlots, 0, len(r.Grants))}
+	for _, g := range r.Grants {
+		left, used := t.giveBack(g.ID, g.Slots)
+		if !used {
+			s.waste(1) // the grant led to no start
+		}
+		s.record.Add(metrics.GrantsUnused, int64(left))
+		back.Grants = append(back.Grants, wire.GrantSlots{ID: g.ID, Slots: left})
 	}
-	s.record.Add(metrics.GrantsUnused, int64(left))
-	s.send(t, &wire.Return{ID: r.ID, Slots: left})
+	s.send(t, back)
 }
 
 // HandleAnnounce takes in what an agent says about its target.
--- a/entry/links.go
+++ b/entry/links.go
@@ -17,6 +17,7 @@
 	announce  wire.Announce
 	scheduler *dispatch.Scheduler // set by the first announcement
 	spec      []byte              // configuration view last sent on this link
+	joined    bool                // its target takes jobs
 }
 
 // linkHandler passes what happens on links to the entry.
@@ -114,6 +115,14 @@
 	}
 }
 
+// idleLink reports whether an agent has no work of this entry. Links to entries
+// are never idle: they carry each entry's state several times in a heartbeat's
+// interval.
+func (e *Entry) idleLink(l *transport.Link) bool {
+	s := e.schedulerOf(l)
+	return s != nil && s.Idle(l.Name())
+}
+
 func (e *Entry) schedulerOf(l *transport.Link) *dispatch.Scheduler {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -149,6 +158,9 @@
 		e.log.Info("agent linked", zap.String("agent", l.Name()), zap.String("target", m.Target))
 	}
 	s.HandleAnnounce(l.Name(), l, m, now)
+	e.mu.Lock()
+	a.joined = true
+	e.mu.Unlock()
 }
 
 // sendView sends an agent its view if the view has changed since it was last
--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -12,8 +12,8 @@
 // Limits of a TCP relay.
 const (
 	chunkBytes  = 32 << 10
-	lineChunks  = 256 // of one direction of one connection
-	maxConns    = 4096
+	lineChunks  = 256   // of one direction of one connection
+	maxConns    = 16384 // a wave of 10,000 cancelled jobs may pass one relay
 	dialTimeout = 10 * time.Second
 )
 
@@ -68,8 +68,8 @@
 }
 
 func (t *TCP) check(f Faults) error {
-	if f.Loss != 0 || len(f.Clients) != 0 {
-		return Err.New("a TCP relay has no loss and no named clients")
+	if f.Loss != 0 || f.Duplicate != 0 || len(f.Clients) != 0 {
+		return Err.New("a TCP relay has no loss, no duplicates and no named clients")
 	}
 	return f.validate()
 }
--- /dev/null
+++ b/scale/document.go
@@ -0,0 +1,90 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// service is the service of all measured agents.
+const service = "service-00"
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// document returns a configuration with an override for every target. The
+// variant changes every override.
+func document(targets, teams, services, variant int) config.Document {
+	d := config.Document{
+		Services: make(map[string]config.Service),
+		Teams:    make(map[string]config.Team),
+		Targets:  make(map[string]config.Target),
+	}
+	for i := range services {
+		s := config.Service{Rules: []config.Rule{
+			{Requests: "kind=panorama", Targets: "memory=large"},
+			{Requests: "kind in (preview|check)", Targets: "generation!=release-9"},
+		}}
+		s.SetDefaults()
+		d.Services[fmt.Sprintf("service-%02d", i)] = s
+	}
+	for i := range teams {
+		d.Teams[teamName(i)] = config.Team{Weight: float64(1 + i%4), QuotaSlots: 4000}
+	}
+	for i := range targets {
+		d.Targets[targetName(i)] = config.Target{Labels: label.Set{
+			"memory":     "large",
+			"rack":       fmt.Sprintf("rack-%03d", i/3),
+			"generation": fmt.Sprintf("release-%d", variant),
+		}}
+	}
+	return d
+}
+
+// documentBytes is the size of the document at the target size, with the ids of
+// its last changes.
+func documentBytes() int {
+	d := document(TargetAgents, TargetTeams, TargetServices, 0)
+	for i := range config.MaxChanges {
+		d.Changes = append(d.Changes, config.Change{
+			ID: fmt.Sprintf("%064d", i), Revision: 1 << 62, Digest: fmt.Sprintf("%064d", i),
+		})
+	}
+	text, err := json.Marshal(d)
+	if err != nil {
+		return 0
+	}
+	return len(text)
+}
+
+// peerStateBytes is the size of an entry's report to its peers in which every
+// team has tasks out and waiting.
+func peerStateBytes() int {
+	state := &wire.PeerState{Revision: 1 << 40}
+	for i := range TargetTeams {
+		state.Teams = append(state.Teams, wire.TeamUse{Team: teamName(i), Running: 30, Waiting: 3000})
+	}
+	return encodedBytes(state)
+}
+
+// viewBytes is the size of one agent's view.
+func viewBytes() int {
+	d := document(1, 0, 1, 0)
+	s := d.Services[service]
+	view := config.AgentView{ServiceName: service, TargetName: targetName(0), Service: &s, Target: d.Targets[targetName(0)]}
+	spec, err := view.Encode()
+	if err != nil {
+		return 0
+	}
+	return encodedBytes(&wire.View{Revision: 1 << 40, Spec: spec})
+}
+
+func encodedBytes(m wire.Message) int {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return 0
+	}
+	return len(frame)
+}
