Refuse changes at a store whose revisions are lower than the one in force

A store that was replaced by an empty one took changes at low revisions, which no process adopts; operators were told that they were accepted. Without the rule TestChangeAtReplacedStoreIsRefused gets "accepted".

--- a/config/applier.go
+++ b/config/applier.go
@@ -59,7 +59,7 @@
 		}
 		return d, nil
 	}
-	c := change{applier: a, entry: Change{ID: id, Digest: digest(d)}, plan: plan, lowest: base}
+	c := change{applier: a, entry: Change{ID: id, Digest: digest(d)}, plan: plan, lowest: max(base, a.Holder.Current().Revision())}
 	return c.run(ctx)
 }
 
@@ -84,7 +84,7 @@
 		return invalid(faults)
 	}
 	p := editPlan{edit: e}
-	c := change{applier: a, entry: Change{ID: id, Digest: e.digest()}, plan: p.next}
+	c := change{applier: a, entry: Change{ID: id, Digest: e.digest()}, plan: p.next, lowest: a.Holder.Current().Revision()}
 	return c.run(ctx)
 }
 
--- a/config/applier_test.go
+++ b/config/applier_test.go
@@ -285,3 +285,20 @@
 	}, gen.Int64()))
 	properties.TestingRun(t)
 }
+
+// Guards against a change that is called accepted although no process will ever
+// adopt it: the store was replaced by an empty one, whose revisions are lower
+// than the one in force.
+func TestChangeAtReplacedStoreIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		applier := newApplier(newFakeStore())
+		old := Document{Teams: map[string]Team{"shops": {Weight: 1}}}
+		if adopted, err := applier.Holder.AdoptBody(1000, old.encode()); !adopted {
+			t.Fatal(err)
+		}
+		r := applier.Edit(t.Context(), "c1", PutTeam("shops", Team{Weight: 2}))
+		expect(t, "edit", r, Refused, result.ConfigUnavailable)
+		r = applier.Apply(t.Context(), "c2", 0, Document{})
+		expect(t, "document", r, Refused, result.ConfigUnavailable)
+	})
+}
