Wait for the agents of a killed entry on idle links as well

Cause: an entry without an agent reported itself ready after 6 s, which covers links with work; an idle link notices silence only after 7.5 s. A killed idle entry that was started again refused its first jobs with no_matching_target. Ruled out: the configuration and the announcement, which came before readiness where an agent was linked. The wait is now at most 10 s; an agent that links earlier ends it. Before: TestConfigKilledIdleEntryIsReadyWithAgents, "Code:no_matching_target Ran:not_run".

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,9 +15,9 @@
 	pollInterval = 20 * time.Millisecond
 	// agentGrace is how long a new entry waits for its first agent before it
 	// reports itself ready: a balancer should not send jobs that nothing can run.
-	// Agents of a predecessor that was killed notice after the silence limit and
-	// then need up to a few attempts to dial.
-	agentGrace = transport.SilenceLimit + 2500*time.Millisecond
+	// Agents of a predecessor that was killed notice at the latest after the
+	// silence limit of an idle link, 7.5 s, and then need a few attempts to dial.
+	agentGrace = transport.IdleHeartbeatInterval + transport.SilenceLimit + 1500*time.Millisecond
 	// leaveTimeout bounds the store calls of a stop.
 	leaveTimeout = 2 * time.Second
 )
--- a/integration/config_restart_test.go
+++ b/integration/config_restart_test.go
@@ -124,3 +124,20 @@
 		return true
 	})
 }
+
+// Guards against an entry that reports itself ready before the agents of its
+// killed predecessor have come back, and refuses jobs that they could run. On
+// idle links they notice the death only after several seconds.
+func TestConfigKilledIdleEntryIsReadyWithAgents(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 1, 1, nil)
+	f.allLinked(1, 1)
+	time.Sleep(6 * time.Second) // the links have found their idle pace
+	f.must(f.Kill("entry-0"))
+	f.must(f.Restart("entry-0"))
+	f.must(f.WaitReady(t.Context(), "entry-0"))
+	a, err := f.submit(0, configJob("first", true, 20))
+	if err != nil || len(a.Results) != 1 {
+		t.Errorf("the first job after readiness: %+v, %v", a, err)
+	}
+}
