Apply a service's default deadline, and let its own bound be the one that is named

A job without a deadline was refused although services have a default; deadlines between the decoder's bound of 10 minutes and the service's (15 minutes by default) were refused with a bound that nobody had set ("10m0.000000001s" in the caller's golden file). The decoder's bound is now the largest that a service may set.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -58,7 +58,7 @@
 	e.metrics.Add(metrics.JobsEntered, 1)
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(readTimeout))
-	spec, failure := job.Decode(req.Body, e.jobLimits())
+	spec, failure := job.Decode(req.Body, e.jobLimits(req.Param("service")))
 	_ = controller.SetReadDeadline(time.Time{})
 	if failure != nil {
 		return e.refuse(w, failure)
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -216,3 +216,16 @@
 		}
 	}
 }
+
+// Guards against a service's default deadline that is configured and not applied.
+func TestJobWithoutDeadlineGetsTheServicesDefault(t *testing.T) {
+	e, _ := newTestEntry(t)
+	body := `{"key":"k","team":"t","idempotent":true,"tasks":[{}]}`
+	spec, refusal := job.Decode(strings.NewReader(body), e.jobLimits("frames"))
+	if refusal != nil || spec.Deadline != 30*time.Second {
+		t.Fatalf("%+v, refusal %v", spec, refusal)
+	}
+	if _, refusal := job.Decode(strings.NewReader(body), e.jobLimits("unknown")); refusal == nil || refusal.Code != result.BadDeadline {
+		t.Errorf("a service that is not configured has no default: %v", refusal)
+	}
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -52,8 +52,11 @@
 }
 
 // jobLimits returns the limits on one job.
-func (e *Entry) jobLimits() job.Limits {
+func (e *Entry) jobLimits(service string) job.Limits {
 	l := job.DefaultLimits()
+	if configured, ok := e.config.Current().Service(service); ok {
+		l.DefaultDeadline = time.Duration(configured.Deadline.DefaultMS) * time.Millisecond
+	}
 	s := e.settings.Limits
 	l.BodyBytes = s.BodyBytes
 	l.PayloadBytes = s.PayloadBytes
--- a/job/decode.go
+++ b/job/decode.go
@@ -86,7 +86,10 @@
 	if ms > l.MaxDeadline.Milliseconds() {
 		return l.MaxDeadline + 1
 	}
-	if ms <= 0 {
+	if ms == 0 {
+		return l.DefaultDeadline
+	}
+	if ms < 0 {
 		return 0
 	}
 	return time.Duration(ms) * time.Millisecond
--- a/job/spec.go
+++ b/job/spec.go
@@ -55,6 +55,7 @@
 	TeamBytes       int           // UnknownTeam
 	MinDeadline     time.Duration // BadDeadline
 	MaxDeadline     time.Duration // BadDeadline
+	DefaultDeadline time.Duration // for a job without a deadline; zero: BadDeadline
 }
 
 // DefaultLimits returns the limits that apply where settings and the service's
@@ -73,7 +74,7 @@
 		KeyBytes:        256,
 		TeamBytes:       63,
 		MinDeadline:     time.Millisecond,
-		MaxDeadline:     10 * time.Minute, // longer than a person waits for an answer
+		MaxDeadline:     24 * time.Hour, // the largest bound that a service may set; the service's own is lower
 	}
 }
 
