Let short work of a team that is ahead pass long work of other teams

Now short work passes long work of other teams while its team is at most four windows further ahead. Ruled out: a wider window for all work (long jobs of the busier team would lead as well), and no bound (a team with short work only would take any share).

--- a/queue/select.go
+++ b/queue/select.go
@@ -28,7 +28,8 @@
 //
 // Over any time in which two teams have allowed work for the same targets, their
 // slot time per unit of weight differs by at most one window for what they saved
-// up before, one window of lead, and one task.
+// up before, one window of lead, and one task; short work of one against long work
+// of the other has shortLead windows more.
 func (q *Queue) Select(groups []Group, allow Allow) (wire.JobID, bool) {
 	limit, ok := q.limit(groups, allow)
 	if !ok {
@@ -37,7 +38,7 @@
 	least := limit - q.options.Window.Seconds()
 	q.forfeit(least)
 	q.floor = max(q.floor, least)
-	b := q.best(groups, allow, limit)
+	b := q.choose(groups, allow, limit)
 	return b.entries[0].item.Job, true
 }
 
@@ -48,7 +49,7 @@
 	if !ok {
 		return Head{}, false
 	}
-	b := q.best(groups, allow, limit)
+	b := q.choose(groups, allow, limit)
 	return Head{Key: b.rank.key, Class: b.class, Waiting: q.waitingIn(groups, allow)}, true
 }
 
@@ -94,6 +95,29 @@
 	slices.SortFunc(q.active, (*team).compare)
 }
 
+// shortLead is how many windows further than the limit a team may be ahead and
+// still have its short work pass long work of the others. With no allowance, the
+// short jobs of the busier of two teams waited behind the long ones of the other
+// until a peak's backlog was gone; without a bound, a team with short work only
+// would take any share.
+const shortLead = 4
+
+// choose returns the best bucket within the limit, unless that is long work and
+// short work of a team not much further ahead has a lower rank.
+func (q *Queue) choose(groups []Group, allow Allow, limit float64) *bucket {
+	b := q.best(groups, allow, limit)
+	if b.class == wire.ClassShort {
+		return b
+	}
+	short := func(team string, class wire.Class) bool {
+		return class == wire.ClassShort && (allow == nil || allow(team, class))
+	}
+	if s := q.best(groups, short, limit+shortLead*q.options.Window.Seconds()); s != nil && s.rank.compare(b.rank) < 0 {
+		return s
+	}
+	return b
+}
+
 // best returns the allowed bucket with the lowest rank among the teams within
 // the limit. The team that set the limit is always among them.
 func (q *Queue) best(groups []Group, allow Allow, limit float64) *bucket {
