--- a/admission/admission.go
+++ b/admission/admission.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/result"
 )
 
@@ -42,18 +43,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Bound.Jobs <= 0 {
-		o.Bound.Jobs = 20_000
-	}
-	if o.Bound.Tasks <= 0 {
-		o.Bound.Tasks = 400_000
-	}
-	if o.Bound.Bytes <= 0 {
-		o.Bound.Bytes = 256 << 20
-	}
-	if o.TeamFactor <= 0 {
-		o.TeamFactor = 2
-	}
+	options.Default(&o.Bound.Jobs, 20_000)
+	options.Default(&o.Bound.Tasks, 400_000)
+	options.Default(&o.Bound.Bytes, 256<<20)
+	options.Default(&o.TeamFactor, 2)
 	return o
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/catkinline/catkinline/agent/runner"
 	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/label"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
@@ -150,15 +151,9 @@
 // New starts an agent. It grants no slot until the target has said how many
 // tasks of an earlier agent it still runs.
 func New(cfg Config) *Agent {
-	if cfg.Target.Slots <= 0 {
-		cfg.Target.Slots = slots.DefaultSlots
-	}
-	if cfg.StopLimit <= 0 {
-		cfg.StopLimit = DefaultStopLimit
-	}
-	if cfg.AckLimit <= 0 {
-		cfg.AckLimit = DefaultAckLimit
-	}
+	options.Default(&cfg.Target.Slots, slots.DefaultSlots)
+	options.Default(&cfg.StopLimit, DefaultStopLimit)
+	options.Default(&cfg.AckLimit, DefaultAckLimit)
 	cfg.Slots.Slots = cfg.Target.Slots
 	a := &Agent{
 		cfg:   cfg,
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -16,6 +16,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -83,18 +84,10 @@
 
 // New returns a runner for a target.
 func New(cfg Config) *Runner {
-	if cfg.Connections <= 0 {
-		cfg.Connections = DefaultConnections
-	}
-	if cfg.ResultBytes <= 0 {
-		cfg.ResultBytes = DefaultResultBytes
-	}
-	if cfg.RunLimit <= 0 {
-		cfg.RunLimit = DefaultRunLimit
-	}
-	if cfg.ConnectLimit <= 0 {
-		cfg.ConnectLimit = DefaultConnectLimit
-	}
+	options.Default(&cfg.Connections, DefaultConnections)
+	options.Default(&cfg.ResultBytes, DefaultResultBytes)
+	options.Default(&cfg.RunLimit, DefaultRunLimit)
+	options.Default(&cfg.ConnectLimit, DefaultConnectLimit)
 	dialer := &net.Dialer{Timeout: cfg.ConnectLimit}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, address)
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/wire"
@@ -71,26 +72,20 @@
 }
 
 func (o Options) withDefaults() Options {
-	orDefault(&o.Retention, DefaultRetention)
-	orDefault(&o.Timeout, DefaultTimeout)
-	orDefault(&o.InFlight, DefaultInFlight)
-	orDefault(&o.Waiting, DefaultWaiting)
-	orDefault(&o.Backlog, DefaultBacklog)
-	orDefault(&o.Retained, DefaultRetained)
-	orDefault(&o.DeletesPerSecond, DefaultDeletesPerSecond)
-	orDefault(&o.SweepInterval, DefaultSweepInterval)
+	options.Default(&o.Retention, DefaultRetention)
+	options.Default(&o.Timeout, DefaultTimeout)
+	options.Default(&o.InFlight, DefaultInFlight)
+	options.Default(&o.Waiting, DefaultWaiting)
+	options.Default(&o.Backlog, DefaultBacklog)
+	options.Default(&o.Retained, DefaultRetained)
+	options.Default(&o.DeletesPerSecond, DefaultDeletesPerSecond)
+	options.Default(&o.SweepInterval, DefaultSweepInterval)
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
 	return o
 }
 
-func orDefault[T int | time.Duration](v *T, value T) {
-	if *v <= 0 {
-		*v = value
-	}
-}
-
 // Claims makes and ends the claims of one entry.
 type Claims struct {
 	store    *limitedStore
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/label"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -26,18 +27,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.MaxKeys <= 0 {
-		o.MaxKeys = 4096 // about 1 MB
-	}
-	if o.HalfLife <= 0 {
-		o.HalfLife = 10 * time.Minute
-	}
-	if o.MinBoundary <= 0 {
-		o.MinBoundary = 1500 * time.Millisecond // above the usual 50 ms to 1 s
-	}
-	if o.MaxBoundary <= 0 {
-		o.MaxBoundary = 8 * time.Second // below the rare tasks of 10 to 30 s
-	}
+	options.Default(&o.MaxKeys, 4096) // about 1 MB
+	options.Default(&o.HalfLife, 10*time.Minute)
+	options.Default(&o.MinBoundary, 1500*time.Millisecond) // above the usual 50 ms to 1 s
+	options.Default(&o.MaxBoundary, 8*time.Second)         // below the rare tasks of 10 to 30 s
 	return o
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -61,23 +62,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	orDefault(&o.LeaseTTL, DefaultLeaseTTL)
-	orDefault(&o.Renew, DefaultRenew)
-	orDefault(&o.MaxBackoff, DefaultMaxBackoff)
-	orDefault(&o.RecoveryGrace, DefaultRecoveryGrace)
-	orDefault(&o.HeardTTL, DefaultHeardTTL)
+	options.Default(&o.LeaseTTL, DefaultLeaseTTL)
+	options.Default(&o.Renew, DefaultRenew)
+	options.Default(&o.MaxBackoff, DefaultMaxBackoff)
+	options.Default(&o.RecoveryGrace, DefaultRecoveryGrace)
+	options.Default(&o.HeardTTL, DefaultHeardTTL)
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
 	return o
 }
 
-func orDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Members holds one entry's membership.
 type Members struct {
 	store     platform.Store
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/catkinline/catkinline/internal/options"
 )
 
 // Options set the detector. Zero fields take the defaults.
@@ -16,15 +18,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.MaxEjected <= 0 {
-		o.MaxEjected = 0.5
-	}
-	if o.Backoff <= 0 {
-		o.Backoff = 2 * time.Second
-	}
-	if o.MaxBackoff <= 0 {
-		o.MaxBackoff = time.Minute
-	}
+	options.Default(&o.MaxEjected, 0.5)
+	options.Default(&o.Backoff, 2*time.Second)
+	options.Default(&o.MaxBackoff, time.Minute)
 	if o.SlowFactor <= 1 {
 		o.SlowFactor = 5
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -61,15 +62,9 @@
 	if o.Order == "" {
 		o.Order = Remaining
 	}
-	if o.MaxPatience <= 0 {
-		o.MaxPatience = DefaultMaxPatience
-	}
-	if o.HalfWork <= 0 {
-		o.HalfWork = DefaultHalfWork
-	}
-	if o.Window <= 0 {
-		o.Window = DefaultWindow
-	}
+	options.Default(&o.MaxPatience, DefaultMaxPatience)
+	options.Default(&o.HalfWork, DefaultHalfWork)
+	options.Default(&o.Window, DefaultWindow)
 	return o
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -28,18 +29,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Delay <= 0 {
-		o.Delay = 50 * time.Millisecond // several times the latency between regions
-	}
-	if o.StaleAfter <= 0 {
-		o.StaleAfter = 3 * time.Second
-	}
-	if o.HoldGone <= 0 {
-		o.HoldGone = 30 * time.Second // the longest usual task
-	}
-	if o.MinShare <= 0 {
-		o.MinShare = 0.2
-	}
+	options.Default(&o.Delay, 50*time.Millisecond) // several times the latency between regions
+	options.Default(&o.StaleAfter, 3*time.Second)
+	options.Default(&o.HoldGone, 30*time.Second) // the longest usual task
+	options.Default(&o.MinShare, 0.2)
 	return o
 }
 
--- a/slots/table.go
+++ b/slots/table.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -50,21 +51,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Slots, DefaultSlots)
-	setDefault(&o.GrantTTL, DefaultGrantTTL)
-	setDefault(&o.RetentionBytes, DefaultRetentionBytes)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.Silence, DefaultSilence)
-	setDefault(&o.Identities, DefaultIdentities)
+	options.Default(&o.Slots, DefaultSlots)
+	options.Default(&o.GrantTTL, DefaultGrantTTL)
+	options.Default(&o.RetentionBytes, DefaultRetentionBytes)
+	options.Default(&o.Retention, DefaultRetention)
+	options.Default(&o.Silence, DefaultSilence)
+	options.Default(&o.Identities, DefaultIdentities)
 	return o
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // run is one running task.
 type run struct {
 	task  wire.TaskID
