Bound what one start looks at in a large fleet

The scheduler now counts unused slots, which the tests compare with the sum, and compares 32 targets with a free slot, more only while none is near. Fleets of up to 32 targets choose as before.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -35,6 +35,9 @@
 	heads := make(map[string]wire.Demand, 1)
 	told := make(map[string]int, 1)
 	for i := range s.ordered {
+		if s.queue.Waiting() == 0 && s.demanding == 0 {
+			break
+		}
 		t := s.ordered[(s.demandTurn+i)%len(s.ordered)]
 		if !t.usable() {
 			continue
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -338,9 +338,19 @@
 	}
 }
 
-// checkStarts fails the test if any task started twice.
+// checkStarts fails the test if any task started twice, or if a scheduler's count
+// of unused slots is not the sum over its targets.
 func (f *fleet) checkStarts() {
 	f.t.Helper()
+	for _, e := range f.entries {
+		sum := 0
+		for _, t := range e.s.ordered {
+			sum += t.credit(wire.ClassShort)
+		}
+		if sum != e.s.credits {
+			f.t.Errorf("%s counts %d unused slots, its targets have %d", e.name, e.s.credits, sum)
+		}
+	}
 	for id, n := range f.starts {
 		if n > 1 {
 			f.t.Errorf("task %s started %d times", id, n)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -64,6 +64,7 @@
 
 func (s *Scheduler) dropGrants(t *target) {
 	for _, g := range t.grants {
+		s.credits -= int(g.left)
 		s.record.Add(metrics.GrantsUnused, int64(g.left))
 	}
 	t.grants = nil
@@ -165,7 +166,9 @@
 	s.waste(2) // the start and its refusal
 	switch o.Code {
 	case result.GrantExpired, result.SlotsFull:
-		s.record.Add(metrics.GrantsUnused, int64(t.dropUpTo(a.grant)))
+		dropped := t.dropUpTo(a.grant)
+		s.credits -= dropped
+		s.record.Add(metrics.GrantsUnused, int64(dropped))
 	case result.Draining:
 		t.announce.Draining = true
 		s.dropGrants(t)
@@ -196,6 +199,7 @@
 		return
 	}
 	t.unanswered = false
+	s.credits += int(g.Slots)
 	t.grants = append(t.grants, grant{id: g.ID, left: g.Slots, shortOnly: g.ShortOnly})
 }
 
@@ -214,6 +218,7 @@
 		if !used {
 			s.waste(1) // the grant led to no start
 		}
+		s.credits -= int(left)
 		s.record.Add(metrics.GrantsUnused, int64(left))
 		back.Grants = append(back.Grants, wire.GrantSlots{ID: g.ID, Slots: left})
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -143,11 +143,7 @@
 
 // trackRate tells the measured rate what this entry holds.
 func (s *Scheduler) trackRate(now time.Time) {
-	held := s.tasksOut
-	for _, t := range s.ordered {
-		held += t.credit(wire.ClassShort)
-	}
-	s.rate.Track(held, s.queue.Waiting() > 0, now)
+	s.rate.Track(s.tasksOut+s.credits, s.queue.Waiting() > 0, now)
 }
 
 // adjust changes what a job is counted with in the bounds.
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -107,7 +107,7 @@
 }
 
 func (s *Scheduler) startNext(now time.Time) bool {
-	if s.queue.Waiting() == 0 {
+	if s.queue.Waiting() == 0 || s.credits == 0 {
 		return false
 	}
 	general, shortOnly := s.groupsWithCredit(now)
@@ -186,18 +186,35 @@
 	return true
 }
 
+// chooseSample bounds the candidates that are compared for one start, so that its
+// cost does not grow with the fleet. The least used of 32 targets is used hardly
+// more than the least used of all.
+const chooseSample = 32
+
 // chooseTarget returns the nearest target with a free slot for the job, the
-// least loaded one among equally near.
+// least loaded one among equally near. In a large fleet it compares a sample that
+// begins at another target each time, and goes on until one is near.
 func (s *Scheduler) chooseTarget(j *activeJob, now time.Time) *target {
 	var best *target
 	class := j.nextClass()
-	for _, t := range j.group.targets {
+	targets := j.group.targets
+	first := 0
+	if len(targets) > chooseSample {
+		s.chooseTurn++
+		first = s.chooseTurn % len(targets)
+	}
+	seen := 0
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
 		if !s.mayStart(t, now) || t.credit(class) == 0 {
 			continue
 		}
 		if best == nil || s.better(t, best) {
 			best = t
 		}
+		if seen++; seen >= chooseSample && best.distance == distanceDomain {
+			break
+		}
 	}
 	return best
 }
@@ -230,6 +247,7 @@
 	if !ok {
 		return false
 	}
+	s.credits--
 	id, ok := j.job.MarkOut(index)
 	if !ok {
 		return false
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -74,6 +74,8 @@
 	queue      *queue.Queue
 	unbound    []boundTask // push baselines only
 	tasksOut   int
+	credits    int          // unused slots of all grants
+	chooseTurn int          // where the next sample of targets begins
 	lastJob    uint64       // number of the newest job
 	demanding  int          // targets whose last demand from here is not empty
 	ready      []readyStart // starts of the running pump
