Join two sets of client tests that guarded against the same failures

Every case of the smaller file is in the larger one: cut off and longer than due as "cut in the body" and "cut, but valid JSON", half an answer and an answer without a state as new cases, the whole answer in the test of the stale connection, and the job that was not sent in TestRefusedConnectionsAreCertain.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -51,6 +51,8 @@
 		"other JSON":           head + "Content-Length: 2\r\n\r\n[]",
 		"unknown state":        head + "Content-Length: 17\r\n\r\n{\"state\":\"later\"}",
 		"two answers":          head + "Content-Length: 80\r\n\r\n" + whole + whole,
+		"half an answer":       head + "Content-Length: 20\r\n\r\n" + whole[:20],
+		"no state":             head + "Content-Length: 17\r\n\r\n{\"results\":[\"a\"]}",
 		"not HTTP":             "SSH-2.0-x\r\n",
 	} {
 		var calls atomic.Int32
@@ -79,8 +81,8 @@
 		}
 		hijack(w, "")
 	})
-	if _, err := c.Submit(t.Context(), "s", testJob); err != nil {
-		t.Fatal(err)
+	if a, err := c.Submit(t.Context(), "s", testJob); err != nil || len(a.Results) != 1 {
+		t.Fatalf("answer %+v, error %v", a, err)
 	}
 	if _, err := c.Submit(t.Context(), "s", testJob); !errors.Is(err, ErrBroken) {
 		t.Errorf("error %v", err)
