Look a link's target up in one place, and drop an unused listing of metrics

Five handlers of the scheduler had the same check that a link is still the current one of its target. Registry.Keys had no caller. No behaviour changes.

--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -50,8 +50,8 @@
 func (s *Scheduler) LinkDown(name string, link Sender, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
+	t := s.linked(name, link)
+	if t == nil {
 		return
 	}
 	s.dropGrants(t)
@@ -62,6 +62,16 @@
 	s.pump(now)
 }
 
+// linked returns the target that a link belongs to, or nil for a link that was
+// replaced by a newer one or whose target is forgotten.
+func (s *Scheduler) linked(name string, link Sender) *target {
+	t := s.targets[name]
+	if t == nil || t.link != link {
+		return nil
+	}
+	return t
+}
+
 func (s *Scheduler) dropGrants(t *target) {
 	for _, g := range t.grants {
 		s.credits -= int(g.left)
@@ -185,8 +195,8 @@
 func (s *Scheduler) HandleGrant(name string, link Sender, g *wire.Grant, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
+	t := s.linked(name, link)
+	if t == nil {
 		return
 	}
 	t.load = g.Load
@@ -207,8 +217,8 @@
 func (s *Scheduler) HandleRevoke(name string, link Sender, r *wire.Revoke, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
+	t := s.linked(name, link)
+	if t == nil {
 		return
 	}
 	s.waste(2) // the request and its answer
@@ -229,8 +239,8 @@
 func (s *Scheduler) HandleAnnounce(name string, link Sender, a *wire.Announce, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
+	t := s.linked(name, link)
+	if t == nil {
 		return
 	}
 	t.announce = *a
@@ -244,8 +254,8 @@
 func (s *Scheduler) HandleLeave(name string, link Sender, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
+	t := s.linked(name, link)
+	if t == nil {
 		return
 	}
 	t.announce.Draining = true
--- a/metrics/registry.go
+++ b/metrics/registry.go
@@ -4,7 +4,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -135,17 +134,3 @@
 	v.snapshot.Store(&known)
 	return m
 }
-
-// Keys returns the sorted names and tags of all counters, for tests.
-func (r *Registry) Keys() []string {
-	known := r.counters.snapshot.Load()
-	if known == nil {
-		return nil
-	}
-	keys := make([]string, 0, len(*known))
-	for k := range *known {
-		keys = append(keys, strings.ReplaceAll(k, "\x00", " "))
-	}
-	sort.Strings(keys)
-	return keys
-}
