--- a/agent/process.go
+++ b/agent/process.go
@@ -15,9 +15,9 @@
 
 	"github.com/catkinline/catkinline/agent/runner"
 	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
-	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/slots"
@@ -45,7 +45,7 @@
 	metrics     *metrics.Registry
 	incarnation wire.Incarnation
 	credentials *transport.Credentials
-	store       platform.Store // nil: none
+	store       kv.Store // nil: none
 	agent       *Agent
 	tomb        tomb.Tomb
 	dialling    sync.Map // addresses of entries that a loop dials
@@ -58,7 +58,7 @@
 }
 
 // NewProcess returns a process that Run starts.
-func NewProcess(s settings.Agent, store platform.Store, log *zap.Logger) (*Process, error) {
+func NewProcess(s settings.Agent, store kv.Store, log *zap.Logger) (*Process, error) {
 	credentials, err := transport.NewCredentials(s.TLS, transport.Identity{Role: wire.RoleAgent, Name: s.Name})
 	if err != nil {
 		return nil, err
--- a/claim/acquire.go
+++ b/claim/acquire.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -81,9 +81,9 @@
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, kv.ErrUnknown):
 			a.uncertain = true
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, kv.ErrConflict):
 			return 0, c.refuse(err.Error())
 		}
 		version, err = c.inspect(ctx, a)
@@ -99,7 +99,7 @@
 // attempt is over, and neither if the write is to be tried again.
 func (c *Claims) inspect(ctx context.Context, a *attempt) (uint64, error) {
 	e, err := c.store.Get(ctx, a.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
--- a/claim/backlog.go
+++ b/claim/backlog.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 )
 
 const (
@@ -175,7 +175,7 @@
 			c.recorded(t, version)
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kv.ErrConflict) {
 			// The next attempt meets a write that was applied as a conflict.
 			return err
 		}
@@ -191,7 +191,7 @@
 // nothing is left to do; otherwise the task expects the version that was read.
 func (c *Claims) reread(ctx context.Context, t *task) (done bool, err error) {
 	e, err := c.store.Get(ctx, t.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return false, err
 	}
 	if e.Version <= t.expected {
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -19,7 +19,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/catkinline/catkinline/internal/options"
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -101,7 +101,7 @@
 }
 
 // New returns the claims of an entry's incarnation.
-func New(store platform.Store, self wire.Incarnation, o Options) *Claims {
+func New(store kv.Store, self wire.Incarnation, o Options) *Claims {
 	o = o.withDefaults()
 	return &Claims{
 		store:    &limitedStore{inner: store, slots: make(chan struct{}, o.InFlight)},
--- a/claim/retain.go
+++ b/claim/retain.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 )
 
 // deleteInterval is the time between two rounds of deletions.
@@ -72,7 +72,7 @@
 			return true
 		}
 		err := c.store.Delete(ctx, o.key, o.version)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, kv.ErrConflict) {
 			return false
 		}
 		if err == nil {
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 )
 
 const (
@@ -48,7 +48,7 @@
 func (c *Claims) sweepDue(ctx context.Context) bool {
 	e, err := c.store.Get(ctx, sweepDoneKey)
 	if err != nil {
-		return errors.Is(err, platform.ErrNotFound)
+		return errors.Is(err, kv.ErrNotFound)
 	}
 	var last time.Time
 	// An unreadable time counts as long ago.
@@ -59,7 +59,7 @@
 // sweeper is one sweep under its lock.
 type sweeper struct {
 	*Claims
-	lease   platform.LeaseID
+	lease   kv.LeaseID
 	renewed time.Time
 }
 
@@ -75,7 +75,7 @@
 	defer func() { _ = store.RevokeLease(ctx, lease) }()
 	owner := strconv.FormatUint(uint64(c.self), 10)
 	_, err = store.CompareAndSwap(ctx, sweepLockKey, 0, []byte(owner), lease)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kv.ErrConflict) {
 		return errSweepHeld
 	}
 	if err != nil {
@@ -121,7 +121,7 @@
 			return err
 		}
 		err := s.store.Delete(ctx, e.Key, e.Version)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 		s.counters.swept.Add(1)
@@ -158,7 +158,7 @@
 		return err
 	}
 	e, err := c.store.Get(ctx, sweepDoneKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
 	_, err = c.store.CompareAndSwap(ctx, sweepDoneKey, e.Version, now)
--- a/command/command.go
+++ b/command/command.go
@@ -32,6 +32,8 @@
 var subcommands = []subcommand{
 	{"entry", "take jobs from callers and dispatch their tasks", runEntry},
 	{"agent", "run tasks on the target beside it", runAgent},
+	{"gateway", "take callers' jobs on the platform and place their tasks", runGateway},
+	{"sidecar", "order the runs of the target beside it on the platform", runSidecar},
 	{"submit", "send a job and print its answer", runSubmit},
 	{"demo", "run the whole path in one process", runDemo},
 	{"load", "drive a fleet of real processes and measure it", runLoad},
--- a/command/demo.go
+++ b/command/demo.go
@@ -16,7 +16,7 @@
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/entry"
 	"github.com/catkinline/catkinline/label"
-	"github.com/catkinline/catkinline/platform/httpstore"
+	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/standin"
 	"go.uber.org/zap"
@@ -121,7 +121,7 @@
 	case err := <-d.failure:
 		return err
 	}
-	store, err := httpstore.New(d.store, httpstore.Options{})
+	store, err := platform.NewStore(d.store, platform.StoreOptions{})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/command/node.go
@@ -0,0 +1,175 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/gateway"
+	"github.com/catkinline/catkinline/internal/asyncwriter"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/sidecar"
+)
+
+// storeWatch is how long one watch on the platform's store waits. Each call is
+// priced; a watch that goes silent is found by the connection's probes.
+const storeWatch = 10 * time.Second
+
+type nodeArgs struct {
+	Settings  string `arg:"--settings" help:"settings file of the platform (default: the path in CATKINLINE_SETTINGS)"`
+	AdminPort int    `arg:"--admin-port" default:"9464" help:"TCP port of the metrics page; 0: none"`
+	LogLevel  string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
+type gatewayArgs struct{ nodeArgs }
+
+// Description implements arg.Described.
+func (gatewayArgs) Description() string {
+	return "Takes callers' jobs on the platform and places their tasks on targets. SIGTERM begins a planned stop, SIGHUP reads the settings again."
+}
+
+// Epilogue implements arg.Epilogued.
+func (gatewayArgs) Epilogue() string {
+	return "Example:\n  CATKINLINE_SETTINGS=/etc/catkinline/local.json catkinline gateway"
+}
+
+type sidecarArgs struct{ nodeArgs }
+
+// Description implements arg.Described.
+func (sidecarArgs) Description() string {
+	return "Runs beside one target of the platform and orders all of its runs. SIGTERM begins a planned stop, SIGHUP reads the settings again."
+}
+
+// Epilogue implements arg.Epilogued.
+func (sidecarArgs) Epilogue() string {
+	return "Example:\n  CATKINLINE_SETTINGS=/etc/catkinline/local.json catkinline sidecar"
+}
+
+func runGateway(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a gatewayArgs
+	if exit, ok := parseArgs("gateway", &a, args, stdout, stderr); !ok {
+		return exit
+	}
+	return a.run(ctx, "entry", stderr, func(n nodeProcess) (process, error) {
+		return gateway.New(gateway.Options{
+			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
+			RoutesKey: platform.RoutesKey, Decode: platform.DecodeRoutes,
+			Callers:   func(g *gateway.Gateway) http.Handler { return platform.JobHandler(g) },
+			AdminPort: a.AdminPort,
+		})
+	})
+}
+
+func runSidecar(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a sidecarArgs
+	if exit, ok := parseArgs("sidecar", &a, args, stdout, stderr); !ok {
+		return exit
+	}
+	return a.run(ctx, "agent", stderr, func(n nodeProcess) (process, error) {
+		return sidecar.NewProcess(sidecar.ProcessOptions{
+			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
+			Target:     platform.NewRunner(n.node.TargetAddress),
+			Reports:    func(s *sidecar.Sidecar) http.Handler { return platform.ReportHandler(s, n.log) },
+			LinkSecret: gateway.LinkSecret, Timing: gateway.LinkTiming, AdminPort: a.AdminPort,
+		})
+	})
+}
+
+// nodeProcess is what the roles on the platform share.
+type nodeProcess struct {
+	node    settings.Node
+	log     *zap.Logger
+	metrics *metrics.Registry
+	store   *platform.Store
+}
+
+// run reads the settings, builds a role and runs it. Log lines go to standard
+// output and never block the role.
+func (a nodeArgs) run(ctx context.Context, role string, stderr io.Writer, build func(nodeProcess) (process, error)) int {
+	path := a.path()
+	node, err := platform.LoadNode(path)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	writer := asyncwriter.New(os.Stdout, asyncwriter.Lines)
+	defer writer.Close()
+	log, err := settings.NewLogger(settings.Log{Level: a.LogLevel}, writer)
+	if err != nil {
+		return failed(stderr, err)
+	}
+	defer settings.CaptureStandardLog(log)()
+	store, err := platform.NewStore(node.StoreURL, platform.StoreOptions{WatchWait: storeWatch})
+	if err != nil {
+		return failed(stderr, err)
+	}
+	registry := metrics.New(map[string]string{"role": role, "instance": node.Name})
+	p, err := build(nodeProcess{node: node, log: log, metrics: registry, store: store})
+	if err != nil {
+		return failed(stderr, err)
+	}
+	defer watchReload(path, node, log)()
+	if err := p.Run(ctx); err != nil {
+		log.Error("process ends", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+func (a nodeArgs) path() string {
+	if a.Settings != "" {
+		return a.Settings
+	}
+	return os.Getenv(platform.SettingsVariable)
+}
+
+// reloadInterval is how often the settings file is compared: it may change
+// without a signal.
+const reloadInterval = 2 * time.Second
+
+// watchReload reads the settings again on SIGHUP and when the file changes. What
+// a process uses is fixed for its life (addresses and names), so that a reload
+// checks the file and tells what would change at the next start.
+func watchReload(path string, current settings.Node, log *zap.Logger) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ended := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(reloadInterval)
+		defer ticker.Stop()
+		for {
+			signalled := false
+			select {
+			case <-ended:
+				return
+			case <-signals:
+				signalled = true
+			case <-ticker.C:
+			}
+			current = reload(path, current, signalled, log)
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(ended)
+	}
+}
+
+func reload(path string, current settings.Node, signalled bool, log *zap.Logger) settings.Node {
+	next, err := platform.LoadNode(path)
+	if err != nil {
+		log.Warn("settings cannot be read again; the earlier ones stay in use", zap.Error(err))
+		return current
+	}
+	if next != current || signalled {
+		log.Info("settings read again", zap.Bool("changed", next != current), zap.Bool("signal", signalled))
+	}
+	return next
+}
--- a/command/process.go
+++ b/command/process.go
@@ -9,8 +9,8 @@
 
 	"github.com/catkinline/catkinline/agent"
 	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/platform"
-	"github.com/catkinline/catkinline/platform/httpstore"
 	"github.com/catkinline/catkinline/settings"
 	"go.uber.org/zap"
 )
@@ -44,7 +44,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
-	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store platform.Store) (process, error) {
+	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store kv.Store) (process, error) {
 		return entry.New(entry.Options{Settings: s, Log: log, Store: store})
 	})
 }
@@ -72,14 +72,14 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
-	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store platform.Store) (process, error) {
+	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store kv.Store) (process, error) {
 		return agent.NewProcess(s, store, log)
 	})
 }
 
 // runProcess builds a role's logger and store, then the role, and runs it.
 func runProcess(ctx context.Context, stderr io.Writer, l settings.Log, s settings.Store,
-	build func(*zap.Logger, platform.Store) (process, error)) int {
+	build func(*zap.Logger, kv.Store) (process, error)) int {
 	log, err := settings.NewLogger(l, os.Stderr)
 	if err != nil {
 		return failed(stderr, err)
@@ -100,12 +100,12 @@
 }
 
 // newStore returns the adapter of the platform's store, or nil without one.
-func newStore(s settings.Store) (platform.Store, error) {
+func newStore(s settings.Store) (kv.Store, error) {
 	if s.URL == "" {
 		return nil, nil
 	}
 	timeout := time.Duration(s.TimeoutMS) * time.Millisecond
-	return httpstore.New(s.URL, httpstore.Options{Timeout: timeout})
+	return platform.NewStore(s.URL, platform.StoreOptions{Timeout: timeout})
 }
 
 func failed(stderr io.Writer, err error) int {
--- a/config/applier.go
+++ b/config/applier.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
 )
@@ -24,7 +24,7 @@
 // Applier applies operators' changes by compare-and-swap on the store's key. It
 // holds no state of its own; any number of them may work on one store.
 type Applier struct {
-	Store  platform.Store
+	Store  kv.Store
 	Holder *Holder // adopts what was applied, before the store confirms it to watches
 }
 
@@ -66,7 +66,7 @@
 // ApplyText is Apply of a text as Parse reads it. Faults carry their positions
 // in the text.
 func (a *Applier) ApplyText(ctx context.Context, id string, base uint64, data []byte) Result {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > kv.MaxValueBytes {
 		return oversized(len(data))
 	}
 	d, faults := decode(data)
@@ -136,7 +136,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	e, err := a.Store.Get(ctx, Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return version{}, nil
 	}
 	if err != nil {
@@ -248,11 +248,11 @@
 	case err == nil:
 		c.adopt(revision, body)
 		return accepted(revision), true
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrConflict):
 		c.lowest = current.revision + 1
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, kv.ErrTooLarge):
 		return oversized(len(body)), true
-	case !errors.Is(err, platform.ErrUnavailable):
+	case !errors.Is(err, kv.ErrUnavailable):
 		c.open, c.openAt, c.lowest = true, current.revision, current.revision
 	}
 	c.lastErr = err
--- a/config/document.go
+++ b/config/document.go
@@ -6,8 +6,8 @@
 import (
 	"encoding/json"
 
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/label"
-	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/settings"
 )
 
@@ -26,7 +26,7 @@
 
 	// MaxBytes bounds the encoded document without its changes; changesBytes
 	// of the store's limit are kept for them (each takes at most 150 bytes).
-	MaxBytes     = platform.MaxValueBytes - changesBytes
+	MaxBytes     = kv.MaxValueBytes - changesBytes
 	changesBytes = 16 << 10
 )
 
@@ -139,7 +139,7 @@
 // Parse reads a document that an operator wrote: JSON with comments, unknown
 // fields refused. The errors are those of decoding and of Validate.
 func Parse(data []byte) (Document, settings.Errors) {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > kv.MaxValueBytes {
 		return Document{}, tooLarge(len(data))
 	}
 	d, faults := decode(data)
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 )
 
 // Times of a Watcher. A change must take effect everywhere within 4 s. A watch
@@ -30,7 +30,7 @@
 // a connection can go silent without an error. Neither a store that is down nor
 // one that answers with old data makes the holder go back.
 type Watcher struct {
-	store  platform.Store
+	store  kv.Store
 	holder *Holder
 	log    *zap.Logger
 	tomb   tomb.Tomb
@@ -46,7 +46,7 @@
 }
 
 // StartWatcher starts watching.
-func StartWatcher(store platform.Store, holder *Holder, log *zap.Logger) *Watcher {
+func StartWatcher(store kv.Store, holder *Holder, log *zap.Logger) *Watcher {
 	w := &Watcher{store: store, holder: holder, log: log}
 	w.pause = backoff{lowest: watchPauseLowest, longest: watchPauseLongest}
 	w.tomb.Go(w.loop)
@@ -169,7 +169,7 @@
 	}
 }
 
-func (w *Watcher) adopt(e platform.Entry) {
+func (w *Watcher) adopt(e kv.Entry) {
 	if e.Key != Key || e.Version <= w.invalid {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,9 +16,9 @@
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/dispatch"
 	"github.com/catkinline/catkinline/job"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
-	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
@@ -37,7 +37,7 @@
 	metrics     *metrics.Registry
 	incarnation wire.Incarnation
 	credentials *transport.Credentials
-	store       *platform.Counted // nil without a store
+	store       *kv.Counted // nil without a store
 	config      *config.Holder
 	watcher     *config.Watcher // nil without a store
 	members     *member.Members
@@ -72,7 +72,7 @@
 type Options struct {
 	Settings settings.Entry
 	Log      *zap.Logger
-	Store    platform.Store // nil: none
+	Store    kv.Store // nil: none
 }
 
 // New returns an entry that Run starts.
@@ -96,12 +96,12 @@
 		agents:      make(map[*transport.Link]*agentLink),
 		peers:       make(map[*transport.Link]bool),
 		confirmed:   make(map[string]uint64),
-		calls:       callReporter{reported: make(map[platform.Count]uint64)},
+		calls:       callReporter{reported: make(map[kv.Count]uint64)},
 	}
 	e.quotas = newQuotaBook(o.Settings.Name, e.incarnation)
 	e.schedulers.Store(&map[string]*dispatch.Scheduler{})
 	if o.Store != nil {
-		e.store = platform.NewCounted(o.Store)
+		e.store = kv.NewCounted(o.Store)
 	}
 	return e, nil
 }
--- a/entry/storecalls.go
+++ b/entry/storecalls.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/metrics"
-	"github.com/catkinline/catkinline/platform"
 )
 
 // callReporter moves the running counts of store calls to the metrics page.
 type callReporter struct {
-	reported map[platform.Count]uint64 // by operation and outcome, Calls zeroed
+	reported map[kv.Count]uint64 // by operation and outcome, Calls zeroed
 }
 
 // recordStoreCalls adds what has been called since the last reading.
@@ -16,10 +16,10 @@
 		return
 	}
 	for _, c := range e.store.Counts() {
-		if c.Outcome == platform.OutcomePending {
+		if c.Outcome == kv.OutcomePending {
 			continue // a gauge; the call is counted when it ends
 		}
-		key := platform.Count{Op: c.Op, Outcome: c.Outcome}
+		key := kv.Count{Op: c.Op, Outcome: c.Outcome}
 		if fresh := c.Calls - e.calls.reported[key]; fresh > 0 {
 			e.metrics.Add(metrics.StoreCalls, int64(fresh), metrics.TagOperation, c.Op.String(), metrics.TagResult, c.Outcome.String())
 			e.calls.reported[key] = c.Calls
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,243 @@
+// Package gateway is the entry process for jobs with sized tasks: it accepts
+// callers' jobs, has them placed on the targets whose agents are linked to it,
+// and follows the operators' routes.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/catkinline/catkinline/internal/standstill"
+	"github.com/catkinline/catkinline/kv"
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// Error is the class of errors of a gateway's life cycle.
+var Error = errs.Class("gateway")
+
+// Options are what a gateway needs.
+type Options struct {
+	Node      settings.Node
+	Log       *zap.Logger
+	Metrics   *metrics.Registry
+	Store     kv.Store
+	RoutesKey string                                        // store key of the operators' routes
+	Decode    func(document []byte) (*routing.Table, error) // reads the routes
+	Callers   func(*Gateway) http.Handler                   // serves the callers' address
+	AdminPort int                                           // TCP, for metrics; 0: none
+}
+
+// Gateway is a running entry.
+type Gateway struct {
+	opts        Options
+	node        settings.Node
+	log         *zap.Logger
+	store       kv.Store
+	incarnation wire.Incarnation
+	credentials *transport.Credentials
+	scheduler   *placement.Scheduler
+	members     *member.Members
+	standstill  *standstill.Detector
+	listener    *transport.Listener
+	tomb        tomb.Tomb
+
+	routes   atomic.Pointer[routing.Table]
+	stopping atomic.Bool // a planned stop has begun
+	refusing atomic.Bool // new jobs are refused
+	requests atomic.Int64
+	servers  []*http.Server
+
+	mu     sync.Mutex
+	agents map[*transport.Link]bool
+	peers  map[*transport.Link]bool
+	dials  map[string]bool // addresses of peers that a loop dials
+	asked  map[string]uint64
+}
+
+// New returns a gateway that Run starts.
+func New(o Options) (*Gateway, error) {
+	self := transport.Identity{Role: wire.RoleEntry, Name: o.Node.Name}
+	credentials, err := transport.NewCredentials(settings.TLS{DevelopmentSecret: LinkSecret}, self)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		opts:        o,
+		node:        o.Node,
+		log:         o.Log,
+		store:       o.Store,
+		incarnation: wire.NewIncarnation(time.Now()),
+		credentials: credentials,
+		agents:      make(map[*transport.Link]bool),
+		peers:       make(map[*transport.Link]bool),
+		dials:       make(map[string]bool),
+	}
+	g.scheduler = placement.New(placement.Options{
+		FailureDomain: o.Node.FailureDomain,
+		Random:        rand.New(rand.NewPCG(uint64(g.incarnation), 1)),
+		Observer:      observer{log: o.Log, metrics: o.Metrics},
+		GoneAfter:     GoneAfter,
+		Entries:       func() int { return len(g.members.Snapshot().Peers) + 1 },
+	})
+	return g, nil
+}
+
+// Run serves until ctx is cancelled, which begins a planned stop, and returns
+// when that stop has ended.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.standstill = standstill.Start(maxPause)
+	defer g.standstill.Stop()
+	if err := g.start(); err != nil {
+		return err
+	}
+	g.log.Info("gateway started", zap.String("name", g.node.Name), zap.String("callers", g.node.CallerAddress), zap.Uint64("incarnation", uint64(g.incarnation)))
+	select {
+	case <-ctx.Done():
+		g.drain()
+	case <-g.tomb.Dying():
+	}
+	return g.stop()
+}
+
+func (g *Gateway) start() error {
+	g.members = member.New(g.store, g.self(), member.Options{MaxBackoff: memberBackoff, Log: g.log})
+	listener, err := transport.Listen(g.node.LinkAddress(), g.linkOptions())
+	if err != nil {
+		return err
+	}
+	g.listener = listener
+	if err := g.serve(g.node.CallerAddress, g.opts.Callers(g)); err != nil {
+		return err
+	}
+	if err := g.serve(g.node.ReadyAddress, g.readyRoutes()); err != nil {
+		return err
+	}
+	if err := g.serveAdmin(); err != nil {
+		return err
+	}
+	g.members.Start()
+	g.tomb.Go(func() error {
+		g.tomb.Go(g.routesLoop)
+		g.tomb.Go(g.peerLoop)
+		g.tomb.Go(g.tickLoop)
+		g.tomb.Go(g.gaugeLoop)
+		return nil
+	})
+	return nil
+}
+
+func (g *Gateway) self() wire.Peer {
+	return wire.Peer{
+		Name: g.node.Name, Address: g.node.LinkAddress(), FailureDomain: g.node.FailureDomain,
+		Region: g.node.Region, Incarnation: g.incarnation,
+	}
+}
+
+// serve serves HTTP on an address until the gateway stops.
+func (g *Gateway) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          settings.ServerLog(g.log),
+	}
+	g.servers = append(g.servers, server)
+	g.tomb.Go(func() error {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// Find returns the route of a request and the version that selected it, or one of
+// routing.ErrNoTable and routing.ErrNoRoute.
+func (g *Gateway) Find(host, path string) (routing.Route, uint64, error) {
+	table := g.routes.Load()
+	if table == nil {
+		return routing.Route{}, 0, routing.ErrNoTable
+	}
+	route, ok := table.Find(host, path)
+	if !ok {
+		return routing.Route{}, table.Version, routing.ErrNoRoute
+	}
+	return route, table.Version, nil
+}
+
+// Submit runs a job and returns its answer. A caller that goes away ends it.
+func (g *Gateway) Submit(ctx context.Context, r placement.Request) placement.Answer {
+	g.requests.Add(1)
+	defer g.requests.Add(-1)
+	if g.refusing.Load() {
+		return placement.Answer{Outcome: placement.Refused, Reason: "the entry is stopping", RetryAfter: time.Second}
+	}
+	ticket, refusal := g.scheduler.Submit(r, time.Now())
+	if refusal != nil {
+		return *refusal
+	}
+	select {
+	case a := <-ticket.Done():
+		return a
+	case <-ctx.Done():
+		ticket.Cancel(time.Now())
+		return <-ticket.Done()
+	}
+}
+
+// Cancel ends a job and reports whether it was here.
+func (g *Gateway) Cancel(id string) bool { return g.scheduler.Cancel(id, time.Now()) }
+
+// State reports whether a job is here and whether a task of it has started.
+func (g *Gateway) State(id string) (known, started bool) { return g.scheduler.Running(id) }
+
+// Pending returns the number of jobs of a route that have not started.
+func (g *Gateway) Pending(route string) int { return g.scheduler.Pending(route) }
+
+// Draining reports whether connections should be given up after their answers.
+func (g *Gateway) Draining() bool { return g.stopping.Load() }
+
+// tickLoop does what is due in the scheduler. After a pause it first ends the
+// jobs whose callers may have been served elsewhere.
+func (g *Gateway) tickLoop() error {
+	ticker := time.NewTicker(placement.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			g.checkPause()
+			g.scheduler.Tick(time.Now())
+		}
+	}
+}
+
+// checkPause ends all jobs after a pause: the agents have stopped their runs, and
+// callers may have sent them to other entries.
+func (g *Gateway) checkPause() {
+	if !g.standstill.Paused() {
+		return
+	}
+	g.log.Warn("this process stood still", zap.Duration("longer_than", maxPause))
+	g.scheduler.AbandonAll("the entry stood still", time.Now())
+}
--- /dev/null
+++ b/gateway/links.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+)
+
+func (g *Gateway) linkOptions() transport.Options {
+	return transport.Options{
+		Self:        transport.Identity{Role: wire.RoleEntry, Name: g.node.Name},
+		Incarnation: g.incarnation,
+		Credentials: g.credentials,
+		Handler:     linkHandler{g},
+		Revision:    g.version,
+		Counter:     metrics.Messages{Registry: g.opts.Metrics},
+		Timing:      LinkTiming,
+	}
+}
+
+// linkHandler passes what happens on links to the gateway.
+type linkHandler struct{ g *Gateway }
+
+// LinkUp implements transport.Handler.
+func (h linkHandler) LinkUp(l *transport.Link) {
+	g := h.g
+	if l.Role() == wire.RoleEntry {
+		g.peerUp(l)
+		return
+	}
+	if !g.scheduler.LinkUp(l.Name(), l.Incarnation(), l) {
+		g.log.Warn("an earlier incarnation of an agent was refused", zap.String("agent", l.Name()))
+		_ = l.Close(nil)
+		return
+	}
+	g.mu.Lock()
+	g.agents[l] = true
+	g.mu.Unlock()
+	_ = l.Send(g.peersMessage())
+}
+
+// LinkDown implements transport.Handler.
+func (h linkHandler) LinkDown(l *transport.Link, err error) {
+	g := h.g
+	if l.Role() == wire.RoleEntry {
+		g.peerDown(l, err)
+		return
+	}
+	g.mu.Lock()
+	delete(g.agents, l)
+	g.mu.Unlock()
+	g.log.Info("agent link ended", zap.String("agent", l.Name()), zap.Error(err))
+	g.scheduler.LinkDown(l.Name(), l, time.Now())
+}
+
+// Handle implements transport.Handler.
+func (h linkHandler) Handle(l *transport.Link, m wire.Message) {
+	g := h.g
+	g.checkPause()
+	if l.Role() == wire.RoleEntry {
+		g.handlePeer(l, m)
+		return
+	}
+	now := time.Now()
+	switch m := m.(type) {
+	case *wire.TargetState:
+		g.scheduler.HandleState(l.Name(), l, m, now)
+	case *wire.Room:
+		g.scheduler.HandleRoom(l.Name(), l, m, now)
+	case *wire.RunEnd:
+		g.scheduler.HandleEnd(l.Name(), l, m, now)
+	}
+}
+
+// peersMessage lists this entry and the others that are known at first hand.
+func (g *Gateway) peersMessage() *wire.Peers {
+	return &wire.Peers{Peers: append([]wire.Peer{g.self()}, g.members.Snapshot().Direct...)}
+}
+
+func (g *Gateway) peerUp(l *transport.Link) {
+	g.mu.Lock()
+	g.peers[l] = true
+	g.mu.Unlock()
+	g.log.Info("peer linked", zap.String("peer", l.Name()))
+	_ = l.Send(&wire.Heartbeat{Revision: g.version()})
+}
+
+func (g *Gateway) peerDown(l *transport.Link, err error) {
+	g.mu.Lock()
+	delete(g.peers, l)
+	g.mu.Unlock()
+	g.log.Info("peer link ended", zap.String("peer", l.Name()), zap.Error(err))
+}
+
+func (g *Gateway) handlePeer(l *transport.Link, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Heartbeat:
+		if known := g.version(); m.Revision > known {
+			_ = l.Send(&wire.DocumentRequest{Newer: known})
+		}
+	case *wire.DocumentRequest:
+		if t := g.routes.Load(); t != nil && t.Version > m.Newer {
+			_ = l.Send(&wire.Document{Revision: t.Version, Body: t.Document})
+		}
+	case *wire.Document:
+		g.adopt(m.Body, "peer "+l.Name())
+	}
+}
+
+// peerLoop tells the agents which entries are live and keeps a link to each
+// other entry; of two entries, the one with the lower name dials.
+func (g *Gateway) peerLoop() error {
+	for {
+		snapshot := g.members.Snapshot()
+		message := g.peersMessage()
+		g.mu.Lock()
+		for l := range g.agents {
+			_ = l.Send(message)
+		}
+		g.mu.Unlock()
+		for _, p := range snapshot.Direct {
+			if g.node.Name < p.Name {
+				g.dial(p)
+			}
+		}
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case <-snapshot.Changed():
+		}
+	}
+}
+
+func (g *Gateway) dial(p wire.Peer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dials[p.Address] {
+		return
+	}
+	g.dials[p.Address] = true
+	g.tomb.Go(func() error {
+		ctx := g.tomb.Context(context.Background())
+		for g.tomb.Alive() && g.listed(p.Address) {
+			if err := transport.Dial(ctx, p.Address, g.linkOptions()); err != nil {
+				g.log.Debug("no link to peer", zap.String("address", p.Address), zap.Error(err))
+			}
+			select {
+			case <-g.tomb.Dying():
+			case <-time.After(dialInterval):
+			}
+		}
+		g.mu.Lock()
+		delete(g.dials, p.Address)
+		g.mu.Unlock()
+		return nil
+	})
+}
+
+func (g *Gateway) listed(address string) bool {
+	for _, p := range g.members.Snapshot().Direct {
+		if p.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gateway/observer.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// observer writes the scheduler's decisions to the log and the metrics: one line
+// for each job, and one for each run that did not do its task.
+type observer struct {
+	log     *zap.Logger
+	metrics *metrics.Registry
+}
+
+// JobEnded implements placement.Observer.
+func (o observer) JobEnded(r placement.JobReport) {
+	outcome := r.Answer.Outcome.String()
+	o.metrics.Add(metrics.JobsEntered, 1)
+	o.metrics.Add(metrics.JobsEnded, 1, metrics.TagWorkspace, r.Route, metrics.TagOutcome, outcome)
+	o.metrics.Duration(metrics.JobSeconds, r.Took, metrics.TagWorkspace, r.Route, metrics.TagOutcome, outcome)
+	o.log.Info("job ended",
+		zap.String("job", r.ID), zap.String("route", r.Route), zap.Uint64("version", r.Version),
+		zap.String("outcome", outcome), zap.String("reason", r.Answer.Reason), zap.Duration("retry_after", r.Answer.RetryAfter),
+		zap.Bool("in_time", r.InTime), zap.Duration("took", r.Took), zap.Duration("first_run", r.FirstRun), zap.Duration("left", r.Left),
+		zap.Int("tasks", r.Tasks), zap.Int("runs", r.Runs), zap.Int("no_room", r.NoRoom),
+		zap.Int("targets", r.Targets), zap.Int("queue", r.Queue))
+}
+
+// RunEnded implements placement.Observer.
+func (o observer) RunEnded(r placement.RunReport) {
+	o.metrics.Add(metrics.TaskOutcomes, 1, metrics.TagState, r.End.String())
+	if r.End == wire.EndDone {
+		o.metrics.Duration(metrics.TaskSeconds, r.RunTime, metrics.TagWorkspace, r.Route)
+		return
+	}
+	if r.End == wire.EndNoRoom || r.JobEnded {
+		return // the job's line has their number
+	}
+	o.log.Info("run ended", zap.String("job", r.Run.Task.Job), zap.Stringer("run", r.Run), zap.String("route", r.Route),
+		zap.String("agent", r.Agent), zap.String("target", r.Target), zap.Stringer("end", r.End), zap.String("reason", r.Reason),
+		zap.Duration("out", r.Out), zap.Duration("expected", r.Expected))
+}
+
+// TargetChanged implements placement.Observer.
+func (o observer) TargetChanged(c placement.TargetChange) {
+	o.log.Info("target changed", zap.String("agent", c.Agent), zap.String("target", c.Target), zap.String("change", c.Change), zap.String("detail", c.Detail))
+}
--- /dev/null
+++ b/gateway/routes.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/kv"
+	"github.com/catkinline/catkinline/metrics"
+)
+
+func (g *Gateway) version() uint64 {
+	if t := g.routes.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// adopt takes routes into force unless those in force are as new. It reports
+// whether they could be read.
+func (g *Gateway) adopt(document []byte, source string) bool {
+	table, err := g.opts.Decode(document)
+	if err != nil {
+		g.log.Error("routes cannot be read", zap.String("source", source), zap.Error(err))
+		return false
+	}
+	for {
+		current := g.routes.Load()
+		if current != nil && current.Version >= table.Version {
+			return true
+		}
+		if g.routes.CompareAndSwap(current, table) {
+			break
+		}
+	}
+	g.opts.Metrics.Set(metrics.ConfigRevision, float64(table.Version))
+	g.log.Info("routes in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes()), zap.String("source", source))
+	return true
+}
+
+// routesLoop keeps one watch pending on the routes' key. After a failure the key
+// is read before the next watch.
+func (g *Gateway) routesLoop() error {
+	ctx := g.tomb.Context(context.Background())
+	pause := retryLowest
+	failing := false
+	for g.tomb.Alive() {
+		err := g.followRoutes(ctx)
+		if !failing && g.tomb.Alive() {
+			g.log.Warn("store lost", zap.Error(err))
+		}
+		failing = true
+		if errors.Is(err, errRoutesRead) {
+			g.log.Info("store regained")
+			failing, pause = false, retryLowest
+		}
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, retryLongest)
+	}
+	return nil
+}
+
+// errRoutesRead marks the failure of a watch after the key had been read.
+var errRoutesRead = errors.New("gateway: the watch on the routes ended")
+
+// followRoutes reads the key and watches it until a call fails.
+func (g *Gateway) followRoutes(ctx context.Context) error {
+	after, err := g.readRoutes(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		changes, next, err := g.store.Watch(ctx, g.opts.RoutesKey, after)
+		if err != nil {
+			return errors.Join(errRoutesRead, err)
+		}
+		for _, c := range changes {
+			if !c.Deleted && c.Entry.Key == g.opts.RoutesKey {
+				g.adopt(c.Entry.Value, "watch")
+			}
+		}
+		after = max(after, next)
+	}
+}
+
+func (g *Gateway) readRoutes(ctx context.Context) (revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := g.store.Get(ctx, g.opts.RoutesKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	g.adopt(e.Value, "read")
+	return e.Version, nil
+}
--- /dev/null
+++ b/gateway/stop.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// drain is the first part of a planned stop: the balancer is told at once, jobs
+// that still arrive are served, and later refused, until none is left.
+func (g *Gateway) drain() {
+	begun := time.Now()
+	g.log.Info("planned stop begins", zap.Int64("requests", g.requests.Load()))
+	g.stopping.Store(true)
+	end := g.node.Grace
+	if end <= 0 {
+		end = refuseAfter + 2*time.Second
+	}
+	limit := time.NewTimer(max(0, end-lastMoments))
+	defer limit.Stop()
+	ticker := time.NewTicker(quietTime / 10)
+	defer ticker.Stop()
+	quiet := begun
+	for {
+		select {
+		case <-g.tomb.Dying():
+			return
+		case <-limit.C:
+			g.log.Warn("planned stop ends with requests left", zap.Int64("requests", g.requests.Load()))
+			return
+		case now := <-ticker.C:
+			if now.Sub(begun) >= refuseAfter {
+				g.refusing.Store(true)
+			}
+			if g.requests.Load() > 0 {
+				quiet = now
+			}
+			if now.Sub(begun) >= leaveAfter && now.Sub(quiet) >= quietTime {
+				return
+			}
+		}
+	}
+}
+
+// lastMoments is what the end of a planned stop may take.
+const lastMoments = 300 * time.Millisecond
+
+// stop closes what is open.
+func (g *Gateway) stop() error {
+	g.refusing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), lastMoments/2)
+	defer cancel()
+	for _, s := range g.servers {
+		// What is left after the limit is cut by the process's end.
+		_ = s.Shutdown(ctx)
+	}
+	g.tomb.Kill(nil)
+	if err := g.members.Stop(ctx); err != nil {
+		g.log.Warn("the entry stays listed until its lease ends", zap.Error(err))
+	}
+	_ = g.listener.Close()
+	err := g.tomb.Wait()
+	g.log.Info("gateway stopped", zap.Error(err))
+	return err
+}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -1,16 +1,13 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"path/filepath"
 
 	"github.com/catkinline/catkinline/label"
+	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/settings"
 )
 
@@ -155,13 +152,6 @@
 	return false
 }
 
-// storeWrite is the store's request for a compare-and-swap over HTTP.
-type storeWrite struct {
-	Key      string `json:"key"`
-	Expected uint64 `json:"expected"`
-	Value    []byte `json:"value"`
-}
-
 // configurationKey is the store key of the operators' document.
 const configurationKey = "config"
 
@@ -173,23 +163,11 @@
 	if err := f.WaitReady(ctx, storeName); err != nil {
 		return err
 	}
-	body, err := json.Marshal(storeWrite{Key: configurationKey, Value: f.options.Configuration})
-	if err != nil {
-		return Err.Wrap(err)
-	}
-	url := fmt.Sprintf("http://%s/v1/compare-and-swap", f.plan.store)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	store, err := platform.NewStore("http://"+f.plan.store, platform.StoreOptions{})
 	if err != nil {
 		return Err.Wrap(err)
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return Err.Wrap(err)
-	}
-	defer response.Body.Close()
-	answer, _ := io.ReadAll(io.LimitReader(response.Body, logTailBytes))
-	if response.StatusCode != http.StatusOK {
-		return Err.New("store refused the configuration: %s: %s", response.Status, answer)
-	}
-	return nil
+	defer store.Close()
+	_, err = store.CompareAndSwap(ctx, configurationKey, 0, f.options.Configuration, 0)
+	return Err.Wrap(err)
 }
--- a/platform/counted_test.go
+++ b/kv/counted_test.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"context"
--- a/member/directory.go
+++ b/member/directory.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -68,7 +68,7 @@
 // replace takes over a complete list from the store and reports whether the
 // entry's own key is in it. After an outage, entries that are missing get the
 // grace, since their leases may only have lapsed for want of a store.
-func (d *directory) replace(entries []platform.Entry, now time.Time, outage bool) (own bool) {
+func (d *directory) replace(entries []kv.Entry, now time.Time, outage bool) (own bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := map[string]expiring{}
@@ -103,7 +103,7 @@
 
 // change applies the changes of a watch and returns whether the entry's own key
 // is there after them.
-func (d *directory) change(changes []platform.Change, own bool) bool {
+func (d *directory) change(changes []kv.Change, own bool) bool {
 	if len(changes) == 0 {
 		return own
 	}
@@ -125,7 +125,7 @@
 }
 
 // decodePeer returns the peer of a key; a value of another name is ignored.
-func decodePeer(e platform.Entry) (wire.Peer, bool) {
+func decodePeer(e kv.Entry) (wire.Peer, bool) {
 	var p wire.Peer
 	err := json.Unmarshal(e.Value, &p)
 	return p, err == nil && Prefix+p.Name == e.Key
--- a/member/member.go
+++ b/member/member.go
@@ -12,7 +12,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/catkinline/catkinline/internal/options"
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -75,7 +75,7 @@
 
 // Members holds one entry's membership.
 type Members struct {
-	store     platform.Store
+	store     kv.Store
 	self      wire.Peer
 	options   Options
 	directory *directory
@@ -87,7 +87,7 @@
 
 // New returns the membership of an entry. Without a store (nil), the entries
 // are only those that are linked or heard of.
-func New(store platform.Store, self wire.Peer, o Options) *Members {
+func New(store kv.Store, self wire.Peer, o Options) *Members {
 	o = o.withDefaults()
 	return &Members{
 		store:     store,
@@ -234,7 +234,7 @@
 
 // watcher is the state of the watch loop.
 type watcher struct {
-	store     platform.Store
+	store     kv.Store
 	directory *directory
 	listed    bool
 	revision  uint64
@@ -277,7 +277,7 @@
 
 // Read lists the entries that the store holds, for a process that only looks
 // them up.
-func Read(ctx context.Context, store platform.Store) ([]wire.Peer, error) {
+func Read(ctx context.Context, store kv.Store) ([]wire.Peer, error) {
 	entries, _, err := store.List(ctx, Prefix)
 	if err != nil {
 		return nil, err
--- a/member/register.go
+++ b/member/register.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -18,15 +18,15 @@
 // registration is the entry's own key and its lease. One goroutine calls its
 // methods; held is also cleared from outside.
 type registration struct {
-	store platform.Store
+	store kv.Store
 	self  wire.Peer
 	key   string
 	ttl   time.Duration
-	lease platform.LeaseID // 0: none
-	held  atomic.Bool      // the key was written under the lease
+	lease kv.LeaseID  // 0: none
+	held  atomic.Bool // the key was written under the lease
 }
 
-func newRegistration(store platform.Store, self wire.Peer, ttl time.Duration) *registration {
+func newRegistration(store kv.Store, self wire.Peer, ttl time.Duration) *registration {
 	return &registration{store: store, self: self, key: Prefix + self.Name, ttl: ttl}
 }
 
@@ -45,7 +45,7 @@
 func (r *registration) renew(ctx context.Context) error {
 	if r.lease != 0 {
 		err := r.store.KeepAlive(ctx, r.lease)
-		if !errors.Is(err, platform.ErrLeaseNotFound) {
+		if !errors.Is(err, kv.ErrLeaseNotFound) {
 			return err
 		}
 		r.drop()
@@ -78,10 +78,10 @@
 		case err == nil:
 			r.held.Store(true)
 			return nil
-		case errors.Is(err, platform.ErrLeaseNotFound):
+		case errors.Is(err, kv.ErrLeaseNotFound):
 			r.drop()
 			return err
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, kv.ErrConflict):
 			// The key may have been written; the next refresh meets it as a
 			// conflict and reads it.
 			return err
@@ -100,7 +100,7 @@
 // over. Done tells that the key is this registration's own.
 func (r *registration) present(ctx context.Context) (expected uint64, done bool, err error) {
 	e, err := r.store.Get(ctx, r.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -123,7 +123,7 @@
 		return nil
 	}
 	err := r.store.RevokeLease(ctx, r.lease)
-	if errors.Is(err, platform.ErrLeaseNotFound) {
+	if errors.Is(err, kv.ErrLeaseNotFound) {
 		err = nil
 	}
 	if err == nil {
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -16,24 +16,28 @@
 	TasksWaiting = "tasks_waiting" // gauge: tasks not bound to a target
 	TasksOut     = "tasks_out"     // gauge: tasks sent without an outcome
 	QueuedBytes  = "queued_bytes"  // gauge: payload bytes of waiting tasks
+	JobsEnded    = "jobs_ended"    // answered, by workspace and outcome
 )
 
 // Counters of starts and outcomes.
 const (
-	TaskStarts      = "task_starts"      // start messages sent (entry) or tasks started on the target (agent)
-	TaskOutcomes    = "task_outcomes"    // outcomes, by state
-	StartRefusals   = "start_refusals"   // starts refused by an agent, by code
-	OutcomesIgnored = "outcomes_ignored" // late, duplicate or foreign outcomes
-	GrantsUnused    = "grants_unused"    // slots granted and returned, revoked or expired without a start
-	IdleSlotMillis  = "idle_slot_millis" // slot time in ms that was idle while an entry had waiting work
-	BadViews        = "bad_views"        // configuration views that an agent could not decode
-	StatusFailures  = "status_failures"  // status requests to a target without a usable answer
-	TargetEjections = "target_ejections" // targets taken out for failures or slowness
-	TargetsEjected  = "targets_ejected"  // gauge: targets now ejected or on probation
-	AgentsLinked    = "agents_linked"    // gauge: agents with an open link
-	PeersLinked     = "peers_linked"     // gauge: entries with an open link
-	LinksClosed     = "links_closed"     // links that closed, by reason: closed by a side, or failed
-	ConfigRevision  = "config_revision"  // gauge: revision in force in this process
+	TaskStarts       = "task_starts"       // start messages sent (entry) or tasks started on the target (agent)
+	TaskOutcomes     = "task_outcomes"     // outcomes, by state
+	StartRefusals    = "start_refusals"    // starts refused by an agent, by code
+	OutcomesIgnored  = "outcomes_ignored"  // late, duplicate or foreign outcomes
+	GrantsUnused     = "grants_unused"     // slots granted and returned, revoked or expired without a start
+	IdleSlotMillis   = "idle_slot_millis"  // slot time in ms that was idle while an entry had waiting work
+	BadViews         = "bad_views"         // configuration views that an agent could not decode
+	StatusFailures   = "status_failures"   // status requests to a target without a usable answer
+	TargetEjections  = "target_ejections"  // targets taken out for failures or slowness
+	TargetsEjected   = "targets_ejected"   // gauge: targets now ejected or on probation
+	OrdersUnanswered = "orders_unanswered" // orders to a target without an answer, by kind
+	EntriesLinked    = "entries_linked"    // gauge: entries with an open link
+	FreeCPU          = "free_cpu"          // gauge: thousandths of a core that no run uses
+	AgentsLinked     = "agents_linked"     // gauge: agents with an open link
+	PeersLinked      = "peers_linked"      // gauge: entries with an open link
+	LinksClosed      = "links_closed"      // links that closed, by reason: closed by a side, or failed
+	ConfigRevision   = "config_revision"   // gauge: revision in force in this process
 )
 
 // Counters of messages between processes and of store calls.
@@ -57,6 +61,8 @@
 // Tags of metrics.
 const (
 	TagCode      = "code"
+	TagWorkspace = "workspace"
+	TagOutcome   = "outcome"
 	TagTeam      = "team"
 	TagClass     = "class"
 	TagType      = "type"
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/config"
-	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/wire"
@@ -132,7 +132,7 @@
 		return nil
 	}
 	// One byte over the limit is enough to see that the body is too large.
-	body, err := io.ReadAll(io.LimitReader(req.Body, platform.MaxValueBytes+1))
+	body, err := io.ReadAll(io.LimitReader(req.Body, kv.MaxValueBytes+1))
 	if err != nil {
 		h.answer(w, invalid("", "the body cannot be read: "+err.Error()))
 		return nil
--- /dev/null
+++ b/placement/place.go
@@ -0,0 +1,230 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// maxScan bounds the jobs that one pump looks at behind those that found no
+// room, so that a long queue does not make every event expensive.
+const maxScan = 64
+
+// orderKey is the time, in seconds, by which jobs are served. A job with less
+// work passes one that came earlier by up to patience times the difference.
+func orderKey(j *activeJob) float64 {
+	return float64(j.arrived.UnixMicro())/1e6 + patience*j.chain().Seconds()
+}
+
+// patience is the wait that a job accepts, in multiples of its expected run
+// time.
+const patience = 2.0
+
+func (s *Scheduler) enqueue(j *activeJob) {
+	if j.queued || j.ended || j.waiting == 0 {
+		return
+	}
+	j.queued = true
+	j.key = orderKey(j)
+	at, _ := slices.BinarySearchFunc(s.queue, j, compareJobs)
+	s.queue = slices.Insert(s.queue, at, j)
+}
+
+func compareJobs(a, b *activeJob) int {
+	if c := cmp.Compare(a.key, b.key); c != 0 {
+		return c
+	}
+	return strings.Compare(a.request.Job.ID, b.request.Job.ID)
+}
+
+func (s *Scheduler) dequeue(j *activeJob) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	if at := slices.Index(s.queue, j); at >= 0 {
+		s.queue = slices.Delete(s.queue, at, at+1)
+	}
+}
+
+// pump starts waiting tasks as long as targets have room for them.
+func (s *Scheduler) pump(now time.Time) {
+	if len(s.queue) == 0 {
+		return
+	}
+	view := s.roomView(now)
+	blocked := 0
+	for _, j := range slices.Clone(s.queue) {
+		if len(view) == 0 || blocked >= maxScan {
+			break
+		}
+		if !s.placeJob(j, view, now) {
+			blocked++
+		}
+		if j.waiting == 0 {
+			s.dequeue(j)
+		}
+	}
+}
+
+// candidate is a target with room, during one pump.
+type candidate struct {
+	target *target
+	free   workload.Resources
+}
+
+func (s *Scheduler) roomView(now time.Time) []candidate {
+	view := make([]candidate, 0, len(s.ordered))
+	for _, t := range s.ordered {
+		if !t.usable() || now.Before(t.pausedUntil) || !t.health.accepts(t, now) {
+			continue
+		}
+		if free := t.free(); free.CPU > 0 {
+			view = append(view, candidate{t, free})
+		}
+	}
+	return view
+}
+
+// placeJob starts what it can of a job and reports whether nothing that may
+// start is left waiting.
+func (s *Scheduler) placeJob(j *activeJob, view []candidate, now time.Time) bool {
+	complete := true
+	for step := range j.tasks {
+		if !j.open(step) {
+			continue
+		}
+		for index := range j.tasks[step] {
+			k := &j.tasks[step][index]
+			if k.state != taskWaiting {
+				continue
+			}
+			c := s.choose(j, step, k, view, now)
+			if c == nil {
+				complete = false
+				break // the step's tasks are alike
+			}
+			s.start(j, step, index, c, now)
+		}
+	}
+	return complete
+}
+
+// Weights of a target's score. The room that is left spreads work over targets,
+// so that entries that place at the same time meet less often.
+const (
+	roomWeight     = 1.0
+	domainWeight   = 0.15 // own failure domain
+	randomWeight   = 0.25 // keeps entries from choosing alike
+	speedWeight    = 1.0  // per unit of relative slowness
+	avoidPenalty   = 4.0  // where the task's last run failed
+	dataRackWeight = 1.0
+)
+
+func (s *Scheduler) choose(j *activeJob, step int, k *task, view []candidate, now time.Time) *candidate {
+	spec := &j.request.Job.Steps[step]
+	var best *candidate
+	bestScore := 0.0
+	for i := range view {
+		c := &view[i]
+		if !spec.Need.Fits(c.free) || c.target.state.Service != j.request.Route.Service || !c.target.hasLabel(spec.RequiredLabel) {
+			continue
+		}
+		if spec.MaxPerTarget > 0 && j.runsOn(step, c.target) >= spec.MaxPerTarget {
+			continue
+		}
+		score := s.score(spec, k, c, now)
+		if best == nil || score > bestScore {
+			best, bestScore = c, score
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) score(spec *workload.Step, k *task, c *candidate, now time.Time) float64 {
+	t := c.target
+	score := roomWeight * float64(c.free.CPU) / float64(max(1, t.state.Capacity.CPU))
+	score += randomWeight * s.opts.Random.Float64()
+	score -= speedWeight * (t.health.slowness(now) - 1)
+	if t.state.FailureDomain == s.opts.FailureDomain {
+		score += domainWeight
+	}
+	if spec.DataRack != "" && t.hasLabel(spec.DataRack) {
+		score += dataRackWeight
+	}
+	if k.avoid == t {
+		score -= avoidPenalty
+	}
+	return score
+}
+
+// runsOn counts a step's runs on a target.
+func (j *activeJob) runsOn(step int, t *target) int {
+	n := 0
+	for i := range j.tasks[step] {
+		if r := j.tasks[step][i].run; r != nil && r.target == t {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) start(j *activeJob, step, index int, c *candidate, now time.Time) {
+	t := c.target
+	k := &j.tasks[step][index]
+	k.attempt++
+	t.sent++
+	r := &run{
+		id:          workload.RunID{Task: j.taskID(step, index), Attempt: k.attempt},
+		job:         j,
+		step:        step,
+		index:       index,
+		target:      t,
+		incarnation: t.incarnation,
+		seq:         t.sent,
+		need:        j.request.Job.Steps[step].Need,
+		sent:        now,
+		expected:    j.expected[step],
+	}
+	k.state, k.run = taskOut, r
+	t.runs[r.id] = r
+	c.free = c.free.Minus(r.need)
+	j.waiting--
+	j.out++
+	j.runs++
+	if j.firstRun.IsZero() {
+		j.firstRun = now
+	}
+	t.health.started(now)
+	s.send(t, &wire.RunStart{
+		Run:  r.id,
+		Spec: j.request.Job.Spec,
+		Need: r.need,
+		Left: j.request.Deadline.Sub(now),
+		Host: t.state.Target,
+	})
+}
+
+func (t *target) sortedRuns() []*run {
+	runs := make([]*run, 0, len(t.runs))
+	for _, r := range t.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if c := a.sent.Compare(b.sent); c != 0 {
+			return c
+		}
+		return strings.Compare(a.id.String(), b.id.String())
+	})
+	return runs
+}
+
+// nextCheck is the longest time between two calls of Tick.
+const nextCheck = 10 * time.Millisecond
+
+// TickInterval is how often Tick is called.
+const TickInterval = nextCheck
--- /dev/null
+++ b/placement/scheduler.go
@@ -0,0 +1,200 @@
+// Package placement is an entry's scheduler of jobs whose tasks are sized. Work
+// waits in the entry until a target is known to have room for it.
+//
+// A Scheduler does no I/O of its own and starts no goroutines: every method
+// takes the time, sends through Sender, and returns at once.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/options"
+	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// Sender sends messages to one agent. Send never blocks; an error means that the
+// link is closed, which LinkDown reports as well.
+type Sender interface {
+	Send(m wire.Message) error
+}
+
+// Observer learns of decisions, for logs and metrics. Its methods are called
+// under the scheduler's lock and must not block.
+type Observer interface {
+	JobEnded(r JobReport)
+	RunEnded(r RunReport)
+	TargetChanged(c TargetChange)
+}
+
+// Options configure a Scheduler. Zero durations take the defaults.
+type Options struct {
+	FailureDomain string
+	Random        *rand.Rand
+	Observer      Observer
+	// GoneAfter is how long after the end of a link its agent's runs may go on:
+	// the agent's silence limit, the lease of runs and the time to stop them.
+	GoneAfter time.Duration
+	// Entries returns the number of live entries, this one included; nil is one.
+	Entries func() int
+}
+
+// DefaultGoneAfter fits the agents' default silence limit and lease.
+const DefaultGoneAfter = 1100 * time.Millisecond
+
+// Scheduler dispatches jobs at one entry. Its methods are safe for concurrent
+// use.
+type Scheduler struct {
+	opts      Options
+	mu        sync.Mutex
+	jobs      map[*activeJob]struct{}
+	byID      map[string]*activeJob
+	queue     []*activeJob // with waiting tasks, in the order of their keys
+	targets   map[string]*target
+	ordered   []*target // by name
+	estimates estimates
+}
+
+// New returns a scheduler without targets.
+func New(o Options) *Scheduler {
+	options.Default(&o.GoneAfter, DefaultGoneAfter)
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(1, 2))
+	}
+	return &Scheduler{
+		opts:      o,
+		jobs:      make(map[*activeJob]struct{}),
+		byID:      make(map[string]*activeJob),
+		targets:   make(map[string]*target),
+		estimates: newEstimates(),
+	}
+}
+
+// Request is a job on its way in.
+type Request struct {
+	Job      workload.Job
+	Route    routing.Route
+	Version  uint64 // of the routes that selected Route
+	Deadline time.Time
+}
+
+// Submit accepts a job or refuses it, not run. Done delivers the answer.
+func (s *Scheduler) Submit(r Request, now time.Time) (*Ticket, *Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := newJob(r, now)
+	if refusal := s.admit(j, now); refusal != nil {
+		s.reportJob(j, *refusal, now)
+		return nil, refusal
+	}
+	s.estimate(j)
+	s.jobs[j] = struct{}{}
+	s.byID[r.Job.ID] = j
+	s.enqueue(j)
+	s.pump(now)
+	return &Ticket{s: s, j: j}, nil
+}
+
+// Ticket is a caller's hold on an accepted job.
+type Ticket struct {
+	s *Scheduler
+	j *activeJob
+}
+
+// Done delivers the job's one answer.
+func (t *Ticket) Done() <-chan Answer { return t.j.done }
+
+// Cancel ends a job because its caller went away.
+func (t *Ticket) Cancel(now time.Time) {
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	t.s.end(t.j, Answer{Outcome: Cancelled, Reason: "the caller went away"}, now)
+	t.s.pump(now)
+}
+
+// Cancel ends a job by its caller's id and reports whether there was one.
+func (s *Scheduler) Cancel(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.byID[id]
+	if j == nil {
+		return false
+	}
+	s.end(j, Answer{Outcome: Cancelled, Reason: "cancelled by a request"}, now)
+	s.pump(now)
+	return true
+}
+
+// Running reports whether a job is here and whether a task of it has started.
+func (s *Scheduler) Running(id string) (known, started bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.byID[id]
+	return j != nil, j != nil && j.started()
+}
+
+// Pending returns the number of jobs of a route of which no task has started.
+func (s *Scheduler) Pending(route string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for j := range s.jobs {
+		if j.request.Route.Name == route && !j.started() {
+			n++
+		}
+	}
+	return n
+}
+
+// Load is what a scheduler has in hand.
+type Load struct {
+	Jobs, WaitingTasks, Runs, Targets int
+}
+
+// Load returns what the scheduler has in hand.
+func (s *Scheduler) Load() Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := Load{Jobs: len(s.jobs)}
+	for j := range s.jobs {
+		l.WaitingTasks += j.waiting
+		l.Runs += j.out
+	}
+	for _, t := range s.ordered {
+		if t.usable() {
+			l.Targets++
+		}
+	}
+	return l
+}
+
+// AbandonAll ends every job. A process that stood still cannot know which of its
+// callers were answered elsewhere in the meantime.
+func (s *Scheduler) AbandonAll(reason string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.inOrder() {
+		s.end(j, s.giveUp(j, reason), now)
+	}
+}
+
+func (s *Scheduler) inOrder() []*activeJob {
+	jobs := make([]*activeJob, 0, len(s.jobs))
+	for j := range s.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *activeJob) int { return strings.Compare(a.request.Job.ID, b.request.Job.ID) })
+	return jobs
+}
+
+func (s *Scheduler) send(t *target, m wire.Message) {
+	if t.link != nil {
+		// A send fails only on a link that is closed; LinkDown follows.
+		_ = t.link.Send(m)
+	}
+}
--- /dev/null
+++ b/sidecar/inquire.go
@@ -0,0 +1,200 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// inquireLoop renews the lease and asks the target for its runs without a break:
+// each inquiry waits at the target until a run ends or the renewal is due.
+func (s *Sidecar) inquireLoop() error {
+	for s.tomb.Alive() {
+		if s.inquire() {
+			continue
+		}
+		select {
+		case <-s.tomb.Dying():
+		case <-s.wake:
+		case <-time.After(s.opts.Renew):
+		}
+	}
+	return nil
+}
+
+// inquire makes one inquiry and reports whether it was answered.
+func (s *Sidecar) inquire() bool {
+	s.mu.Lock()
+	now := time.Now()
+	q := target.Inquiry{
+		Target: s.report.Target,
+		Lease:  s.leaseEnd(now),
+		Fence:  s.target.fence,
+		Seen:   s.target.seen,
+		Wait:   s.opts.Renew,
+	}
+	if s.pendingStops() || q.Fence == 0 {
+		q.Wait = 0
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), q.Wait+s.opts.OrderLimit)
+	l, err := s.opts.Target.Ask(ctx, q)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.unreachable(now, err)
+		return false
+	}
+	return s.takeListing(q, now, l)
+}
+
+// pendingStops reports whether a stop was acknowledged whose end is not listed
+// yet: the next listing decides.
+func (s *Sidecar) pendingStops() bool {
+	return len(s.table.Of(func(r *runs.Run) bool { return !r.Stopped.IsZero() })) > 0
+}
+
+// unreachable takes in that an inquiry got no answer. When no renewal can have
+// reached the target for longer than a lease, nothing runs there any more.
+func (s *Sidecar) unreachable(now time.Time, err error) {
+	if s.target.reachable {
+		s.log.Warn("target does not answer", zap.String("target", s.report.Target), zap.Error(err))
+	}
+	gone := errors.Is(err, target.ErrGone)
+	silent := time.Since(s.target.answered) > time.Duration(clockSlack*float64(s.opts.Lease))+2*s.opts.OrderLimit+s.opts.Renew
+	was := s.target.reachable
+	s.target.reachable = false
+	if gone || silent && !s.target.answered.IsZero() {
+		reason := "the target's process has ended"
+		if !gone {
+			reason = "the target was silent for longer than its lease"
+		}
+		for _, e := range s.table.Clear(reason) {
+			s.finish(e)
+		}
+		s.target.synced = s.target.synced || gone
+	}
+	if was {
+		s.tellState()
+	}
+}
+
+// takeListing takes in an answer and reports whether the next inquiry may follow
+// at once.
+func (s *Sidecar) takeListing(q target.Inquiry, asked time.Time, l target.Listing) bool {
+	now := time.Now()
+	if l.Replaced {
+		return false // the new incarnation's report is on its way
+	}
+	if l.Born != s.target.born && l.Born != 0 {
+		s.targetReborn(l)
+	}
+	s.target.clock, s.target.clockAt, s.target.answered = l.Clock, now, now
+	if s.target.fence == 0 || l.Fenced {
+		// The target's own clock rises within its life, whatever the time of day
+		// does, so that a later agent always has the higher token.
+		s.target.fence = max(uint64(l.Born+l.Clock.Milliseconds()), s.target.fence+1)
+		return true
+	}
+	was := s.open()
+	s.target.reachable = true
+	orphans := s.applyListing(asked, l)
+	s.target.synced = s.target.synced || len(orphans) == 0
+	if len(orphans) > 0 {
+		s.stopOrphans(s.report.Target, orphans, s.target.fence)
+	}
+	if was != s.open() {
+		if s.open() {
+			s.log.Info("target takes runs", zap.String("target", s.report.Target), zap.Int64("born", s.target.born), zap.Uint64("fence", s.target.fence))
+		}
+		s.tellState()
+	}
+	return len(orphans) == 0
+}
+
+func (s *Sidecar) targetReborn(l target.Listing) {
+	if s.target.born != 0 {
+		s.log.Info("target started again", zap.Int64("born", l.Born), zap.Int64("before", s.target.born))
+		for _, e := range s.table.Clear("the target started again") {
+			s.finish(e)
+		}
+	}
+	s.target = targetState{born: l.Born, synced: false}
+}
+
+// applyListing reports the ends that are listed and returns the runs that the
+// table lacks.
+func (s *Sidecar) applyListing(asked time.Time, l target.Listing) []workload.RunID {
+	listing := runs.Listing{
+		Asked:   asked,
+		Running: make(map[workload.RunID]bool, len(l.Running)),
+		Ended:   make(map[workload.RunID]runs.EndOf, len(l.Ended)),
+	}
+	var orphans []workload.RunID
+	for _, id := range l.Running {
+		listing.Running[id] = true
+		if s.table.Get(id) == nil {
+			orphans = append(orphans, id)
+		}
+	}
+	for _, e := range l.Ended {
+		listing.Ended[e.Run] = runs.EndOf{End: e.End, Reason: e.Reason}
+		s.target.seen = max(s.target.seen, e.Number)
+	}
+	for _, e := range s.table.Apply(listing) {
+		s.finish(e)
+	}
+	return orphans
+}
+
+// TargetReported takes in what the target says of itself, and reports whether
+// the report is of the current incarnation. A report that a partition delayed
+// may arrive after a new incarnation's first one.
+func (s *Sidecar) TargetReported(r target.Report) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reported && r.Born < s.report.Born ||
+		r.Target == s.report.Target && r.Born == s.report.Born && r.Sequence < s.report.Sequence {
+		s.log.Info("out-of-date report ignored", zap.String("target", r.Target), zap.Int64("born", r.Born), zap.Uint64("sequence", r.Sequence))
+		return false
+	}
+	before, was := s.report, s.open()
+	s.report, s.reported = r, true
+	s.table.SetCapacity(r.Capacity)
+	replaced := before.Target != r.Target
+	if replaced && before.Target != "" {
+		for _, e := range s.table.Clear("the target was replaced") {
+			s.finish(e)
+		}
+		s.target = targetState{}
+	}
+	if replaced || was != s.open() || before.Draining != r.Draining || before.Capacity != r.Capacity {
+		s.log.Info("target reported", zap.String("target", r.Target), zap.String("service", r.Service), zap.Bool("draining", r.Draining),
+			zap.Int64("cpu", r.Capacity.CPU), zap.Int64("memory_mb", r.Capacity.Memory), zap.Strings("labels", r.Labels), zap.Uint64("sequence", r.Sequence))
+		s.tellState()
+		signal(s.wake)
+	}
+	return true
+}
+
+// TargetLeft takes in that the target has ended as planned.
+func (s *Sidecar) TargetLeft(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if target != s.report.Target {
+		return
+	}
+	s.report.Left = true
+	s.log.Info("target left", zap.String("target", target))
+	for _, e := range s.table.Clear("the target left") {
+		s.finish(e)
+	}
+	s.tellState()
+}
--- /dev/null
+++ b/sidecar/orders.go
@@ -0,0 +1,218 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// Handle takes in a message of an entry.
+func (s *Sidecar) Handle(l Link, m wire.Message) {
+	paused := s.opts.Paused()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.links[l.Name()]
+	if state == nil || state.link != l || state.closed {
+		return
+	}
+	if paused {
+		s.distrustLinks()
+	}
+	switch m := m.(type) {
+	case *wire.RunStart:
+		s.handleStart(state, m, time.Now())
+	case *wire.RunStop:
+		for _, id := range m.Runs {
+			if r := s.table.Get(id); r != nil && r.Owner == ownerOf(l) {
+				s.stop(r, "its entry asked for it")
+			}
+		}
+	}
+}
+
+// distrustLinks closes every link. While this process stood still its entries
+// have given it up, and what is left in its buffers may run elsewhere by now.
+func (s *Sidecar) distrustLinks() {
+	for _, state := range s.links {
+		if state.stale {
+			continue
+		}
+		state.stale = true
+		s.log.Warn("link closed after a pause of this process", zap.String("entry", state.link.Name()))
+		_ = state.link.Close(Error.New("the agent stood still"))
+	}
+}
+
+func (s *Sidecar) handleStart(state *linkState, m *wire.RunStart, now time.Time) {
+	state.seen++
+	r := runs.Run{ID: m.Run, Owner: ownerOf(state.link), Need: m.Need, Ordered: now}
+	if end, reason := s.admit(state, m, r, now); end != 0 {
+		s.reportEnd(&r, end, 0, reason)
+		return
+	}
+	signal(s.room)
+	order := target.Order{Run: m.Run, Spec: m.Spec, Lease: s.leaseEnd(now), Fence: s.target.fence}
+	incarnation := s.report.Target
+	run := s.table.Get(m.Run)
+	s.opts.Metrics.RunStarted()
+	s.spawn(func() { s.orderStart(run, incarnation, order) })
+}
+
+func (s *Sidecar) admit(state *linkState, m *wire.RunStart, r runs.Run, now time.Time) (wire.End, string) {
+	switch {
+	case state.stale:
+		return wire.EndNotRun, "the agent stood still"
+	case !s.open():
+		return wire.EndNotRun, "the target takes no runs"
+	case m.Host != s.report.Target:
+		return wire.EndNotRun, "the target was replaced"
+	case now.Before(s.target.pause):
+		return wire.EndNotRun, "the target refused a run a moment ago"
+	}
+	switch end := s.table.Admit(r); end {
+	case wire.EndNotRun:
+		return end, "another run of the task may be here"
+	default:
+		return end, ""
+	}
+}
+
+// leaseEnd is the time on the target's clock at which a lease that begins now
+// ends, 0 while that clock is not known.
+func (s *Sidecar) leaseEnd(now time.Time) time.Duration {
+	if s.target.clockAt.IsZero() {
+		return 0
+	}
+	return s.target.clock + now.Sub(s.target.clockAt) + s.opts.Lease
+}
+
+// refusalPause is how long no run is started after the target refused one for
+// room that the table has free: the end of what uses it is about to be listed.
+const refusalPause = 20 * time.Millisecond
+
+// orderStart orders a run and takes in what came of it.
+func (s *Sidecar) orderStart(r *runs.Run, incarnation string, o target.Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.OrderLimit)
+	defer cancel()
+	result, reason := s.opts.Target.Start(ctx, incarnation, o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.Get(r.ID) != r {
+		return // its end is known already
+	}
+	now := time.Now()
+	switch result {
+	case target.Started:
+		r.State, r.Known = runs.Running, now
+		return
+	case target.StartUnknown:
+		s.opts.Metrics.OrderUnanswered("start")
+		if r.State == runs.Running {
+			return // a listing has shown it
+		}
+		r.State = runs.Unsure
+		s.stop(r, "the order to start it got no answer")
+		return
+	case target.StartNoRoom:
+		s.target.pause = now.Add(refusalPause)
+		s.remove(r, wire.EndNoRoom, "refused by the target")
+	case target.StartStale:
+		s.remove(r, wire.EndStale, "")
+	case target.StartFenced:
+		s.target.fence = 0
+		signal(s.wake)
+		s.remove(r, wire.EndNotRun, "fenced")
+	default:
+		s.target.pause = now.Add(refusalPause)
+		s.remove(r, wire.EndNotRun, reason)
+	}
+}
+
+func (s *Sidecar) remove(r *runs.Run, end wire.End, reason string) {
+	s.table.Remove(r.ID)
+	s.finish(runs.Ended{Run: r, End: end, Reason: reason})
+}
+
+// stop has a run stopped. The order is repeated until it is acknowledged or the
+// run's end is known.
+func (s *Sidecar) stop(r *runs.Run, reason string) {
+	if r.Stopping {
+		return
+	}
+	r.Stopping, r.Reason = true, reason
+	incarnation := s.report.Target
+	s.spawn(func() { s.orderStop(r, incarnation) })
+}
+
+func (s *Sidecar) orderStop(r *runs.Run, incarnation string) {
+	for {
+		s.mu.Lock()
+		fence, known := s.target.fence, s.table.Get(r.ID) == r
+		s.mu.Unlock()
+		if !known {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), s.opts.OrderLimit)
+		stopped := s.opts.Target.Stop(ctx, incarnation, r.ID, fence)
+		cancel()
+		if stopped {
+			s.mu.Lock()
+			r.Stopped = time.Now()
+			s.mu.Unlock()
+			signal(s.wake)
+			return
+		}
+		s.opts.Metrics.OrderUnanswered("stop")
+		select {
+		case <-s.tomb.Dying():
+			return
+		case <-time.After(stopPause):
+		}
+	}
+}
+
+// finish reports the end of a run that was taken off the table.
+func (s *Sidecar) finish(e runs.Ended) {
+	took := time.Since(e.Run.Ordered)
+	s.opts.Metrics.RunEnded(e.End, took)
+	if e.End != wire.EndDone {
+		s.log.Info("run ended", zap.Stringer("run", e.Run.ID), zap.Stringer("end", e.End), zap.String("reason", e.Reason),
+			zap.String("entry", e.Run.Owner.Name), zap.Duration("took", took), zap.Int64("free_cpu", s.table.Free().CPU),
+			zap.Duration("listing_age", time.Since(s.target.answered)))
+	}
+	s.reportEnd(e.Run, e.End, took, e.Reason)
+	signal(s.room)
+}
+
+// reportEnd tells the entry that asked for a run how it ended, on whatever link
+// the same process has now.
+func (s *Sidecar) reportEnd(r *runs.Run, end wire.End, took time.Duration, reason string) {
+	state := s.links[r.Owner.Name]
+	if state == nil || ownerOf(state.link) != r.Owner {
+		return
+	}
+	state.told = s.roomFor(state)
+	s.send(state, &wire.RunEnd{Run: r.ID, End: end, RunTime: took, Room: state.told, Reason: reason})
+}
+
+// stopOrphans orders the stop of runs that the target lists and the table lacks:
+// they are from before this process, and their entries have given them up.
+func (s *Sidecar) stopOrphans(incarnation string, ids []workload.RunID, fence uint64) {
+	for _, id := range ids {
+		s.log.Info("stopping a run of an earlier agent", zap.Stringer("run", id))
+		s.spawn(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), s.opts.OrderLimit)
+			defer cancel()
+			if !s.opts.Target.Stop(ctx, incarnation, id, fence) {
+				s.opts.Metrics.OrderUnanswered("stop")
+			}
+			signal(s.wake)
+		})
+	}
+}
--- /dev/null
+++ b/sidecar/process.go
@@ -0,0 +1,349 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/catkinline/catkinline/internal/standstill"
+	"github.com/catkinline/catkinline/kv"
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/transport"
+	"github.com/catkinline/catkinline/wire"
+)
+
+const (
+	// dialInterval is the mean pause between attempts to reach an entry: short,
+	// since an entry that has started again cannot use the target before.
+	dialInterval = 100 * time.Millisecond
+	// maxDialInterval bounds the pause for an entry that does not answer.
+	maxDialInterval = time.Second
+	// lookupInterval is the mean pause between readings of the store while no
+	// entry is linked. Linked agents learn of entries from entries, so that the
+	// store's reads do not grow with the fleet.
+	lookupInterval = time.Second
+	// lookupTimeout bounds one reading.
+	lookupTimeout = time.Second
+	// maxPause is the longest pause of the process after which messages that wait
+	// in its buffers are still acted on. It is below the time after which entries
+	// start runs elsewhere.
+	maxPause = 600 * time.Millisecond
+	// headerTimeout bounds how long a connection may take to send a request's
+	// header.
+	headerTimeout = 3 * time.Second
+	// lastMoments is what the end of a planned stop may take.
+	lastMoments   = 300 * time.Millisecond
+	gaugeInterval = time.Second
+	// heardTTL is how long an entry that nobody lists any more is still dialled.
+	forgetAfter = 30 * time.Second
+)
+
+// ProcessOptions are what an agent process needs.
+type ProcessOptions struct {
+	Node       settings.Node
+	Log        *zap.Logger
+	Metrics    *metrics.Registry
+	Store      kv.Store
+	Target     target.Client
+	Reports    func(*Sidecar) http.Handler // serves the target's reports
+	LinkSecret string
+	Timing     transport.Timing
+	AdminPort  int // TCP, for metrics; 0: none
+}
+
+// Process is an agent with its links to entries and its addresses.
+type Process struct {
+	opts        ProcessOptions
+	node        settings.Node
+	log         *zap.Logger
+	incarnation wire.Incarnation
+	credentials *transport.Credentials
+	sidecar     *Sidecar
+	standstill  *standstill.Detector
+	tomb        tomb.Tomb
+	servers     []*http.Server
+
+	mu      sync.Mutex
+	entries map[string]time.Time // addresses of entries and when they were last listed
+	dials   map[string]bool
+	links   int
+}
+
+// NewProcess returns a process that Run starts.
+func NewProcess(o ProcessOptions) (*Process, error) {
+	credentials, err := transport.NewCredentials(settings.TLS{DevelopmentSecret: o.LinkSecret},
+		transport.Identity{Role: wire.RoleAgent, Name: o.Node.Name})
+	if err != nil {
+		return nil, err
+	}
+	return &Process{
+		opts:        o,
+		node:        o.Node,
+		log:         o.Log,
+		incarnation: wire.NewIncarnation(time.Now()),
+		credentials: credentials,
+		entries:     make(map[string]time.Time),
+		dials:       make(map[string]bool),
+	}, nil
+}
+
+// Run serves until ctx is cancelled, which begins a planned stop, and returns
+// when that stop has ended.
+func (p *Process) Run(ctx context.Context) error {
+	p.standstill = standstill.Start(maxPause)
+	defer p.standstill.Stop()
+	p.sidecar = New(Options{
+		Service:       p.node.Service,
+		FailureDomain: p.node.FailureDomain,
+		Target:        p.opts.Target,
+		Log:           p.log,
+		Metrics:       recorder{p.opts.Metrics},
+		Lease:         lease(p.node.MaxLease),
+		Paused:        p.standstill.Paused,
+	})
+	if err := p.serve(p.node.ReportAddress, p.opts.Reports(p.sidecar)); err != nil {
+		return err
+	}
+	if err := p.serveAdmin(); err != nil {
+		return err
+	}
+	p.sidecar.Start()
+	p.tomb.Go(func() error {
+		p.tomb.Go(p.lookupLoop)
+		p.tomb.Go(p.gaugeLoop)
+		return nil
+	})
+	p.log.Info("agent started", zap.String("name", p.node.Name), zap.String("target", p.node.TargetAddress), zap.Uint64("incarnation", uint64(p.incarnation)))
+	select {
+	case <-ctx.Done():
+		p.drain()
+	case <-p.tomb.Dying():
+	}
+	return p.stop()
+}
+
+// lease is the default lease, or what the target grants at most.
+func lease(longest time.Duration) time.Duration {
+	if longest > 0 {
+		return min(longest, DefaultLease)
+	}
+	return DefaultLease
+}
+
+// drain takes no new run and waits for those that are left.
+func (p *Process) drain() {
+	p.log.Info("planned stop begins", zap.Int("runs", p.sidecar.Stats().Runs))
+	grace := p.node.Grace
+	if grace <= 0 {
+		grace = 10 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace-lastMoments)
+	defer cancel()
+	p.sidecar.Drain(ctx)
+}
+
+func (p *Process) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), lastMoments/2)
+	defer cancel()
+	for _, s := range p.servers {
+		// What is left after the limit is cut by the process's end.
+		_ = s.Shutdown(ctx)
+	}
+	p.tomb.Kill(nil)
+	err := p.tomb.Wait()
+	_ = p.sidecar.Kill()
+	p.log.Info("agent stopped", zap.Error(err))
+	return err
+}
+
+func (p *Process) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: settings.ServerLog(p.log)}
+	p.servers = append(p.servers, server)
+	p.tomb.Go(func() error {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+func (p *Process) serveAdmin() error {
+	if p.opts.AdminPort == 0 {
+		return nil
+	}
+	r := bunrouter.New()
+	r.GET("/metrics", bunrouter.HTTPHandler(p.opts.Metrics.Handler()))
+	return p.serve(net.JoinHostPort(p.node.IP, strconv.Itoa(p.opts.AdminPort)), r)
+}
+
+// lookupLoop finds entries in the store while none is linked.
+func (p *Process) lookupLoop() error {
+	for p.tomb.Alive() {
+		if p.linked() == 0 {
+			p.lookup()
+		}
+		p.pause(lookupInterval)
+	}
+	return nil
+}
+
+func (p *Process) lookup() {
+	ctx, cancel := context.WithTimeout(p.tomb.Context(context.Background()), lookupTimeout)
+	defer cancel()
+	peers, err := member.Read(ctx, p.opts.Store)
+	if err != nil {
+		p.log.Warn("entries cannot be looked up", zap.Error(err))
+		return
+	}
+	p.learn(peers)
+}
+
+func (p *Process) linked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.links
+}
+
+// learn keeps a link to each listed entry.
+func (p *Process) learn(peers []wire.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range peers {
+		if _, known := p.entries[peer.Address]; !known {
+			p.log.Info("entry found", zap.String("entry", peer.Name), zap.String("address", peer.Address))
+		}
+		p.entries[peer.Address] = time.Now()
+		if !p.dials[peer.Address] && p.tomb.Alive() {
+			p.dials[peer.Address] = true
+			p.tomb.Go(func() error {
+				p.dialLoop(peer.Address)
+				return nil
+			})
+		}
+	}
+}
+
+// dialLoop keeps a link to an entry until nobody has listed it for long.
+func (p *Process) dialLoop(address string) {
+	ctx := p.tomb.Context(context.Background())
+	wait := dialInterval
+	for p.tomb.Alive() && p.wanted(address) {
+		begun := time.Now()
+		err := transport.Dial(ctx, address, p.linkOptions())
+		p.log.Debug("no link to entry", zap.String("address", address), zap.Error(err))
+		wait = min(2*wait, maxDialInterval)
+		if time.Since(begun) > maxDialInterval {
+			wait = dialInterval
+		}
+		p.pause(wait)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.dials, address)
+}
+
+func (p *Process) wanted(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.entries[address]) < forgetAfter
+}
+
+// pause waits for a time between half and one and a half of d.
+func (p *Process) pause(d time.Duration) {
+	select {
+	case <-p.tomb.Dying():
+	case <-time.After(d/2 + rand.N(d)):
+	}
+}
+
+func (p *Process) linkOptions() transport.Options {
+	return transport.Options{
+		Self:        transport.Identity{Role: wire.RoleAgent, Name: p.node.Name},
+		Incarnation: p.incarnation,
+		Credentials: p.credentials,
+		Handler:     linkHandler{p},
+		Revision:    func() uint64 { return 0 },
+		Counter:     metrics.Messages{Registry: p.opts.Metrics},
+		Timing:      p.opts.Timing,
+	}
+}
+
+// linkHandler passes what happens on links to the sidecar.
+type linkHandler struct{ p *Process }
+
+// LinkUp implements transport.Handler.
+func (h linkHandler) LinkUp(l *transport.Link) {
+	h.p.mu.Lock()
+	h.p.links++
+	h.p.mu.Unlock()
+	h.p.sidecar.LinkUp(l)
+}
+
+// LinkDown implements transport.Handler.
+func (h linkHandler) LinkDown(l *transport.Link, err error) {
+	h.p.mu.Lock()
+	h.p.links--
+	h.p.mu.Unlock()
+	h.p.sidecar.LinkDown(l, err)
+}
+
+// Handle implements transport.Handler.
+func (h linkHandler) Handle(l *transport.Link, m wire.Message) {
+	if peers, ok := m.(*wire.Peers); ok {
+		h.p.learn(peers.Peers)
+		return
+	}
+	h.p.sidecar.Handle(l, m)
+}
+
+// gaugeLoop keeps the gauges.
+func (p *Process) gaugeLoop() error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			stats := p.sidecar.Stats()
+			p.opts.Metrics.Set(metrics.TasksOut, float64(stats.Runs))
+			p.opts.Metrics.Set(metrics.EntriesLinked, float64(stats.Links))
+			p.opts.Metrics.Set(metrics.FreeCPU, float64(stats.Free.CPU))
+		}
+	}
+}
+
+// recorder counts what a sidecar does.
+type recorder struct{ metrics *metrics.Registry }
+
+// RunStarted implements Metrics.
+func (r recorder) RunStarted() { r.metrics.Add(metrics.TaskStarts, 1) }
+
+// RunEnded implements Metrics.
+func (r recorder) RunEnded(end wire.End, took time.Duration) {
+	r.metrics.Add(metrics.TaskOutcomes, 1, metrics.TagState, end.String())
+	if end == wire.EndDone {
+		r.metrics.Duration(metrics.TaskSeconds, took)
+	}
+}
+
+// OrderUnanswered implements Metrics.
+func (r recorder) OrderUnanswered(kind string) {
+	r.metrics.Add(metrics.OrdersUnanswered, 1, metrics.TagType, kind)
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,320 @@
+// Package sidecar is the agent beside a target whose runs hold a lease: it takes
+// runs from entries, starts them where the target has room, renews their lease
+// while the entries that asked for them are there, and reports their ends.
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/catkinline/catkinline/internal/options"
+	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// Error is the class of errors of a sidecar.
+var Error = errs.Class("sidecar")
+
+// Defaults of Options.
+const (
+	// DefaultLease is how long runs go on without this process. Four renewals fit
+	// in, so that a slow machine loses none.
+	DefaultLease = 600 * time.Millisecond
+	// DefaultRenew is the longest time between two inquiries.
+	DefaultRenew = 150 * time.Millisecond
+	// DefaultOrderLimit bounds one order. The target is on the same machine and
+	// answers in less than a millisecond.
+	DefaultOrderLimit = 250 * time.Millisecond
+	// clockSlack is by how much the target's clock may be slow.
+	clockSlack = 1.02
+	// roomInterval is the shortest time between two messages about room to an
+	// entry, so that several ends cost one message.
+	roomInterval = time.Millisecond
+	// stopPause is the time between two orders to stop a run.
+	stopPause = 100 * time.Millisecond
+)
+
+// Link is a connection to one entry. Send never blocks.
+type Link interface {
+	Send(wire.Message) error
+	Name() string
+	Incarnation() wire.Incarnation
+	Close(error) error
+}
+
+// Metrics receives counters. Its methods must not block.
+type Metrics interface {
+	RunStarted()
+	RunEnded(end wire.End, took time.Duration)
+	OrderUnanswered(kind string)
+}
+
+// Options configure a Sidecar. Zero durations take the defaults.
+type Options struct {
+	Service       string
+	FailureDomain string
+	Target        target.Client
+	Log           *zap.Logger
+	Metrics       Metrics
+	Lease         time.Duration
+	Renew         time.Duration
+	OrderLimit    time.Duration
+	// Paused reports whether this process has stood still and may be handling
+	// messages that are long out of date.
+	Paused func() bool
+}
+
+// linkState is a link and what was told on it.
+type linkState struct {
+	link   Link
+	seen   uint64 // starts received
+	told   wire.Room
+	closed bool
+	stale  bool // starts on it may be out of date
+}
+
+// Sidecar is a running agent. One mutex guards its state and is held for
+// in-memory work only.
+type Sidecar struct {
+	opts Options
+	log  *zap.Logger
+	tomb tomb.Tomb
+	room chan struct{} // room has changed
+	wake chan struct{} // an inquiry is due at once
+
+	mu       sync.Mutex
+	table    *runs.Table
+	links    map[string]*linkState
+	report   target.Report
+	reported bool
+	stopping bool
+	ended    bool
+	target   targetState
+}
+
+// targetState is what is known of the target's current life.
+type targetState struct {
+	born      int64
+	fence     uint64
+	clock     time.Duration // on the target's clock
+	clockAt   time.Time
+	seen      uint64 // number of the last end that was taken note of
+	synced    bool   // the table holds everything that may be on the target
+	reachable bool
+	answered  time.Time
+	pause     time.Time // no start before, since the target refused one
+}
+
+// New returns a sidecar that Start starts.
+func New(o Options) *Sidecar {
+	options.Default(&o.Lease, DefaultLease)
+	options.Default(&o.Renew, DefaultRenew)
+	options.Default(&o.OrderLimit, DefaultOrderLimit)
+	if o.Paused == nil {
+		o.Paused = func() bool { return false }
+	}
+	return &Sidecar{
+		opts:  o,
+		log:   o.Log,
+		room:  make(chan struct{}, 1),
+		wake:  make(chan struct{}, 1),
+		table: runs.New(),
+		links: make(map[string]*linkState),
+	}
+}
+
+// Start starts the loops.
+func (s *Sidecar) Start() {
+	s.tomb.Go(func() error {
+		s.tomb.Go(s.inquireLoop)
+		s.tomb.Go(s.roomLoop)
+		return nil
+	})
+}
+
+// Kill ends the loops. Runs that are left lose their lease.
+func (s *Sidecar) Kill() error {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.tomb.Kill(nil)
+	return s.tomb.Wait()
+}
+
+// Drain takes no new run, and returns when none is left or ctx ends.
+func (s *Sidecar) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	s.tellState()
+	s.mu.Unlock()
+	ticker := time.NewTicker(stopPause / 10)
+	defer ticker.Stop()
+	for {
+		s.mu.Lock()
+		left := s.table.Len()
+		s.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// spawn runs an order in its own goroutine. It must be called with mu held.
+func (s *Sidecar) spawn(order func()) {
+	if s.ended {
+		return
+	}
+	s.tomb.Go(func() error {
+		order()
+		return nil
+	})
+}
+
+// LinkUp adds a link to an entry. An earlier link to the same entry is closed.
+func (s *Sidecar) LinkUp(l Link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.links[l.Name()]; old != nil {
+		s.dropLink(old, "replaced by a newer link")
+		_ = old.link.Close(nil)
+	}
+	state := &linkState{link: l}
+	s.links[l.Name()] = state
+	s.log.Info("entry linked", zap.String("entry", l.Name()), zap.Uint64("incarnation", uint64(l.Incarnation())))
+	if s.ready() {
+		s.sendState(state)
+	}
+}
+
+// LinkDown removes a link that was lost and stops the runs that came over it: the
+// entry starts them elsewhere.
+func (s *Sidecar) LinkDown(l Link, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.links[l.Name()]
+	if state == nil || state.link != l {
+		return
+	}
+	reason := "closed"
+	if err != nil {
+		reason = err.Error()
+	}
+	delete(s.links, l.Name())
+	s.dropLink(state, reason)
+}
+
+func (s *Sidecar) dropLink(state *linkState, reason string) {
+	state.closed = true
+	owner := ownerOf(state.link)
+	lost := s.table.Of(func(r *runs.Run) bool { return r.Owner == owner })
+	s.log.Info("entry link ended", zap.String("entry", owner.Name), zap.String("reason", reason), zap.Int("runs", len(lost)))
+	for _, r := range lost {
+		s.stop(r, "the link to its entry ended")
+	}
+}
+
+func ownerOf(l Link) runs.Owner { return runs.Owner{Name: l.Name(), Incarnation: l.Incarnation()} }
+
+// ready reports whether entries may be told of the target: its report is known
+// and nothing is left on it that is not in the table.
+func (s *Sidecar) ready() bool { return s.reported && s.target.synced }
+
+// open reports whether the target takes runs.
+func (s *Sidecar) open() bool {
+	return s.ready() && s.target.reachable && !s.stopping && !s.report.Draining && !s.report.Left
+}
+
+func (s *Sidecar) tellState() {
+	if !s.ready() {
+		return
+	}
+	for _, state := range s.links {
+		s.sendState(state)
+	}
+}
+
+func (s *Sidecar) sendState(state *linkState) {
+	state.told = s.roomFor(state)
+	s.send(state, &wire.TargetState{
+		Target:        s.report.Target,
+		Service:       s.report.Service,
+		FailureDomain: s.opts.FailureDomain,
+		Labels:        s.report.Labels,
+		Capacity:      s.report.Capacity,
+		Room:          state.told,
+		Closed:        !s.open(),
+	})
+}
+
+func (s *Sidecar) roomFor(state *linkState) wire.Room {
+	return wire.Room{Free: s.table.Free(), Seen: state.seen}
+}
+
+func (s *Sidecar) send(state *linkState, m wire.Message) {
+	// A send fails only on a link that is closed; LinkDown follows.
+	_ = state.link.Send(m)
+}
+
+// Stats is what a sidecar has in hand.
+type Stats struct {
+	Runs, Links int
+	Free        workload.Resources
+	Open        bool
+}
+
+// Stats returns what the sidecar has in hand.
+func (s *Sidecar) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{Runs: s.table.Len(), Links: len(s.links), Free: s.table.Free(), Open: s.open()}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// roomLoop tells the entries what is free.
+func (s *Sidecar) roomLoop() error {
+	for {
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-s.room:
+		}
+		s.tellRoom()
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-time.After(roomInterval):
+		}
+	}
+}
+
+func (s *Sidecar) tellRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ready() {
+		return
+	}
+	for _, state := range s.links {
+		if room := s.roomFor(state); room != state.told {
+			state.told = room
+			s.send(state, &room)
+		}
+	}
+}
--- a/standin/store_faults.go
+++ b/standin/store_faults.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/time/rate"
 
-	"github.com/catkinline/catkinline/platform"
-	"github.com/catkinline/catkinline/platform/httpstore"
+	"github.com/catkinline/catkinline/kv"
 )
 
 // StoreFaults are the switches of a store. Zero fields are off.
@@ -42,8 +42,8 @@
 	WritesPerSecond  *int  `json:"writes_per_second,omitempty"`
 	ReadsPerSecond   *int  `json:"reads_per_second,omitempty"`
 	// ExpireLease expires the lease of this id now, ExpireLeaseOf that of a key.
-	ExpireLease   platform.LeaseID `json:"expire_lease,omitempty"`
-	ExpireLeaseOf string           `json:"expire_lease_of,omitempty"`
+	ExpireLease   kv.LeaseID `json:"expire_lease,omitempty"`
+	ExpireLeaseOf string     `json:"expire_lease_of,omitempty"`
 }
 
 // StoreCalls counts the calls that reached a store since its start.
@@ -66,6 +66,9 @@
 // once: a tenth, as a store that answers within 100 ms.
 const burstShare = 10
 
+// errRateLimited is a call over the rate, which was not processed.
+var errRateLimited = fmt.Errorf("%w: over the rate limit", kv.ErrUnavailable)
+
 // errNoAnswer is a call that gets no answer, whether or not it took effect.
 var errNoAnswer = errors.New("standin: no answer")
 
@@ -170,10 +173,10 @@
 		return true, 0, nil
 	case s.faults.Down:
 		s.calls.Refused++
-		return false, 0, platform.ErrUnavailable
+		return false, 0, kv.ErrUnavailable
 	case limiter != nil && !limiter.Allow():
 		s.calls.Limited++
-		return false, 0, httpstore.ErrRateLimited
+		return false, 0, errRateLimited
 	}
 	return false, milliseconds(s.faults.LatencyMS), nil
 }
@@ -188,7 +191,7 @@
 		return errNoAnswer
 	}
 	if down {
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	}
 	return nil
 }
--- a/transport/connect.go
+++ b/transport/connect.go
@@ -10,10 +10,11 @@
 	tomb "gopkg.in/tomb.v2"
 )
 
-func quicConfig() *quic.Config {
+func quicConfig(t Timing) *quic.Config {
+	t = t.withDefaults()
 	return &quic.Config{
-		HandshakeIdleTimeout:  handshakeTimeout,
-		MaxIdleTimeout:        2 * (IdleHeartbeatInterval + silenceSlack),
+		HandshakeIdleTimeout:  t.Handshake,
+		MaxIdleTimeout:        2 * (t.idleHeartbeat() + t.slack()),
 		MaxIncomingUniStreams: maxLargeStreams,
 		MaxIncomingStreams:    1,
 	}
@@ -28,7 +29,7 @@
 
 // Listen serves links on a UDP address until Close.
 func Listen(address string, opts Options) (*Listener, error) {
-	q, err := quic.ListenAddr(address, opts.Credentials.TLS(protocolName), quicConfig())
+	q, err := quic.ListenAddr(address, opts.Credentials.TLS(protocolName), quicConfig(opts.Timing))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -73,7 +74,7 @@
 }
 
 func accept(ctx context.Context, conn *quic.Conn, opts Options) (*Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, opts.Timing.withDefaults().Handshake)
 	defer cancel()
 	identity, err := PeerIdentity(conn.ConnectionState().TLS)
 	if err != nil {
@@ -84,7 +85,7 @@
 		return nil, Error.Wrap(err)
 	}
 	link := newLink(opts, conn, control)
-	_ = control.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(link.opts.Timing.Handshake))
 	m, _, err := wire.Read(link.reader)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -146,9 +147,9 @@
 }
 
 func connect(ctx context.Context, address string, opts Options) (*Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*handshakeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*opts.Timing.withDefaults().Handshake)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, address, opts.Credentials.TLS(protocolName), quicConfig())
+	conn, err := quic.DialAddr(ctx, address, opts.Credentials.TLS(protocolName), quicConfig(opts.Timing))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -181,7 +182,7 @@
 		return nil, Error.Wrap(err)
 	}
 	link := newLink(opts, conn, control)
-	_ = control.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(link.opts.Timing.Handshake))
 	m, _, err := wire.Read(link.reader)
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/transport/link.go
+++ b/transport/link.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	defaults "github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/quic-go/quic-go"
 	tomb "gopkg.in/tomb.v2"
@@ -31,6 +32,28 @@
 	SilenceLimit      = 3500 * time.Millisecond
 )
 
+// Timing is the pace of a process's links. Zero fields take the defaults
+// HeartbeatInterval, SilenceLimit and handshakeTimeout. Both ends of a link need
+// the same values.
+type Timing struct {
+	Heartbeat time.Duration // between messages of a link with work
+	Silence   time.Duration // after which such a link is closed
+	Handshake time.Duration // for a peer to answer while a link is opened
+}
+
+func (t Timing) withDefaults() Timing {
+	defaults.Default(&t.Heartbeat, HeartbeatInterval)
+	defaults.Default(&t.Silence, SilenceLimit)
+	defaults.Default(&t.Handshake, handshakeTimeout)
+	return t
+}
+
+// idleHeartbeat is the interval of a link that neither side has work on.
+func (t Timing) idleHeartbeat() time.Duration { return idleFactor * t.Heartbeat }
+
+// slack is what a heartbeat may be late by.
+func (t Timing) slack() time.Duration { return t.Silence - t.Heartbeat }
+
 // protocolName is the ALPN protocol of links.
 const protocolName = "catkinline/1"
 
@@ -56,6 +79,7 @@
 	Handler     Handler
 	Revision    func() uint64
 	Counter     Counter
+	Timing      Timing
 	// Idle reports whether this process has no work on a link: no task is out,
 	// waits or has an outcome to acknowledge. Nil keeps every link's heartbeats
 	// at the shortest interval.
@@ -85,7 +109,9 @@
 }
 
 func newLink(opts Options, conn *quic.Conn, control *quic.Stream) *Link {
+	opts.Timing = opts.Timing.withDefaults()
 	l := &Link{
+		pace:    pace{timing: opts.Timing},
 		opts:    opts,
 		conn:    conn,
 		control: control,
@@ -276,10 +302,10 @@
 }
 
 // heartbeatLoop sends a heartbeat when nothing else was sent for an interval or
-// the revision changed, which an idle link also tells within HeartbeatInterval,
+// the revision changed, which an idle link also tells within the shorter interval,
 // and closes the link when the peer has been silent for too long.
 func (l *Link) heartbeatLoop() error {
-	ticker := time.NewTicker(HeartbeatInterval)
+	ticker := time.NewTicker(l.opts.Timing.Heartbeat)
 	defer ticker.Stop()
 	revision := l.opts.Revision()
 	for {
--- a/transport/pace.go
+++ b/transport/pace.go
@@ -10,17 +10,18 @@
 // IdleHeartbeatInterval is the time between heartbeats of a link that neither
 // side has work on. The heartbeats of idle links are most of an entry's standing
 // traffic and processor time; five seconds cut both to a fifth, and an idle link
-// that went silent is still closed within IdleHeartbeatInterval + silenceSlack.
-const IdleHeartbeatInterval = 5 * time.Second
+// that went silent is still closed within that and what a heartbeat may be late by.
+const IdleHeartbeatInterval = idleFactor * HeartbeatInterval
 
-// silenceSlack is what a heartbeat may be late by.
-const silenceSlack = SilenceLimit - HeartbeatInterval
+// idleFactor is by how much the heartbeats of an idle link are slower.
+const idleFactor = 5
 
 // pace decides when a link sends heartbeats and when its peer has been silent
 // for too long. A side slows down only while both sides say that they are idle,
 // and it announces the interval that it will keep, so that no side waits longer
 // than the other intends. Times are the link's age.
 type pace struct {
+	timing    Timing
 	mu        sync.Mutex
 	idle      bool          // this side has no work on the link
 	busySince time.Duration // when this side last got work
@@ -54,7 +55,7 @@
 		return
 	}
 	p.peerIdle = h.Idle
-	p.peerNext = min(h.Next, IdleHeartbeatInterval)
+	p.peerNext = min(h.Next, p.timing.idleHeartbeat())
 }
 
 // silent reports whether the peer, last heard at a time, is to be given up. A
@@ -63,9 +64,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle {
-		return now-heard > max(p.peerNext, HeartbeatInterval)+silenceSlack
+		return now-heard > max(p.peerNext, p.timing.Heartbeat)+p.timing.slack()
 	}
-	return now-max(heard, p.busySince) > SilenceLimit
+	return now-max(heard, p.busySince) > p.timing.Silence
 }
 
 // due returns the heartbeat to send, if any, when the last message was sent at a
@@ -74,12 +75,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.setIdle(idle, now)
-	next := HeartbeatInterval
+	next := p.timing.Heartbeat
 	if p.idle && p.peerIdle {
-		next = IdleHeartbeatInterval
+		next = p.timing.idleHeartbeat()
 	}
-	wait := min(next, max(p.promised, HeartbeatInterval))
-	if !force && now-sent < wait-HeartbeatInterval/2 {
+	wait := min(next, max(p.promised, p.timing.Heartbeat))
+	if !force && now-sent < wait-p.timing.Heartbeat/2 {
 		return nil, false
 	}
 	p.promised = next
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -58,6 +58,11 @@
 	TypePeerState:       func() Message { return &PeerState{} },
 	TypeDocument:        func() Message { return &Document{} },
 	TypeDocumentRequest: func() Message { return &DocumentRequest{} },
+	TypeTargetState:     func() Message { return &TargetState{} },
+	TypeRoom:            func() Message { return &Room{} },
+	TypeRunStart:        func() Message { return &RunStart{} },
+	TypeRunEnd:          func() Message { return &RunEnd{} },
+	TypeRunStop:         func() Message { return &RunStop{} },
 }
 
 // Type implementations.
@@ -80,6 +85,11 @@
 func (*PeerState) Type() Type       { return TypePeerState }
 func (*Document) Type() Type        { return TypeDocument }
 func (*DocumentRequest) Type() Type { return TypeDocumentRequest }
+func (*TargetState) Type() Type     { return TypeTargetState }
+func (*Room) Type() Type            { return TypeRoom }
+func (*RunStart) Type() Type        { return TypeRunStart }
+func (*RunEnd) Type() Type          { return TypeRunEnd }
+func (*RunStop) Type() Type         { return TypeRunStop }
 
 // Encode returns the frame of a message: the body's length in four bytes, the
 // type in one, then the body in CBOR.
--- a/wire/message.go
+++ b/wire/message.go
@@ -31,6 +31,11 @@
 	TypePeerState
 	TypeDocument
 	TypeDocumentRequest
+	TypeTargetState
+	TypeRoom
+	TypeRunStart
+	TypeRunEnd
+	TypeRunStop
 )
 
 // typeNames are the names of message types in metrics and logs.
@@ -40,6 +45,7 @@
 	TypeReturn: "return", TypeStart: "start", TypeOutcome: "outcome", TypeAck: "ack",
 	TypeQuery: "query", TypeCancel: "cancel", TypeHeartbeat: "heartbeat", TypeLeave: "leave",
 	TypePeerState: "peer_state", TypeDocument: "document", TypeDocumentRequest: "document_request",
+	TypeTargetState: "target_state", TypeRoom: "room", TypeRunStart: "run_start", TypeRunEnd: "run_end", TypeRunStop: "run_stop",
 }
 
 // String returns the type's name in metrics and logs.
