Derive fencing tokens from the target's clock, and let watches wait 3 s

A 409 for an old token carries the clock but not the target's birth, so that the new token, without the birth, stayed below the old one. Tokens now rest on the clock alone.

--- a/command/node.go
+++ b/command/node.go
@@ -19,9 +19,11 @@
 	"github.com/catkinline/catkinline/sidecar"
 )
 
-// storeWatch is how long one watch on the platform's store waits. Each call is
-// priced; a watch that goes silent is found by the connection's probes.
-const storeWatch = 10 * time.Second
+// storeWatch is how long one watch on the platform's store waits. A store that
+// discards its history may leave a pending watch without the changes of the last
+// second, and only the next call shows it: a configuration has to be in force
+// some 4 s after such a loss began.
+const storeWatch = 3 * time.Second
 
 type nodeArgs struct {
 	Settings  string `arg:"--settings" help:"settings file of the platform (default: the path in CATKINLINE_SETTINGS)"`
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -99,8 +99,9 @@
 	s.target.clock, s.target.clockAt, s.target.answered = l.Clock, now, now
 	if s.target.fence == 0 || l.Fenced {
 		// The target's own clock rises within its life, whatever the time of day
-		// does, so that a later agent always has the higher token.
-		s.target.fence = max(uint64(l.Born+l.Clock.Milliseconds()), s.target.fence+1)
+		// does, and a new life has seen no token, so that a later agent always has
+		// the higher one.
+		s.target.fence = max(uint64(l.Clock.Milliseconds()), s.target.fence) + 1
 		return true
 	}
 	was := s.open()
