Let jobs that cannot be in time give way, and judge targets by siblings

Jobs whose objective has passed now let others pass, less work first, and jobs that have begun are finished first. A run is compared with what its siblings took on other targets: overdue and failed runs count against the target, which then gets one run at a time, and its overdue runs start elsewhere once.

--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/catkinline/catkinline/wire"
 )
 
 // estimates learns by how much the callers' estimates of a route are off, as
@@ -65,25 +63,3 @@
 	allowed := time.Duration(max(1, route.Stretch)*float64(j.chain())) + route.TargetDuration
 	j.objective = j.arrived.Add(allowed)
 }
-
-// learn takes in how long a run took.
-func (s *Scheduler) learn(t *target, r *run, end wire.End, took time.Duration, now time.Time) {
-	if end == wire.EndDone {
-		t.pause = 0
-		declared := r.job.request.Job.Steps[r.step].Estimate
-		s.estimates.observe(r.job.request.Route.Name, declared, took)
-	}
-	t.health.observe(s, t, r, end, took, now)
-}
-
-// admit refuses a job that cannot be served.
-func (s *Scheduler) admit(j *activeJob, now time.Time) *Answer {
-	job := &j.request.Job
-	if job.Unsupported != "" {
-		return &Answer{Outcome: Refused, Reason: "not supported: " + job.Unsupported, RetryAfter: time.Second}
-	}
-	if !now.Before(j.request.Deadline) {
-		return &Answer{Outcome: Refused, Reason: "the caller's time is over", RetryAfter: time.Second}
-	}
-	return nil
-}
--- /dev/null
+++ b/placement/fleet_test.go
@@ -0,0 +1,419 @@
+package placement_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// fleet is a deployment in virtual time: entries with their schedulers, agents
+// with their tables of runs, and targets that take time. Messages take a delay.
+type fleet struct {
+	now     time.Time
+	events  events
+	seq     int
+	random  *rand.Rand
+	entries []*simEntry
+	hosts   []*simHost
+	served  []served
+	kinds   []kind
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now.Add(d), f.seq, do})
+}
+
+// run plays until a time has passed.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// kind is one kind of job in the load, as the users describe theirs.
+type kind struct {
+	name      string
+	perSecond float64 // jobs at load 1
+	tasks     float64 // mean
+	work      time.Duration
+	worth     float64
+	priority  int
+}
+
+// The users' three kinds of job.
+func userKinds() []kind {
+	return []kind{
+		{"preview", 30.3, 8, 51 * time.Millisecond, 0.0291, 0},
+		{"panorama", 5.5, 4, 760 * time.Millisecond, 0.16, 2},
+		{"exposure", 88, 2, 170 * time.Millisecond, 0.01, 1},
+	}
+}
+
+const (
+	simStretch  = 1.6
+	simTarget   = 60 * time.Millisecond
+	simAttempts = 2
+	simBudget   = 1500 * time.Millisecond
+	lateShare   = 0.2
+	linkDelay   = 1200 * time.Microsecond
+	hostCPU     = 32000
+	windowLen   = 2 * time.Second
+	tailShare   = 0.03
+	tailFactor  = 7.0
+)
+
+// served is what became of one job.
+type served struct {
+	kind    int
+	arrived time.Duration // since the start
+	took    time.Duration
+	ideal   time.Duration
+	worth   float64
+	answer  placement.Outcome
+	inTime  bool
+	late    bool
+}
+
+type simEntry struct {
+	f       *fleet
+	s       *placement.Scheduler
+	pending map[string]pending
+}
+
+// simHost is an agent with its target.
+type simHost struct {
+	f         *fleet
+	name      string
+	inc       wire.Incarnation
+	table     *runs.Table
+	links     []*simLink
+	speed     float64
+	slow      float64 // factor on run times
+	failing   bool
+	hanging   bool
+	mute      bool // its agent cannot be reached
+	running   map[workload.RunID]*simRun
+	rejected  int
+	worked    time.Duration
+	thrownOut time.Duration
+}
+
+type simRun struct {
+	started time.Time
+	ended   bool
+}
+
+// simLink is the link between an agent and an entry. Send is the entry's side.
+type simLink struct {
+	host  *simHost
+	entry *simEntry
+	seen  uint64
+	told  wire.Room
+	down  bool
+}
+
+// Send implements placement.Sender.
+func (l *simLink) Send(m wire.Message) error {
+	if l.down || l.host.mute {
+		return nil
+	}
+	l.host.f.after(linkDelay, func() { l.host.receive(l, m) })
+	return nil
+}
+
+func (l *simLink) toEntry(do func(now time.Time)) {
+	if l.down || l.host.mute {
+		return
+	}
+	l.host.f.after(linkDelay, func() { do(l.host.f.now) })
+}
+
+func newFleet(seed uint64, entries, hosts int) *fleet {
+	f := &fleet{now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), kinds: userKinds()}
+	for i := range entries {
+		e := &simEntry{f: f, pending: make(map[string]pending)}
+		e.s = placement.New(placement.Options{
+			FailureDomain: fmt.Sprint("d", i%3),
+			Random:        rand.New(rand.NewPCG(seed, uint64(i))),
+			Entries:       func() int { return entries },
+			Observer:      e,
+		})
+		f.entries = append(f.entries, e)
+	}
+	speeds := []float64{0.8, 1, 1.25}
+	for i := range hosts {
+		h := &simHost{f: f, name: fmt.Sprint("agent-", i), inc: 1, table: runs.New(), speed: speeds[f.random.IntN(3)], slow: 1, running: map[workload.RunID]*simRun{}}
+		h.table.SetCapacity(workload.Resources{CPU: hostCPU, Memory: 131072})
+		f.hosts = append(f.hosts, h)
+		for _, e := range f.entries {
+			h.link(e)
+		}
+	}
+	for _, e := range f.entries {
+		f.tick(e)
+	}
+	return f
+}
+
+func (f *fleet) tick(e *simEntry) {
+	e.s.Tick(f.now)
+	f.after(placement.TickInterval, func() { f.tick(e) })
+}
+
+func (h *simHost) link(e *simEntry) {
+	l := &simLink{host: h, entry: e}
+	h.links = append(h.links, l)
+	e.s.LinkUp(h.name, h.inc, l)
+	l.told = h.room(l)
+	state := &wire.TargetState{
+		Target: h.name, Service: "frames", FailureDomain: fmt.Sprint("d", len(h.f.hosts)%3),
+		Capacity: workload.Resources{CPU: hostCPU, Memory: 131072}, Room: l.told,
+	}
+	e.s.HandleState(h.name, l, state, h.f.now)
+}
+
+func (h *simHost) room(l *simLink) wire.Room { return wire.Room{Free: h.table.Free(), Seen: l.seen} }
+
+func (h *simHost) receive(l *simLink, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.RunStart:
+		l.seen++
+		h.start(l, m)
+	case *wire.RunStop:
+		for _, id := range m.Runs {
+			if h.running[id] != nil {
+				h.end(l, id, wire.EndStopped)
+			}
+		}
+	}
+	h.tellRoom()
+}
+
+func (h *simHost) tellRoom() {
+	for _, l := range h.links {
+		room := h.room(l)
+		if room == l.told {
+			continue
+		}
+		l.told = room
+		l.toEntry(func(now time.Time) { l.entry.s.HandleRoom(h.name, l, &room, now) })
+	}
+}
+
+func (h *simHost) start(l *simLink, m *wire.RunStart) {
+	if end := h.table.Admit(runs.Run{ID: m.Run, Need: m.Need, Ordered: h.f.now}); end != 0 {
+		h.rejected++
+		h.report(l, &wire.RunEnd{Run: m.Run, End: end, Room: h.room(l)})
+		return
+	}
+	h.running[m.Run] = &simRun{started: h.f.now}
+	work, err := time.ParseDuration(m.Spec)
+	if err != nil {
+		panic(err)
+	}
+	if h.hanging {
+		return
+	}
+	end := wire.EndDone
+	if h.failing {
+		end, work = wire.EndFailed, work/4
+	}
+	r := h.running[m.Run]
+	h.f.after(time.Duration(float64(work)*h.slow/h.speed), func() {
+		if !r.ended {
+			h.end(l, m.Run, end)
+			h.tellRoom()
+		}
+	})
+}
+
+func (h *simHost) end(l *simLink, id workload.RunID, end wire.End) {
+	r := h.running[id]
+	r.ended = true
+	delete(h.running, id)
+	h.table.Remove(id)
+	took := h.f.now.Sub(r.started)
+	h.worked += took
+	if end != wire.EndDone {
+		h.thrownOut += took
+	}
+	h.report(l, &wire.RunEnd{Run: id, End: end, RunTime: took, Room: h.room(l)})
+}
+
+func (h *simHost) report(l *simLink, m *wire.RunEnd) {
+	l.told = m.Room
+	l.toEntry(func(now time.Time) { l.entry.s.HandleEnd(h.name, l, m, now) })
+}
+
+// load offers jobs of all kinds for a time. Rate is the factor on the kinds'
+// rates at a time.
+func (f *fleet) load(d time.Duration, rate func(kind int, at time.Duration) float64) {
+	start := f.now
+	for k := range f.kinds {
+		f.arrive(k, start, d, rate)
+	}
+	f.run(d)
+}
+
+func (f *fleet) arrive(k int, start time.Time, d time.Duration, rate func(int, time.Duration) float64) {
+	at := f.now.Sub(start)
+	perSecond := f.kinds[k].perSecond * max(0.01, rate(k, at))
+	wait := time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second))
+	f.after(wait, func() {
+		if f.now.Sub(start) < d {
+			f.submit(k, f.now.Sub(start))
+			f.arrive(k, start, d, rate)
+		}
+	})
+}
+
+// submit hands in one job. A job's tasks last alike, within 15%; the spec of the
+// simulated tasks is their duration.
+func (f *fleet) submit(k int, at time.Duration) {
+	c := f.kinds[k]
+	work := float64(c.work) * math.Exp(0.4*f.random.NormFloat64()-0.08)
+	if f.random.Float64() < tailShare {
+		work *= tailFactor
+	}
+	tasks := max(1, int(math.Round(c.tasks*math.Exp(0.4*f.random.NormFloat64()-0.08))))
+	need := int64(3100 * math.Exp(0.2*f.random.NormFloat64()))
+	estimate := work * math.Exp(0.4*f.random.NormFloat64())
+	ideal := time.Duration(work)
+	objective := time.Duration(simStretch*work) + simTarget
+	wait := simBudget + 3*objective
+	job := workload.Job{
+		ID:   fmt.Sprintf("%016x", f.random.Uint64()),
+		Spec: ideal.String(),
+		Steps: []workload.Step{{
+			Tasks: tasks, Need: workload.Resources{CPU: min(need, 4700), Memory: 64}, Estimate: time.Duration(estimate),
+		}},
+	}
+	route := routing.Route{Name: c.name, Service: "frames", Priority: c.priority, MaxAttempts: simAttempts, Stretch: simStretch, TargetDuration: simTarget, Timeout: simBudget}
+	e := f.entries[f.random.IntN(len(f.entries))]
+	share := work * float64(tasks) / (float64(c.work) * c.tasks)
+	out := served{kind: k, arrived: at, ideal: ideal, worth: c.worth * min(4, 0.3+0.7*share)}
+	e.pending[job.ID] = pending{out, f.now, objective}
+	e.s.Submit(placement.Request{Job: job, Route: route, Version: 1, Deadline: f.now.Add(wait)}, f.now)
+}
+
+// pending is a job without an answer yet.
+type pending struct {
+	out       served
+	arrived   time.Time
+	objective time.Duration
+}
+
+// JobEnded implements placement.Observer.
+func (e *simEntry) JobEnded(r placement.JobReport) {
+	p, ok := e.pending[r.ID]
+	if !ok {
+		return
+	}
+	delete(e.pending, r.ID)
+	p.out.answer, p.out.took = r.Answer.Outcome, r.Took
+	p.out.inTime = p.out.answer == placement.Done && r.Took <= p.objective
+	p.out.late = p.out.answer == placement.Done && !p.out.inTime && r.Took <= 3*p.objective
+	e.f.served = append(e.f.served, p.out)
+}
+
+// RunEnded implements placement.Observer.
+func (e *simEntry) RunEnded(placement.RunReport) {}
+
+// TargetChanged implements placement.Observer.
+func (e *simEntry) TargetChanged(placement.TargetChange) {}
+
+// marks is how users were served.
+type marks struct {
+	whole  float64   // earned over owed
+	kinds  []float64 // by kind
+	worst  float64   // the two worst windows
+	failed float64   // share of jobs that were not served
+	jobs   int
+}
+
+// judge sums up what was served, as the users value it.
+func (f *fleet) judge() marks {
+	earned, owed := 0.0, 0.0
+	byKind := make([][2]float64, len(f.kinds))
+	byWindow := map[int]*[2]float64{}
+	unserved := 0
+	for _, s := range f.served {
+		got := 0.0
+		switch {
+		case s.inTime:
+			got = s.worth
+		case s.late:
+			got = lateShare * s.worth
+		}
+		if s.answer != placement.Done {
+			unserved++
+		}
+		earned, owed = earned+got, owed+s.worth
+		byKind[s.kind][0] += got
+		byKind[s.kind][1] += s.worth
+		w := int(s.arrived / windowLen)
+		if byWindow[w] == nil {
+			byWindow[w] = &[2]float64{}
+		}
+		byWindow[w][0] += got
+		byWindow[w][1] += s.worth
+	}
+	m := marks{whole: earned / owed, failed: float64(unserved) / float64(len(f.served)), jobs: len(f.served)}
+	for _, k := range byKind {
+		m.kinds = append(m.kinds, k[0]/max(k[1], 1e-9))
+	}
+	var windows []float64
+	for _, w := range byWindow {
+		windows = append(windows, w[0]/w[1])
+	}
+	sort.Float64s(windows)
+	m.worst = (windows[0] + windows[min(1, len(windows)-1)]) / 2
+	return m
+}
+
+func (m marks) String() string {
+	return fmt.Sprintf("whole %.3f, kinds %.3f, worst windows %.3f, unserved %.4f of %d", m.whole, m.kinds, m.worst, m.failed, m.jobs)
+}
+
+// wave is the users' daily load: a swing of 55% over 15 s.
+func wave(at time.Duration) float64 {
+	return 1 + 0.55*math.Sin(2*math.Pi*(at.Seconds()/15+0.1))
+}
--- a/placement/job.go
+++ b/placement/job.go
@@ -47,22 +47,26 @@
 	failures int
 	avoid    *target // where the last run failed or was lost
 	run      *run    // while out
+	rescues  int     // runs that were stopped for taking too long
+	doneOn   *target
+	took     time.Duration // of the run that was done
 }
 
 // activeJob is a job that was accepted and has not ended.
 type activeJob struct {
 	request   Request
 	arrived   time.Time
-	objective time.Time // until when the answer is in time
-	tasks     [][]task  // by step
-	doneTasks []int     // by step
-	expected  []time.Duration
-	waiting   int // tasks waiting, of all steps
-	out       int // runs that are out
-	left      int // tasks not done
+	objective time.Time       // until when the answer is in time
+	tasks     [][]task        // by step
+	doneTasks []int           // by step
+	expected  []time.Duration // by step, of one task
+	waiting   int             // tasks waiting, of all steps
+	out       int             // runs that are out
+	left      int             // tasks not done
 	ran       bool
 	ended     bool
 	queued    bool
+	late      bool // can no longer be in time
 	key       float64
 	firstRun  time.Time
 	runs      int // runs sent
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -42,7 +42,7 @@
 func (s *Scheduler) ended(t *target, r *run, end wire.End, took time.Duration, reason string, now time.Time) {
 	delete(t.runs, r.id)
 	j := r.job
-	s.learn(t, r, end, took, now)
+	s.observe(t, r, end, took, now)
 	if s.opts.Observer != nil {
 		s.opts.Observer.RunEnded(RunReport{
 			Run: r.id, Route: j.request.Route.Name, Agent: t.name, Target: t.state.Target, End: end, Reason: reason,
@@ -56,6 +56,8 @@
 	k.run = nil
 	j.out--
 	if end == wire.EndDone {
+		k.doneOn, k.took = t, took
+		s.estimates.observe(j.request.Route.Name, j.request.Job.Steps[r.step].Estimate, took)
 		s.taskDone(j, r, k, now)
 		return
 	}
@@ -158,6 +160,8 @@
 		}
 	}
 	s.expire(now)
+	s.checkOverdue(now)
+	s.demote(now)
 	s.pump(now)
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -14,15 +14,45 @@
 // room, so that a long queue does not make every event expensive.
 const maxScan = 64
 
-// orderKey is the time, in seconds, by which jobs are served. A job with less
-// work passes one that came earlier by up to patience times the difference.
+const (
+	// patience is the wait that a job accepts, in multiples of its expected
+	// duration: a job with less work passes one that came earlier.
+	patience = 5.0
+	// latePenalty is the wait, in seconds, by which a job that can no longer be in
+	// time lets others pass. It is not put behind all of them: an answer that is
+	// late is still worth more than none.
+	latePenalty = 1.5
+	// startedBonus, in seconds, finishes jobs that have begun before others begin,
+	// since a job waits for its last task.
+	startedBonus = 0.2
+)
+
+// orderKey is the time, in seconds, by which jobs are served.
 func orderKey(j *activeJob) float64 {
-	return float64(j.arrived.UnixMicro())/1e6 + patience*j.chain().Seconds()
+	arrived := float64(j.arrived.UnixMicro()) / 1e6
+	if j.late {
+		return arrived + patience*j.remaining().Seconds() + latePenalty
+	}
+	key := arrived + patience*j.chain().Seconds()
+	if j.runs > j.noRoom {
+		key -= startedBonus
+	}
+	return key
 }
 
-// patience is the wait that a job accepts, in multiples of its expected run
-// time.
-const patience = 2.0
+// hopeless reports whether a job can no longer be in time.
+func (j *activeJob) hopeless(now time.Time) bool { return now.Add(j.chain()).After(j.objective) }
+
+// demote gives the jobs that can no longer be in time a place further behind.
+func (s *Scheduler) demote(now time.Time) {
+	for _, j := range slices.Clone(s.queue) {
+		if !j.late && j.hopeless(now) {
+			s.dequeue(j)
+			j.late = true
+			s.enqueue(j)
+		}
+	}
+}
 
 func (s *Scheduler) enqueue(j *activeJob) {
 	if j.queued || j.ended || j.waiting == 0 {
@@ -103,7 +133,7 @@
 			if k.state != taskWaiting {
 				continue
 			}
-			c := s.choose(j, step, k, view, now)
+			c := s.choose(j, step, k, view)
 			if c == nil {
 				complete = false
 				break // the step's tasks are alike
@@ -125,7 +155,7 @@
 	dataRackWeight = 1.0
 )
 
-func (s *Scheduler) choose(j *activeJob, step int, k *task, view []candidate, now time.Time) *candidate {
+func (s *Scheduler) choose(j *activeJob, step int, k *task, view []candidate) *candidate {
 	spec := &j.request.Job.Steps[step]
 	var best *candidate
 	bestScore := 0.0
@@ -137,7 +167,7 @@
 		if spec.MaxPerTarget > 0 && j.runsOn(step, c.target) >= spec.MaxPerTarget {
 			continue
 		}
-		score := s.score(spec, k, c, now)
+		score := s.score(spec, k, c)
 		if best == nil || score > bestScore {
 			best, bestScore = c, score
 		}
@@ -145,11 +175,11 @@
 	return best
 }
 
-func (s *Scheduler) score(spec *workload.Step, k *task, c *candidate, now time.Time) float64 {
+func (s *Scheduler) score(spec *workload.Step, k *task, c *candidate) float64 {
 	t := c.target
 	score := roomWeight * float64(c.free.CPU) / float64(max(1, t.state.Capacity.CPU))
 	score += randomWeight * s.opts.Random.Float64()
-	score -= speedWeight * (t.health.slowness(now) - 1)
+	score -= speedWeight * (t.health.slowness() - 1)
 	if t.state.FailureDomain == s.opts.FailureDomain {
 		score += domainWeight
 	}
@@ -199,7 +229,6 @@
 	if j.firstRun.IsZero() {
 		j.firstRun = now
 	}
-	t.health.started(now)
 	s.send(t, &wire.RunStart{
 		Run:  r.id,
 		Spec: j.request.Job.Spec,
