--- /dev/null
+++ b/placement/backlog.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// backlog is what waits for room.
+type backlog struct {
+	tasks int
+	key   float64 // of the first job
+	least workload.Resources
+}
+
+const (
+	// backlogInterval is the shortest time between two messages about a backlog
+	// that goes on, and backlogPerTarget what each target adds to it, so that
+	// they cost a large fleet's entries no more than a small one's.
+	backlogInterval  = 2 * time.Millisecond
+	backlogPerTarget = 100 * time.Microsecond
+	// backlogChange is the change of the key, in seconds, that agents are told of:
+	// about the shortest task.
+	backlogChange = 0.01
+)
+
+// tellBacklog tells the agents what waits here when it has changed.
+func (s *Scheduler) tellBacklog(now time.Time) {
+	current := s.backlog()
+	if !s.worthTelling(current, now) {
+		return
+	}
+	s.told, s.toldAt = current, now
+	urgency := time.Duration((current.key - float64(now.UnixMicro())/1e6) * float64(time.Second))
+	m := &wire.Backlog{Tasks: uint32(current.tasks), Urgency: urgency, Least: current.least}
+	for _, t := range s.ordered {
+		if t.usable() {
+			s.send(t, m)
+		}
+	}
+}
+
+func (s *Scheduler) worthTelling(b backlog, now time.Time) bool {
+	if (b.tasks == 0) != (s.told.tasks == 0) {
+		return true
+	}
+	if b.tasks == 0 || now.Sub(s.toldAt) < backlogInterval+backlogPerTarget*time.Duration(len(s.ordered)) {
+		return false
+	}
+	change := b.key - s.told.key
+	return change > backlogChange || change < -backlogChange || b.least != s.told.least
+}
+
+func (s *Scheduler) backlog() backlog {
+	var b backlog
+	for _, j := range s.queue {
+		need, waits := j.leastNeed()
+		if !waits {
+			continue
+		}
+		if b.tasks == 0 {
+			b.key, b.least = j.key, need
+		}
+		if need.Fits(b.least) {
+			b.least = need
+		}
+		b.tasks += j.waiting
+	}
+	return b
+}
+
+// leastNeed returns the smallest need of the tasks that may start.
+func (j *activeJob) leastNeed() (least workload.Resources, waits bool) {
+	for step := range j.tasks {
+		if j.waitingIn(step) == 0 || !j.open(step) {
+			continue
+		}
+		need := j.request.Job.Steps[step].Need
+		if !waits || need.Fits(least) {
+			least, waits = need, true
+		}
+	}
+	return least, waits
+}
+
+func (j *activeJob) waitingIn(step int) int {
+	n := 0
+	for i := range j.tasks[step] {
+		if j.tasks[step][i].state == taskWaiting {
+			n++
+		}
+	}
+	return n
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -27,6 +27,11 @@
 	// maxEvidence is the evidence from which a target is distrusted. Single
 	// failures are the tasks' own.
 	maxEvidence = 2.0
+	// minObservations is the number of runs from which a target's slowness counts.
+	minObservations = 4.0
+	// startSlack is what a run may take besides its work: messages and a busy
+	// agent, which matter for the shortest tasks.
+	startSlack = 10 * time.Millisecond
 	// successRelief is what a run that was done in the usual time takes off the
 	// evidence: a target that fails a third of its runs is still found.
 	successRelief = 0.5
@@ -87,7 +92,7 @@
 	case wire.EndDone:
 		t.pause = 0
 		reference, _ := r.reference()
-		ratio := float64(max(took, minRun)) / float64(max(reference, minRun))
+		ratio := float64(max(took, minRun)) / float64(max(reference, minRun)+startSlack)
 		h.weight = min(h.weight+1, slownessMemory)
 		h.logSlowness += (math.Log(ratio) - h.logSlowness) / h.weight
 		if ratio < slowLimit {
@@ -95,7 +100,7 @@
 			s.restore(t)
 			return
 		}
-		if h.slowness() > slowLimit || h.distrusted {
+		if h.weight >= minObservations && h.slowness() > slowLimit || h.distrusted {
 			s.distrust(t, "slow", now)
 		}
 	case wire.EndFailed:
--- a/placement/job.go
+++ b/placement/job.go
@@ -66,7 +66,7 @@
 	ran       bool
 	ended     bool
 	queued    bool
-	late      bool // can no longer be in time
+	stage     stage
 	key       float64
 	firstRun  time.Time
 	runs      int // runs sent
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -47,6 +47,14 @@
 					rate = func(int, time.Duration) float64 { return 1.7 }
 				}
 				f.load(15*time.Second, rate)
+				cpu, rej := 0.0, 0
+				for _, h := range f.hosts {
+					cpu += h.cpuTime
+					rej += h.rejected
+				}
+				if seed == 1 {
+					t.Logf("%s util %.3f rejected %d load %+v", c, cpu/11/32000/15, rej, f.entries[0].s.Load())
+				}
 				f.run(8 * time.Second)
 				m := f.judge()
 				mu.Lock()
--- a/placement/place.go
+++ b/placement/place.go
@@ -18,20 +18,25 @@
 	// patience is the wait that a job accepts, in multiples of its expected
 	// duration: a job with less work passes one that came earlier.
 	patience = 5.0
-	// latePenalty is the wait, in seconds, by which a job that can no longer be in
-	// time lets others pass. It is not put behind all of them: an answer that is
-	// late is still worth more than none.
-	latePenalty = 1.5
 	// startedBonus, in seconds, finishes jobs that have begun before others begin,
 	// since a job waits for its last task.
 	startedBonus = 0.2
 )
 
-// orderKey is the time, in seconds, by which jobs are served.
+// lostOffset puts jobs whose answers are of no use behind all others. It is
+// longer, in seconds, than any process lives.
+const lostOffset = 1e12
+
+// orderKey is the time, in seconds, by which jobs are served. A job that can no
+// longer be in time counts with all of its remaining work, so that it lets others
+// pass but is not put behind all of them: a late answer is better than none.
 func orderKey(j *activeJob) float64 {
 	arrived := float64(j.arrived.UnixMicro()) / 1e6
-	if j.late {
-		return arrived + patience*j.remaining().Seconds() + latePenalty
+	if j.stage == lost {
+		return lostOffset + j.remaining().Seconds()
+	}
+	if j.stage == late {
+		return arrived + patience*j.remaining().Seconds()
 	}
 	key := arrived + patience*j.chain().Seconds()
 	if j.runs > j.noRoom {
@@ -40,15 +45,37 @@
 	return key
 }
 
-// hopeless reports whether a job can no longer be in time.
-func (j *activeJob) hopeless(now time.Time) bool { return now.Add(j.chain()).After(j.objective) }
+// stage says how much an answer to a job can still be worth.
+type stage uint8
+
+const (
+	timely stage = iota // the answer may be in time
+	late                // it may come within lateFactor times what is in time
+	lost                // it comes later than that
+)
+
+// lateFactor is by how much an answer may miss its objective and still be of use.
+const lateFactor = 3
 
-// demote gives the jobs that can no longer be in time a place further behind.
+// stageAt is the best that an answer to a job can be.
+func (j *activeJob) stageAt(now time.Time) stage {
+	end := now.Add(j.chain())
+	switch {
+	case !end.After(j.objective):
+		return timely
+	case !end.After(j.arrived.Add(lateFactor * j.objective.Sub(j.arrived))):
+		return late
+	}
+	return lost
+}
+
+// demote gives jobs their place again when their answers will come later than
+// was hoped for.
 func (s *Scheduler) demote(now time.Time) {
 	for _, j := range slices.Clone(s.queue) {
-		if !j.late && j.hopeless(now) {
+		if stage := j.stageAt(now); stage > j.stage {
 			s.dequeue(j)
-			j.late = true
+			j.stage = stage
 			s.enqueue(j)
 		}
 	}
@@ -83,9 +110,13 @@
 
 // pump starts waiting tasks as long as targets have room for them.
 func (s *Scheduler) pump(now time.Time) {
-	if len(s.queue) == 0 {
-		return
+	if len(s.queue) > 0 {
+		s.placeQueue(now)
 	}
+	s.tellBacklog(now)
+}
+
+func (s *Scheduler) placeQueue(now time.Time) {
 	view := s.roomView(now)
 	blocked := 0
 	for _, j := range slices.Clone(s.queue) {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -58,6 +58,8 @@
 	targets   map[string]*target
 	ordered   []*target // by name
 	estimates estimates
+	told      backlog // last told to the agents
+	toldAt    time.Time
 }
 
 // New returns a scheduler without targets.
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -27,6 +27,9 @@
 	switch m := m.(type) {
 	case *wire.RunStart:
 		s.handleStart(state, m, time.Now())
+	case *wire.Backlog:
+		s.offers.SetBacklog(ownerOf(l), runs.Backlog{Tasks: int(m.Tasks), Key: time.Now().Add(m.Urgency), Least: m.Least})
+		signal(s.room)
 	case *wire.RunStop:
 		for _, id := range m.Runs {
 			if r := s.table.Get(id); r != nil && r.Owner == ownerOf(l) {
@@ -197,6 +200,7 @@
 	if state == nil || ownerOf(state.link) != r.Owner {
 		return
 	}
+	s.updateOffers()
 	state.told = s.roomFor(state)
 	s.send(state, &wire.RunEnd{Run: r.ID, End: end, RunTime: took, Room: state.told, Reason: reason})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -91,6 +91,8 @@
 
 	mu       sync.Mutex
 	table    *runs.Table
+	offers   runs.Offers
+	offersAt time.Time // when the offers change by themselves
 	links    map[string]*linkState
 	report   target.Report
 	reported bool
@@ -218,6 +220,8 @@
 func (s *Sidecar) dropLink(state *linkState, reason string) {
 	state.closed = true
 	owner := ownerOf(state.link)
+	s.offers.Remove(owner)
+	signal(s.room)
 	lost := s.table.Of(func(r *runs.Run) bool { return r.Owner == owner })
 	s.log.Info("entry link ended", zap.String("entry", owner.Name), zap.String("reason", reason), zap.Int("runs", len(lost)))
 	for _, r := range lost {
@@ -258,7 +262,12 @@
 	})
 }
 
+// roomFor is the room that an entry is told of: none while it is kept for an
+// entry with more urgent work.
 func (s *Sidecar) roomFor(state *linkState) wire.Room {
+	if !s.offers.Sees(ownerOf(state.link)) {
+		return wire.Room{Seen: state.seen}
+	}
 	return wire.Room{Free: s.table.Free(), Seen: state.seen}
 }
 
@@ -305,12 +314,25 @@
 	}
 }
 
+// updateOffers decides who sees the room that is free now, before anybody is told
+// of it.
+func (s *Sidecar) updateOffers() {
+	now := time.Now()
+	again := s.offers.Update(s.table.Free(), now)
+	if again.IsZero() || again.Equal(s.offersAt) {
+		return
+	}
+	s.offersAt = again
+	time.AfterFunc(again.Sub(now), func() { signal(s.room) })
+}
+
 func (s *Sidecar) tellRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ready() {
 		return
 	}
+	s.updateOffers()
 	for _, state := range s.links {
 		if room := s.roomFor(state); room != state.told {
 			state.told = room
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -63,6 +63,7 @@
 	TypeRunStart:        func() Message { return &RunStart{} },
 	TypeRunEnd:          func() Message { return &RunEnd{} },
 	TypeRunStop:         func() Message { return &RunStop{} },
+	TypeBacklog:         func() Message { return &Backlog{} },
 }
 
 // Type implementations.
@@ -90,6 +91,7 @@
 func (*RunStart) Type() Type        { return TypeRunStart }
 func (*RunEnd) Type() Type          { return TypeRunEnd }
 func (*RunStop) Type() Type         { return TypeRunStop }
+func (*Backlog) Type() Type         { return TypeBacklog }
 
 // Encode returns the frame of a message: the body's length in four bytes, the
 // type in one, then the body in CBOR.
--- a/wire/message.go
+++ b/wire/message.go
@@ -36,6 +36,7 @@
 	TypeRunStart
 	TypeRunEnd
 	TypeRunStop
+	TypeBacklog
 )
 
 // typeNames are the names of message types in metrics and logs.
@@ -46,6 +47,7 @@
 	TypeQuery: "query", TypeCancel: "cancel", TypeHeartbeat: "heartbeat", TypeLeave: "leave",
 	TypePeerState: "peer_state", TypeDocument: "document", TypeDocumentRequest: "document_request",
 	TypeTargetState: "target_state", TypeRoom: "room", TypeRunStart: "run_start", TypeRunEnd: "run_end", TypeRunStop: "run_stop",
+	TypeBacklog: "backlog",
 }
 
 // String returns the type's name in metrics and logs.
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -82,3 +82,13 @@
 type RunStop struct {
 	Runs []workload.RunID `cbor:"1,keyasint"`
 }
+
+// Backlog tells an agent what waits at an entry, so that it shows freed room
+// first to the entry with the most urgent work. Urgency is the order key of the
+// first waiting job relative to the sending, so that entries' clocks need not
+// agree; a smaller one is more urgent. Least is the smallest need of a task.
+type Backlog struct {
+	Tasks   uint32             `cbor:"1,keyasint"`
+	Urgency time.Duration      `cbor:"2,keyasint"`
+	Least   workload.Resources `cbor:"3,keyasint"`
+}
