--- a/placement/admit.go
+++ b/placement/admit.go
@@ -2,14 +2,48 @@
 
 import "time"
 
+// Bounds of the time after which a refused caller may come back. Demand swings
+// within seconds.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 10 * time.Second
+)
+
+// retryAfter is about when what waits now will have been served by the room that
+// the targets have.
+func (s *Scheduler) retryAfter() time.Duration {
+	work, room := 0.0, 0.0
+	for j := range s.jobs {
+		for step := range j.tasks {
+			left := len(j.tasks[step]) - j.doneTasks[step]
+			work += float64(left) * j.expected[step].Seconds() * float64(j.request.Job.Steps[step].Need.CPU)
+		}
+	}
+	for _, t := range s.ordered {
+		if t.usable() && !t.health.distrusted {
+			room += float64(t.state.Capacity.CPU)
+		}
+	}
+	if room == 0 {
+		return minRetryAfter
+	}
+	entries := 1.0
+	if s.opts.Entries != nil {
+		entries = max(1, float64(s.opts.Entries()))
+	}
+	return min(max(seconds(work*entries/room), minRetryAfter), maxRetryAfter)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // admit refuses a job that cannot be served.
 func (s *Scheduler) admit(j *activeJob, now time.Time) *Answer {
 	job := &j.request.Job
 	if job.Unsupported != "" {
-		return &Answer{Outcome: Refused, Reason: "not supported: " + job.Unsupported, RetryAfter: time.Second}
+		return &Answer{Outcome: Refused, Reason: "not supported: " + job.Unsupported, RetryAfter: minRetryAfter}
 	}
 	if !now.Before(j.request.Deadline) {
-		return &Answer{Outcome: Refused, Reason: "the caller's time is over", RetryAfter: time.Second}
+		return &Answer{Outcome: Refused, Reason: "the caller's time is over", RetryAfter: minRetryAfter}
 	}
 	return nil
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -146,7 +146,7 @@
 	if j.started() {
 		return Answer{Outcome: Expired, Reason: reason}
 	}
-	return Answer{Outcome: Refused, Reason: reason, RetryAfter: time.Second}
+	return Answer{Outcome: Refused, Reason: reason, RetryAfter: s.retryAfter()}
 }
 
 // Tick does what is due: jobs whose time ran out, runs that were lost with their
--- a/placement/place.go
+++ b/placement/place.go
@@ -70,14 +70,21 @@
 }
 
 // demote gives jobs their place again when their answers will come later than
-// was hoped for.
+// was hoped for. A job of which nothing has run is refused when its answer would
+// be of no use.
 func (s *Scheduler) demote(now time.Time) {
 	for _, j := range slices.Clone(s.queue) {
-		if stage := j.stageAt(now); stage > j.stage {
-			s.dequeue(j)
-			j.stage = stage
-			s.enqueue(j)
+		stage := j.stageAt(now)
+		if stage <= j.stage {
+			continue
+		}
+		if stage == lost && !j.started() {
+			s.end(j, Answer{Outcome: Refused, Reason: "cannot be answered within its time", RetryAfter: s.retryAfter()}, now)
+			continue
 		}
+		s.dequeue(j)
+		j.stage = stage
+		s.enqueue(j)
 	}
 }
 
