Ask a target by two inquiries at once, and judge silence by time

Two inquiries wait at a time, an order is given up after 100 ms, and a target is closed after 400 ms without any answer. Only runs that were sent after the pause decide whether a distrusted target is well again.

--- a/placement/health.go
+++ b/placement/health.go
@@ -95,6 +95,9 @@
 		ratio := float64(max(took, minRun)) / float64(max(reference, minRun)+startSlack)
 		h.weight = min(h.weight+1, slownessMemory)
 		h.logSlowness += (math.Log(ratio) - h.logSlowness) / h.weight
+		if h.distrusted && r.sent.Before(h.until) {
+			return // from before; only a trial says whether the target is well again
+		}
 		if ratio < slowLimit {
 			h.evidence = max(0, h.evidence-successRelief)
 			s.restore(t)
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -120,11 +120,13 @@
 	Reason string
 }
 
-// Listing is a target's answer to a question that was asked at Asked.
+// Listing is a target's answer to a question that was asked at Asked and answered
+// at Answered, both on this process's clock.
 type Listing struct {
-	Asked   time.Time
-	Running map[workload.RunID]bool
-	Ended   map[workload.RunID]EndOf
+	Asked    time.Time
+	Answered time.Time
+	Running  map[workload.RunID]bool
+	Ended    map[workload.RunID]EndOf
 }
 
 // EndOf is how a target says that a run ended.
@@ -147,7 +149,7 @@
 		}
 		if l.Running[r.ID] {
 			if r.State != Running {
-				r.State, r.Known = Running, l.Asked
+				r.State, r.Known = Running, l.Answered
 			}
 			continue
 		}
--- /dev/null
+++ b/runs/runs_test.go
@@ -0,0 +1,144 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func runID(index uint32) workload.RunID {
+	return workload.RunID{Task: workload.TaskID{Job: "5c0e7a21d94b36f8", Index: index}, Attempt: 1}
+}
+
+func newTable() *runs.Table {
+	t := runs.New()
+	t.SetCapacity(workload.Resources{CPU: 8000, Memory: 1000})
+	return t
+}
+
+func admit(t *testing.T, table *runs.Table, index uint32, cpu int64, ordered int) *runs.Run {
+	t.Helper()
+	if end := table.Admit(runs.Run{ID: runID(index), Need: workload.Resources{CPU: cpu}, Ordered: at(ordered)}); end != 0 {
+		t.Fatalf("run %d: %s", index, end)
+	}
+	return table.Get(runID(index))
+}
+
+func listed(ids ...uint32) map[workload.RunID]bool {
+	m := make(map[workload.RunID]bool)
+	for _, i := range ids {
+		m[runID(i)] = true
+	}
+	return m
+}
+
+// Guards against a start beyond the capacity, and against two runs of one task.
+func TestAdmitCountsWhatMayRun(t *testing.T) {
+	table := newTable()
+	r := admit(t, table, 1, 5000, 0)
+	r.State, r.Stopping = runs.Unsure, true
+	if end := table.Admit(runs.Run{ID: runID(2), Need: workload.Resources{CPU: 3001}}); end != wire.EndNoRoom {
+		t.Errorf("a start beyond the capacity: %s", end)
+	}
+	again := runID(1)
+	again.Attempt = 2
+	if end := table.Admit(runs.Run{ID: again, Need: workload.Resources{CPU: 1}}); end != wire.EndNotRun {
+		t.Errorf("a second run of a task: %s", end)
+	}
+	table.Remove(runID(1))
+	if free := table.Free().CPU; free != 8000 {
+		t.Errorf("free after the end: %d", free)
+	}
+}
+
+// Guards against a run that is taken as ended because a listing lacks it that was
+// asked for before the run was confirmed: answers overtake each other.
+func TestListingSaysNothingOfLaterRuns(t *testing.T) {
+	table := newTable()
+	admit(t, table, 1, 1000, 0)
+	// Two inquiries were asked at 0 and 10 and answered in the same millisecond;
+	// the first answer was made after the start, the second one before.
+	table.Apply(runs.Listing{Asked: at(0), Answered: at(20), Running: listed(1)})
+	if ended := table.Apply(runs.Listing{Asked: at(10), Answered: at(20)}); len(ended) > 0 {
+		t.Fatalf("ended by an answer from before its start: %+v", ended)
+	}
+	ended := table.Apply(runs.Listing{Asked: at(21), Answered: at(22)})
+	if len(ended) != 1 || ended[0].End != wire.EndStopped {
+		t.Errorf("a run that is gone: %+v", ended)
+	}
+}
+
+// Guards against room that is given away while an order without an answer may
+// still be carried out.
+func TestUnansweredStartKeepsItsRoom(t *testing.T) {
+	table := newTable()
+	r := admit(t, table, 1, 8000, 0)
+	r.State, r.Stopping = runs.Unsure, true
+	if ended := table.Apply(runs.Listing{Asked: at(100), Answered: at(101)}); len(ended) > 0 {
+		t.Fatalf("ended before its stop was acknowledged: %+v", ended)
+	}
+	r.Stopped = at(200)
+	if ended := table.Apply(runs.Listing{Asked: at(199), Answered: at(201)}); len(ended) > 0 {
+		t.Fatalf("ended by an inquiry from before the stop: %+v", ended)
+	}
+	if ended := table.Apply(runs.Listing{Asked: at(201), Answered: at(202)}); len(ended) != 1 || ended[0].End != wire.EndStopped {
+		t.Errorf("after the stop: %+v", ended)
+	}
+	if table.Len() != 0 || table.Free().CPU != 8000 {
+		t.Errorf("%d runs, %d free", table.Len(), table.Free().CPU)
+	}
+}
+
+// Guards against an end that the target lists being reported as another one.
+func TestListedEndsAreReported(t *testing.T) {
+	table := newTable()
+	admit(t, table, 1, 1000, 0)
+	admit(t, table, 2, 1000, 1)
+	ended := table.Apply(runs.Listing{Asked: at(5), Answered: at(6), Running: listed(2), Ended: map[workload.RunID]runs.EndOf{
+		runID(1): {End: wire.EndFailed, Reason: "failed"},
+	}})
+	if len(ended) != 1 || ended[0].End != wire.EndFailed || ended[0].Run.ID != runID(1) {
+		t.Errorf("%+v", ended)
+	}
+	if r := table.Get(runID(2)); r.State != runs.Running {
+		t.Errorf("a listed run is not taken as running")
+	}
+}
+
+// Guards against freed room that goes to whoever asks first: work of one entry
+// then waits behind less urgent work of another.
+func TestFreedRoomIsShownToTheMostUrgent(t *testing.T) {
+	a, b, c := runs.Owner{Name: "a"}, runs.Owner{Name: "b"}, runs.Owner{Name: "c"}
+	free := workload.Resources{CPU: 3000}
+	need := workload.Resources{CPU: 2500}
+	var o runs.Offers
+	o.SetBacklog(a, runs.Backlog{Tasks: 5, Key: at(200), Least: need})
+	o.SetBacklog(b, runs.Backlog{Tasks: 1, Key: at(100), Least: need})
+	until := o.Update(free, at(0))
+	if o.Sees(a) || !o.Sees(b) || o.Sees(c) {
+		t.Errorf("shown to a %t, b %t, c %t", o.Sees(a), o.Sees(b), o.Sees(c))
+	}
+	// b does not use it.
+	o.Update(free, until)
+	if !o.Sees(a) || o.Sees(b) {
+		t.Errorf("after the offer ended: shown to a %t, b %t", o.Sees(a), o.Sees(b))
+	}
+	// Nobody's tasks fit into what is left.
+	o.Update(workload.Resources{CPU: 500}, until)
+	if !o.Sees(a) || !o.Sees(b) || !o.Sees(c) {
+		t.Error("room that no waiting task fits into is kept back")
+	}
+	o.Remove(a)
+	o.SetBacklog(b, runs.Backlog{})
+	o.Update(free, until)
+	if !o.Sees(c) {
+		t.Error("room is kept back although nobody waits")
+	}
+}
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -49,7 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.unreachable(now, err)
+		s.unreachable(err)
 		return false
 	}
 	return s.takeListing(q, now, l)
@@ -63,11 +63,17 @@
 
 // unreachable takes in that an inquiry got no answer. When no renewal can have
 // reached the target for longer than a lease, nothing runs there any more.
-func (s *Sidecar) unreachable(now time.Time, err error) {
+func (s *Sidecar) unreachable(err error) {
+	gone := errors.Is(err, target.ErrGone)
+	if !gone {
+		s.opts.Metrics.OrderUnanswered("inquiry")
+		if time.Since(s.target.answered) < silenceLimit {
+			return
+		}
+	}
 	if s.target.reachable {
 		s.log.Warn("target does not answer", zap.String("target", s.report.Target), zap.Error(err))
 	}
-	gone := errors.Is(err, target.ErrGone)
 	silent := time.Since(s.target.answered) > time.Duration(clockSlack*float64(s.opts.Lease))+2*s.opts.OrderLimit+s.opts.Renew
 	was := s.target.reachable
 	s.target.reachable = false
@@ -93,6 +99,9 @@
 	if l.Replaced {
 		return false // the new incarnation's report is on its way
 	}
+	if l.Born == s.target.born && l.Clock < s.target.clock {
+		return true // overtaken by the answer to a later inquiry
+	}
 	if l.Born != s.target.born && l.Born != 0 {
 		s.targetReborn(l)
 	}
@@ -134,9 +143,10 @@
 // table lacks.
 func (s *Sidecar) applyListing(asked time.Time, l target.Listing) []workload.RunID {
 	listing := runs.Listing{
-		Asked:   asked,
-		Running: make(map[workload.RunID]bool, len(l.Running)),
-		Ended:   make(map[workload.RunID]runs.EndOf, len(l.Ended)),
+		Asked:    asked,
+		Answered: time.Now(),
+		Running:  make(map[workload.RunID]bool, len(l.Running)),
+		Ended:    make(map[workload.RunID]runs.EndOf, len(l.Ended)),
 	}
 	var orphans []workload.RunID
 	for _, id := range l.Running {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -30,8 +30,15 @@
 	// DefaultRenew is the longest time between two inquiries.
 	DefaultRenew = 150 * time.Millisecond
 	// DefaultOrderLimit bounds one order. The target is on the same machine and
-	// answers in less than a millisecond.
-	DefaultOrderLimit = 250 * time.Millisecond
+	// answers in less than a millisecond; a busy machine may take a tenth of a
+	// second.
+	DefaultOrderLimit = 100 * time.Millisecond
+	// inquirers is the number of inquiries that wait at the target at once, so
+	// that one whose answer is lost delays the news of no end.
+	inquirers = 2
+	// silenceLimit is how long no inquiry may be answered before the target takes
+	// no more runs: all inquirers have failed once.
+	silenceLimit = 400 * time.Millisecond
 	// clockSlack is by how much the target's clock may be slow.
 	clockSlack = 1.02
 	// roomInterval is the shortest time between two messages about room to an
@@ -135,7 +142,9 @@
 // Start starts the loops.
 func (s *Sidecar) Start() {
 	s.tomb.Go(func() error {
-		s.tomb.Go(s.inquireLoop)
+		for range inquirers {
+			s.tomb.Go(s.inquireLoop)
+		}
 		s.tomb.Go(s.roomLoop)
 		return nil
 	})
