--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,8 +213,9 @@
 // Pending returns the number of jobs of a route that have not started.
 func (g *Gateway) Pending(route string) int { return g.scheduler.Pending(route) }
 
-// Draining reports whether connections should be given up after their answers.
-func (g *Gateway) Draining() bool { return g.stopping.Load() }
+// Leaving reports whether callers should open a new connection, which leads them
+// to another entry, after an answer.
+func (g *Gateway) Leaving() bool { return g.stopping.Load() || g.scheduler.CutOff(time.Now()) }
 
 // tickLoop does what is due in the scheduler. After a pause it first ends the
 // jobs whose callers may have been served elsewhere.
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -42,6 +42,9 @@
 	if job.Unsupported != "" {
 		return &Answer{Outcome: Refused, Reason: "not supported: " + job.Unsupported, RetryAfter: minRetryAfter}
 	}
+	if s.cutOff(now) {
+		return &Answer{Outcome: Refused, Reason: "no target can be reached from this entry", RetryAfter: minRetryAfter}
+	}
 	if !now.Before(j.request.Deadline) {
 		return &Answer{Outcome: Refused, Reason: "the caller's time is over", RetryAfter: minRetryAfter}
 	}
--- a/placement/job.go
+++ b/placement/job.go
@@ -157,16 +157,10 @@
 	if !j.firstRun.IsZero() {
 		first = j.firstRun.Sub(j.arrived)
 	}
-	usable := 0
-	for _, t := range s.ordered {
-		if t.usable() {
-			usable++
-		}
-	}
 	s.opts.Observer.JobEnded(JobReport{
 		ID: j.request.Job.ID, Route: j.request.Route.Name, Version: j.request.Version, Answer: a,
 		Tasks: j.request.Job.Tasks(), Runs: j.runs, NoRoom: j.noRoom,
 		Took: now.Sub(j.arrived), FirstRun: first, Left: j.request.Deadline.Sub(now),
-		InTime: !now.After(j.objective), Targets: usable, Queue: len(s.queue),
+		InTime: !now.After(j.objective), Targets: s.usableTargets(), Queue: len(s.queue),
 	})
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -128,16 +128,20 @@
 
 func (s *Scheduler) stopRuns(j *activeJob) {
 	byTarget := make(map[*target][]workload.RunID)
+	var targets []*target
 	for step := range j.tasks {
 		for index := range j.tasks[step] {
 			if r := j.tasks[step][index].run; r != nil && !r.stopping {
 				r.stopping = true
+				if byTarget[r.target] == nil {
+					targets = append(targets, r.target)
+				}
 				byTarget[r.target] = append(byTarget[r.target], r.id)
 			}
 		}
 	}
-	for t, runs := range byTarget {
-		s.send(t, &wire.RunStop{Runs: runs})
+	for _, t := range targets {
+		s.send(t, &wire.RunStop{Runs: byTarget[t]})
 	}
 }
 
@@ -154,6 +158,12 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.begun.IsZero() {
+		s.begun = now
+	}
+	if s.usableTargets() > 0 {
+		s.reachable = now
+	}
 	for _, t := range s.ordered {
 		if t.link == nil && !t.lostAt.IsZero() && now.Sub(t.lostAt) >= s.opts.GoneAfter && len(t.runs) > 0 {
 			s.endLost(t, now, func(*run) bool { return true })
@@ -166,13 +176,7 @@
 }
 
 func (s *Scheduler) expire(now time.Time) {
-	var due []*activeJob
-	for j := range s.jobs {
-		if !now.Before(j.request.Deadline) {
-			due = append(due, j)
-		}
-	}
-	for _, j := range due {
+	for _, j := range s.inOrder(func(j *activeJob) bool { return !now.Before(j.request.Deadline) }) {
 		s.end(j, s.giveUp(j, "the caller's time is over"), now)
 	}
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -60,6 +60,8 @@
 	estimates estimates
 	told      backlog // last told to the agents
 	toldAt    time.Time
+	begun     time.Time // first call of Tick
+	reachable time.Time // when a target was last usable
 }
 
 // New returns a scheduler without targets.
@@ -162,17 +164,44 @@
 func (s *Scheduler) Load() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := Load{Jobs: len(s.jobs)}
+	l := Load{Jobs: len(s.jobs), Targets: s.usableTargets()}
 	for j := range s.jobs {
 		l.WaitingTasks += j.waiting
 		l.Runs += j.out
 	}
+	return l
+}
+
+// CutOff reports whether no target has been usable for so long that callers are
+// better served by another entry.
+func (s *Scheduler) CutOff(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cutOff(now)
+}
+
+// cutOffAfter rides out a moment without targets; startTime leaves a new process
+// and new agents the time to link and to hear from their targets.
+const (
+	cutOffAfter = 700 * time.Millisecond
+	startTime   = 2500 * time.Millisecond
+)
+
+func (s *Scheduler) cutOff(now time.Time) bool {
+	if s.usableTargets() > 0 || s.begun.IsZero() {
+		return false
+	}
+	return now.Sub(s.begun) > startTime && now.Sub(s.reachable) > cutOffAfter
+}
+
+func (s *Scheduler) usableTargets() int {
+	n := 0
 	for _, t := range s.ordered {
 		if t.usable() {
-			l.Targets++
+			n++
 		}
 	}
-	return l
+	return n
 }
 
 // AbandonAll ends every job. A process that stood still cannot know which of its
@@ -180,15 +209,18 @@
 func (s *Scheduler) AbandonAll(reason string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, j := range s.inOrder() {
+	for _, j := range s.inOrder(func(*activeJob) bool { return true }) {
 		s.end(j, s.giveUp(j, reason), now)
 	}
 }
 
-func (s *Scheduler) inOrder() []*activeJob {
-	jobs := make([]*activeJob, 0, len(s.jobs))
+// inOrder returns the jobs for which keep holds, by id.
+func (s *Scheduler) inOrder(keep func(*activeJob) bool) []*activeJob {
+	var jobs []*activeJob
 	for j := range s.jobs {
-		jobs = append(jobs, j)
+		if keep(j) {
+			jobs = append(jobs, j)
+		}
 	}
 	slices.SortFunc(jobs, func(a, b *activeJob) int { return strings.Compare(a.request.Job.ID, b.request.Job.ID) })
 	return jobs
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/runs"
-	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/workload"
 )
 
@@ -32,7 +32,7 @@
 func (s *Sidecar) inquire() bool {
 	s.mu.Lock()
 	now := time.Now()
-	q := target.Inquiry{
+	q := targets.Inquiry{
 		Target: s.report.Target,
 		Lease:  s.leaseEnd(now),
 		Fence:  s.target.fence,
@@ -64,7 +64,7 @@
 // unreachable takes in that an inquiry got no answer. When no renewal can have
 // reached the target for longer than a lease, nothing runs there any more.
 func (s *Sidecar) unreachable(err error) {
-	gone := errors.Is(err, target.ErrGone)
+	gone := errors.Is(err, targets.ErrGone)
 	if !gone {
 		s.opts.Metrics.OrderUnanswered("inquiry")
 		if time.Since(s.target.answered) < silenceLimit {
@@ -94,7 +94,7 @@
 
 // takeListing takes in an answer and reports whether the next inquiry may follow
 // at once.
-func (s *Sidecar) takeListing(q target.Inquiry, asked time.Time, l target.Listing) bool {
+func (s *Sidecar) takeListing(q targets.Inquiry, asked time.Time, l targets.Listing) bool {
 	now := time.Now()
 	if l.Replaced {
 		return false // the new incarnation's report is on its way
@@ -129,7 +129,7 @@
 	return len(orphans) == 0
 }
 
-func (s *Sidecar) targetReborn(l target.Listing) {
+func (s *Sidecar) targetReborn(l targets.Listing) {
 	if s.target.born != 0 {
 		s.log.Info("target started again", zap.Int64("born", l.Born), zap.Int64("before", s.target.born))
 		for _, e := range s.table.Clear("the target started again") {
@@ -141,7 +141,7 @@
 
 // applyListing reports the ends that are listed and returns the runs that the
 // table lacks.
-func (s *Sidecar) applyListing(asked time.Time, l target.Listing) []workload.RunID {
+func (s *Sidecar) applyListing(asked time.Time, l targets.Listing) []workload.RunID {
 	listing := runs.Listing{
 		Asked:    asked,
 		Answered: time.Now(),
@@ -168,7 +168,7 @@
 // TargetReported takes in what the target says of itself, and reports whether
 // the report is of the current incarnation. A report that a partition delayed
 // may arrive after a new incarnation's first one.
-func (s *Sidecar) TargetReported(r target.Report) bool {
+func (s *Sidecar) TargetReported(r targets.Report) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.reported && r.Born < s.report.Born ||
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/runs"
-	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -60,7 +60,7 @@
 		return
 	}
 	signal(s.room)
-	order := target.Order{Run: m.Run, Spec: m.Spec, Lease: s.leaseEnd(now), Fence: s.target.fence}
+	order := targets.Order{Run: m.Run, Spec: m.Spec, Lease: s.leaseEnd(now), Fence: s.target.fence}
 	incarnation := s.report.Target
 	run := s.table.Get(m.Run)
 	s.opts.Metrics.RunStarted()
@@ -100,7 +100,7 @@
 const refusalPause = 20 * time.Millisecond
 
 // orderStart orders a run and takes in what came of it.
-func (s *Sidecar) orderStart(r *runs.Run, incarnation string, o target.Order) {
+func (s *Sidecar) orderStart(r *runs.Run, incarnation string, o targets.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.opts.OrderLimit)
 	defer cancel()
 	result, reason := s.opts.Target.Start(ctx, incarnation, o)
@@ -111,10 +111,10 @@
 	}
 	now := time.Now()
 	switch result {
-	case target.Started:
+	case targets.Started:
 		r.State, r.Known = runs.Running, now
 		return
-	case target.StartUnknown:
+	case targets.StartUnknown:
 		s.opts.Metrics.OrderUnanswered("start")
 		if r.State == runs.Running {
 			return // a listing has shown it
@@ -122,12 +122,12 @@
 		r.State = runs.Unsure
 		s.stop(r, "the order to start it got no answer")
 		return
-	case target.StartNoRoom:
+	case targets.StartNoRoom:
 		s.target.pause = now.Add(refusalPause)
 		s.remove(r, wire.EndNoRoom, "refused by the target")
-	case target.StartStale:
+	case targets.StartStale:
 		s.remove(r, wire.EndStale, "")
-	case target.StartFenced:
+	case targets.StartFenced:
 		s.target.fence = 0
 		signal(s.wake)
 		s.remove(r, wire.EndNotRun, "fenced")
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -18,7 +18,7 @@
 	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/settings"
-	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -55,7 +55,7 @@
 	Log        *zap.Logger
 	Metrics    *metrics.Registry
 	Store      kv.Store
-	Target     target.Client
+	Target     targets.Client
 	Reports    func(*Sidecar) http.Handler // serves the target's reports
 	LinkSecret string
 	Timing     transport.Timing
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -14,7 +14,7 @@
 
 	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/runs"
-	"github.com/catkinline/catkinline/target"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -67,7 +67,7 @@
 type Options struct {
 	Service       string
 	FailureDomain string
-	Target        target.Client
+	Target        targets.Client
 	Log           *zap.Logger
 	Metrics       Metrics
 	Lease         time.Duration
@@ -101,7 +101,7 @@
 	offers   runs.Offers
 	offersAt time.Time // when the offers change by themselves
 	links    map[string]*linkState
-	report   target.Report
+	report   targets.Report
 	reported bool
 	stopping bool
 	ended    bool
