--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -111,7 +111,7 @@
 		// does, and a new life has seen no token, so that a later agent always has
 		// the higher one.
 		s.target.fence = max(uint64(l.Clock.Milliseconds()), s.target.fence) + 1
-		return true
+		return !l.Fenced || q.Fence == 0 // at once for the first token only
 	}
 	was := s.open()
 	s.target.reachable = true
--- /dev/null
+++ b/sidecar/sidecar_test.go
@@ -0,0 +1,383 @@
+package sidecar_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/sidecar"
+	"github.com/catkinline/catkinline/standin"
+	"github.com/catkinline/catkinline/targets"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// pipes is a listener over in-memory pipes, which block durably in virtual time.
+type pipes struct {
+	accept chan net.Conn
+	closed chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accept:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { close(p.closed); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case p.accept <- server:
+		return client, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// noMetrics implements sidecar.Metrics.
+type noMetrics struct{}
+
+func (noMetrics) RunStarted()                      {}
+func (noMetrics) RunEnded(wire.End, time.Duration) {}
+func (noMetrics) OrderUnanswered(string)           {}
+
+// fakeLink is a link whose messages are kept.
+type fakeLink struct {
+	name        string
+	incarnation wire.Incarnation
+
+	mu     sync.Mutex
+	sent   []wire.Message
+	closed bool
+}
+
+func (l *fakeLink) Send(m wire.Message) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent = append(l.sent, m)
+	return nil
+}
+func (l *fakeLink) Name() string                  { return l.name }
+func (l *fakeLink) Incarnation() wire.Incarnation { return l.incarnation }
+func (l *fakeLink) Close(error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return nil
+}
+
+func (l *fakeLink) ends() []*wire.RunEnd {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*wire.RunEnd
+	for _, m := range l.sent {
+		if e, ok := m.(*wire.RunEnd); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (l *fakeLink) state() *wire.TargetState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.sent) - 1; i >= 0; i-- {
+		if s, ok := l.sent[i].(*wire.TargetState); ok {
+			return s
+		}
+	}
+	return nil
+}
+
+// bed is a sidecar with a stand-in target behind in-memory connections.
+type bed struct {
+	t       *testing.T
+	runner  *standin.Runner
+	client  *platform.Runner
+	sidecar *sidecar.Sidecar
+	paused  bool
+	number  uint64
+}
+
+// run plays a test in virtual time.
+func run(t *testing.T, o standin.RunnerOptions, play func(*bed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := &bed{t: t, runner: standin.NewRunner(o)}
+		listener := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
+		server := &http.Server{Handler: b.runner.Handler()}
+		go server.Serve(listener)
+		b.client = platform.NewRunnerWith("target", listener.dial)
+		b.sidecar = b.newSidecar()
+		b.report("ready")
+		play(b)
+		if err := b.sidecar.Kill(); err != nil {
+			t.Error(err)
+		}
+		b.client.Close()
+		server.Close()
+	})
+}
+
+func (b *bed) newSidecar() *sidecar.Sidecar {
+	s := sidecar.New(sidecar.Options{
+		Service: "frames", FailureDomain: "a", Target: b.client, Log: zap.NewNop(), Metrics: noMetrics{},
+		Paused: func() bool { return b.paused },
+	})
+	s.Start()
+	return s
+}
+
+func (b *bed) report(state string) {
+	b.number++
+	r := b.runner.Report("frames", state, b.number)
+	b.sidecar.TargetReported(targets.Report{
+		Target: "i-standin", Service: "frames", Capacity: workload.Resources{CPU: 32000, Memory: 131072},
+		Draining: state == "draining", Born: r["born"].(int64), Sequence: b.number,
+	})
+}
+
+func (b *bed) link(name string) *fakeLink {
+	l := &fakeLink{name: name, incarnation: 1}
+	b.sidecar.LinkUp(l)
+	return l
+}
+
+// open links an entry and waits until the target takes runs.
+func (b *bed) open(name string) *fakeLink {
+	b.t.Helper()
+	l := b.link(name)
+	time.Sleep(time.Second)
+	if s := l.state(); s == nil || s.Closed {
+		b.t.Fatalf("the target does not open: %+v", s)
+	}
+	return l
+}
+
+func id(index uint32, attempt uint32) workload.RunID {
+	return workload.RunID{Task: workload.TaskID{Job: "5c0e7a21d94b36f8", Index: index}, Attempt: attempt}
+}
+
+const firstTask = "5c0e7a21d94b36f8.0.0.0"
+
+func (b *bed) start(l *fakeLink, run workload.RunID, cpu int64) {
+	b.sidecar.Handle(l, &wire.RunStart{Run: run, Spec: "s", Need: workload.Resources{CPU: cpu}, Left: time.Second, Host: "i-standin"})
+}
+
+func lasting(d time.Duration) standin.RunnerOptions {
+	return standin.RunnerOptions{Work: func(string, string) (time.Duration, bool) { return d, false }}
+}
+
+// Guards against the whole order of a run: started once, held over many leases,
+// reported as done within a moment of its end.
+func TestRunIsHeldAndReported(t *testing.T) {
+	run(t, lasting(5*time.Second), func(b *bed) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 3000)
+		time.Sleep(5010 * time.Millisecond)
+		ends := l.ends()
+		if len(ends) != 1 || ends[0].End != wire.EndDone || ends[0].Room.Free.CPU != 32000 || ends[0].Room.Seen != 1 {
+			t.Errorf("%+v", ends)
+		}
+	})
+}
+
+// Guards against a start that the target has no room for: the agent refuses it
+// itself.
+func TestStartBeyondRoomNeverReachesTheTarget(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 30000)
+		b.start(l, id(1, 1), 3000)
+		synctest.Wait()
+		if ends := l.ends(); len(ends) != 1 || ends[0].End != wire.EndNoRoom || ends[0].Run != id(1, 1) {
+			t.Errorf("%+v", ends)
+		}
+		if n := b.runner.Starts("5c0e7a21d94b36f8.0.0.1"); n != 0 {
+			t.Errorf("started %d times", n)
+		}
+	})
+}
+
+// Guards against a run that goes on for an entry that is gone: its task is
+// started elsewhere 1.1 s later.
+func TestRunsOfALostEntryAreStopped(t *testing.T) {
+	run(t, lasting(10*time.Second), func(b *bed) {
+		gone, stays := b.open("gone"), b.link("stays")
+		b.start(gone, id(0, 1), 1000)
+		b.start(stays, id(1, 1), 1000)
+		time.Sleep(300 * time.Millisecond)
+		b.sidecar.LinkDown(gone, nil)
+		time.Sleep(100 * time.Millisecond)
+		running := b.runner.Running()
+		if _, there := running[firstTask]; there || len(running) != 1 {
+			t.Errorf("running: %v", running)
+		}
+	})
+}
+
+// Guards against a second run of a task whose order got no answer and is carried
+// out seconds later: the end is reported only when it cannot start any more.
+func TestLateOrderDoesNotStart(t *testing.T) {
+	run(t, lasting(10*time.Second), func(b *bed) {
+		l := b.open("a")
+		b.runner.SetFaults(standin.RunnerFaults{DropStarts: 1, Late: 300 * time.Millisecond})
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(250 * time.Millisecond)
+		if ends := l.ends(); len(ends) != 1 || ends[0].End != wire.EndStopped {
+			t.Fatalf("%+v", ends)
+		}
+		time.Sleep(5 * time.Second)
+		if n := b.runner.Starts(firstTask); n != 0 {
+			t.Errorf("the late order started the run %d times", n)
+		}
+	})
+}
+
+// Guards against a run that is stopped although its order was carried out and
+// only the answer was lost.
+func TestStartWithoutAnswerIsAdopted(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		l := b.open("a")
+		b.runner.SetFaults(standin.RunnerFaults{DropStarts: 1, Late: time.Millisecond})
+		b.start(l, id(0, 1), 1000)
+		b.start(l, id(1, 1), 1000) // its end makes the target answer an inquiry
+		time.Sleep(2 * time.Second)
+		for _, e := range l.ends() {
+			if e.End != wire.EndDone {
+				t.Errorf("%s: %s, %s", e.Run, e.End, e.Reason)
+			}
+		}
+	})
+}
+
+// Guards against a new agent that announces a target on which runs of the last
+// one go on, or that the target refuses for its fencing token.
+func TestNewAgentStopsWhatItDoesNotKnow(t *testing.T) {
+	run(t, lasting(10*time.Second), func(b *bed) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(100 * time.Millisecond)
+		b.sidecar.Kill()
+		b.runner.SetFaults(standin.RunnerFaults{DropStops: 1})
+		b.sidecar = b.newSidecar()
+		b.report("ready")
+		next := b.link("a")
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			if next.state() != nil && len(b.runner.Running()) > 0 {
+				t.Fatal("the target was announced while a run of the last agent went on")
+			}
+		}
+		if s := next.state(); s == nil || s.Closed {
+			t.Errorf("the target does not open again: %+v", s)
+		}
+	})
+}
+
+// Guards against runs that are believed to go on in a target that started again
+// under the same id.
+func TestRestartedTargetEndsItsRuns(t *testing.T) {
+	run(t, lasting(10*time.Second), func(b *bed) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(100 * time.Millisecond)
+		b.runner.Restart()
+		time.Sleep(time.Second)
+		if ends := l.ends(); len(ends) != 1 || ends[0].End != wire.EndStopped {
+			t.Errorf("%+v", ends)
+		}
+		b.report("ready")
+		b.start(l, id(0, 2), 1000)
+		time.Sleep(100 * time.Millisecond)
+		if b.runner.Running()[firstTask] != 2 {
+			t.Errorf("running: %v", b.runner.Running())
+		}
+	})
+}
+
+// Guards against starts from before a pause of the process: they may run
+// elsewhere by now.
+func TestPausedAgentStartsNothing(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		l := b.open("a")
+		b.paused = true
+		b.start(l, id(0, 1), 1000)
+		b.paused = false
+		b.start(l, id(1, 1), 1000)
+		time.Sleep(50 * time.Millisecond)
+		ends := l.ends()
+		if len(ends) != 2 || ends[0].End != wire.EndNotRun || ends[1].End != wire.EndNotRun || !l.closed {
+			t.Errorf("%+v, closed %t", ends, l.closed)
+		}
+	})
+}
+
+// Guards against new runs on a target that leaves.
+func TestDrainingTargetClosesAtOnce(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		b.report("draining")
+		b.start(l, id(1, 1), 1000)
+		time.Sleep(1100 * time.Millisecond)
+		ends := l.ends()
+		if !l.state().Closed || len(ends) != 2 || ends[0].End != wire.EndNotRun || ends[1].End != wire.EndDone {
+			t.Errorf("closed %t, %+v", l.state().Closed, ends)
+		}
+	})
+}
+
+// Guards against a target that is closed, and ends that come late, because of one
+// inquiry without an answer.
+func TestUnansweredInquiryDelaysNothing(t *testing.T) {
+	run(t, lasting(100*time.Millisecond), func(b *bed) {
+		l := b.open("a")
+		b.runner.SetFaults(standin.RunnerFaults{DropHolds: 1})
+		time.Sleep(160 * time.Millisecond) // the inquiry that hangs is on its way
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(120 * time.Millisecond)
+		if ends := l.ends(); len(ends) != 1 || ends[0].End != wire.EndDone || l.state().Closed {
+			t.Errorf("%+v, closed %t", ends, l.state().Closed)
+		}
+	})
+}
+
+// Guards against an out-of-date report that brings an earlier life back.
+func TestDelayedReportIsIgnored(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		l := b.open("a")
+		old := targets.Report{Target: "i-before", Service: "frames", Capacity: workload.Resources{CPU: 1}, Born: 1, Sequence: 900}
+		if b.sidecar.TargetReported(old) {
+			t.Error("a report of an earlier life is taken")
+		}
+		if l.state().Target != "i-standin" {
+			t.Errorf("the target is %s", l.state().Target)
+		}
+	})
+}
+
+// Guards against a planned stop that cuts runs off.
+func TestDrainWaitsForRuns(t *testing.T) {
+	run(t, lasting(2*time.Second), func(b *bed) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		begun := time.Now()
+		b.sidecar.Drain(context.Background())
+		if took := time.Since(begun); took < 1900*time.Millisecond || len(l.ends()) != 1 || l.ends()[0].End != wire.EndDone {
+			t.Errorf("drained after %s: %+v", took, l.ends())
+		}
+	})
+}
