--- a/load/fleet_test.go
+++ b/load/fleet_test.go
@@ -30,7 +30,7 @@
 func fakeProgram(arguments []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	ready := func(http.ResponseWriter, *http.Request) {}
+	ready := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }
 	switch {
 	case arguments[0] == "standin" && arguments[1] == "target":
 		if standin.RunTarget(ctx, arguments[3], standin.TargetOptions{}) != nil {
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -144,7 +144,11 @@
 	var ended []Ended
 	for _, r := range t.Of(func(*Run) bool { return true }) {
 		if e, ok := l.Ended[r.ID]; ok {
-			ended = append(ended, Ended{r, e.End, e.Reason})
+			reason := e.Reason
+			if r.Stopping {
+				reason += ": " + r.Reason
+			}
+			ended = append(ended, Ended{r, e.End, reason})
 			continue
 		}
 		if l.Running[r.ID] {
