--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,7 @@
 	g.requests.Add(1)
 	defer g.requests.Add(-1)
 	if g.refusing.Load() {
+		g.log.Info("job refused", zap.String("job", r.Job.ID), zap.String("route", r.Route.Name), zap.Uint64("version", r.Version), zap.String("reason", "the entry is stopping"))
 		return placement.Answer{Outcome: placement.Refused, Reason: "the entry is stopping", RetryAfter: time.Second}
 	}
 	ticket, refusal := g.scheduler.Submit(r, time.Now())
@@ -204,6 +205,12 @@
 	}
 }
 
+// Rejected takes note of a request that was answered before it became a job.
+func (g *Gateway) Rejected(host, path string, version uint64, reason string) {
+	g.opts.Metrics.Add(metrics.JobsRefused, 1, metrics.TagCode, "rejected")
+	g.log.Info("request rejected", zap.String("host", host), zap.String("path", path), zap.Uint64("version", version), zap.String("reason", reason))
+}
+
 // Cancel ends a job and reports whether it was here.
 func (g *Gateway) Cancel(id string) bool { return g.scheduler.Cancel(id, time.Now()) }
 
--- a/metrics/docs_test.go
+++ b/metrics/docs_test.go
@@ -52,7 +52,7 @@
 // Guards against a metric that the operations page lacks, describes with another
 // kind, or still names after its removal, also in its alarms.
 func TestOperationsPageNamesEveryMetric(t *testing.T) {
-	raw, err := os.ReadFile("../docs/operations.md")
+	raw, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -58,7 +58,7 @@
 // Guards against a settings field that the operations page lacks, or describes
 // with another default.
 func TestOperationsPageListsEverySetting(t *testing.T) {
-	raw, err := os.ReadFile("../docs/operations.md")
+	raw, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
