--- a/placement/admit.go
+++ b/placement/admit.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Bounds of the time after which a refused caller may come back. Demand swings
 // within seconds.
@@ -45,8 +48,31 @@
 	if s.cutOff(now) {
 		return &Answer{Outcome: Refused, Reason: "no target can be reached from this entry", RetryAfter: minRetryAfter}
 	}
+	if step := s.impossibleStep(j); step >= 0 {
+		reason := fmt.Sprintf("no target has the room or the label that step %d needs", step)
+		return &Answer{Outcome: Refused, Reason: reason, RetryAfter: maxRetryAfter}
+	}
 	if !now.Before(j.request.Deadline) {
 		return &Answer{Outcome: Refused, Reason: "the caller's time is over", RetryAfter: minRetryAfter}
 	}
 	return nil
 }
+
+// impossibleStep returns the first step whose tasks no known target could run
+// even if it were empty, or -1. Without any target of the service it says nothing.
+func (s *Scheduler) impossibleStep(j *activeJob) int {
+	for i, step := range j.request.Job.Steps {
+		known, possible := false, false
+		for _, t := range s.ordered {
+			if t.state.Service != j.request.Route.Service {
+				continue
+			}
+			known = true
+			possible = possible || step.Need.Fits(t.state.Capacity) && t.hasLabel(step.RequiredLabel)
+		}
+		if known && !possible {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/placement/faults_test.go
@@ -0,0 +1,243 @@
+package placement_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// wireLink keeps what a scheduler sends to one agent.
+type wireLink struct{ sent []wire.Message }
+
+// Send implements placement.Sender.
+func (l *wireLink) Send(m wire.Message) error {
+	l.sent = append(l.sent, m)
+	return nil
+}
+
+func (l *wireLink) starts() []*wire.RunStart {
+	var out []*wire.RunStart
+	for _, m := range l.sent {
+		if s, ok := m.(*wire.RunStart); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (l *wireLink) stops() int {
+	n := 0
+	for _, m := range l.sent {
+		if s, ok := m.(*wire.RunStop); ok {
+			n += len(s.Runs)
+		}
+	}
+	return n
+}
+
+var begin = time.Unix(1_700_000_000, 0)
+
+func after(d time.Duration) time.Time { return begin.Add(d) }
+
+func capacity(cpu int64) workload.Resources { return workload.Resources{CPU: cpu, Memory: 1000} }
+
+// join links an agent whose target has room.
+func join(s *placement.Scheduler, name string, incarnation wire.Incarnation, now time.Time) *wireLink {
+	l := &wireLink{}
+	s.LinkUp(name, incarnation, l)
+	s.HandleState(name, l, state(name, 8000, 8000), now)
+	return l
+}
+
+func state(name string, cpu, free int64) *wire.TargetState {
+	return &wire.TargetState{Target: "i-" + name, Service: "frames", Capacity: capacity(cpu), Room: wire.Room{Free: capacity(free)}}
+}
+
+func request(id string, tasks int, cpu int64) placement.Request {
+	return placement.Request{
+		Job:      workload.Job{ID: id, Spec: "s", Steps: []workload.Step{{Tasks: tasks, Need: workload.Resources{CPU: cpu}, Estimate: 100 * time.Millisecond}}},
+		Route:    routing.Route{Name: "r", Service: "frames", MaxAttempts: 2, Stretch: 1.6, TargetDuration: 60 * time.Millisecond},
+		Deadline: after(5 * time.Second),
+	}
+}
+
+func submit(t *testing.T, s *placement.Scheduler, r placement.Request, now time.Time) *placement.Ticket {
+	t.Helper()
+	ticket, refusal := s.Submit(r, now)
+	if refusal != nil {
+		t.Fatalf("refused: %s", refusal.Reason)
+	}
+	return ticket
+}
+
+func answered(ticket *placement.Ticket) (placement.Answer, bool) {
+	select {
+	case a := <-ticket.Done():
+		return a, true
+	default:
+		return placement.Answer{}, false
+	}
+}
+
+// tickUntil calls Tick as the process does.
+func tickUntil(s *placement.Scheduler, from, to time.Duration) {
+	for at := from; at <= to; at += placement.TickInterval {
+		s.Tick(after(at))
+	}
+}
+
+// Guards against a second run of a task while the first may go on with an agent
+// that cannot be heard.
+func TestLostAgentsRunsWaitForTheirLease(t *testing.T) {
+	s := placement.New(placement.Options{GoneAfter: 1200 * time.Millisecond})
+	first := join(s, "a", 1, begin)
+	submit(t, s, request("j", 1, 1000), begin)
+	if len(first.starts()) != 1 {
+		t.Fatalf("%d starts", len(first.starts()))
+	}
+	second := join(s, "b", 1, begin)
+	s.LinkDown("a", first, after(100*time.Millisecond))
+	tickUntil(s, 100*time.Millisecond, 1290*time.Millisecond)
+	if n := len(second.starts()); n != 0 {
+		t.Fatalf("started elsewhere %d times before the lease ended", n)
+	}
+	tickUntil(s, 1300*time.Millisecond, 1320*time.Millisecond)
+	starts := second.starts()
+	if len(starts) != 1 || starts[0].Run.Attempt != 2 {
+		t.Errorf("after the lease: %+v", starts)
+	}
+}
+
+// Guards against waiting for a lease when a new agent has said that nothing is
+// left, and against believing that before it has.
+func TestNewAgentEndsTheRunsOfTheLastOne(t *testing.T) {
+	s := placement.New(placement.Options{})
+	first := join(s, "a", 1, begin)
+	submit(t, s, request("j", 1, 1000), begin)
+	s.LinkDown("a", first, after(10*time.Millisecond))
+	next := &wireLink{}
+	s.LinkUp("a", 2, next)
+	s.Tick(after(20 * time.Millisecond))
+	if n := len(next.starts()); n != 0 {
+		t.Fatalf("started %d times before the new agent's state", n)
+	}
+	s.HandleState("a", next, state("a", 8000, 8000), after(30*time.Millisecond))
+	if n := len(next.starts()); n != 1 {
+		t.Errorf("started %d times after it", n)
+	}
+	if s.LinkUp("a", 1, first) {
+		t.Error("the earlier incarnation is let in again")
+	}
+}
+
+// Guards against a job whose caller hears "not run" although a run may go on, and
+// against one that is answered as unknown although nothing ran.
+func TestAbandonedJobsGetTrueAnswers(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	started := submit(t, s, request("j1", 1, 8000), begin)
+	waiting := submit(t, s, request("j2", 1, 8000), begin)
+	s.AbandonAll("stood still", after(time.Second))
+	if a, ok := answered(started); !ok || a.Outcome != placement.Expired {
+		t.Errorf("a job with a run: %+v", a)
+	}
+	if a, ok := answered(waiting); !ok || a.Outcome != placement.Refused || a.RetryAfter <= 0 {
+		t.Errorf("a job without one: %+v", a)
+	}
+	if l.stops() != 1 {
+		t.Errorf("%d runs were stopped", l.stops())
+	}
+}
+
+// Guards against room that is counted twice: starts that are on their way are not
+// in the room that an agent last told.
+func TestStartsOnTheirWayUseRoom(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	submit(t, s, request("j1", 2, 3000), begin)
+	submit(t, s, request("j2", 1, 3000), begin)
+	if n := len(l.starts()); n != 2 {
+		t.Fatalf("%d starts for room of two", n)
+	}
+	s.HandleRoom("a", l, &wire.Room{Free: capacity(5000), Seen: 1}, begin)
+	if n := len(l.starts()); n != 2 {
+		t.Errorf("%d starts: the second start's need is forgotten", n)
+	}
+	s.HandleRoom("a", l, &wire.Room{Free: capacity(5000), Seen: 2}, begin)
+	if n := len(l.starts()); n != 3 {
+		t.Errorf("%d starts with room for the third", n)
+	}
+}
+
+func end(l *wireLink, i int, e wire.End) *wire.RunEnd {
+	return &wire.RunEnd{Run: l.starts()[i].Run, End: e, Room: wire.Room{Free: capacity(8000), Seen: uint64(len(l.starts()))}}
+}
+
+// Guards against "failed" without as many failed runs as the route allows, and
+// against runs that were refused or lost counting as failures.
+func TestFailedOnlyAfterAllAttempts(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	ticket := submit(t, s, request("j", 1, 1000), begin)
+	for i, e := range []wire.End{wire.EndStopped, wire.EndNoRoom, wire.EndFailed, wire.EndStopped} {
+		s.HandleEnd("a", l, end(l, i, e), after(time.Duration(i)*time.Millisecond))
+		if a, ok := answered(ticket); ok {
+			t.Fatalf("answered after %s: %+v", e, a)
+		}
+	}
+	s.HandleEnd("a", l, end(l, 4, wire.EndFailed), after(5*time.Millisecond))
+	if a, ok := answered(ticket); !ok || a.Outcome != placement.Failed {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Guards against a job of an unsupported kind, or at an entry without targets,
+// that waits before it is refused.
+func TestRefusedAtOnce(t *testing.T) {
+	s := placement.New(placement.Options{})
+	r := request("j", 1, 1000)
+	r.Job.Unsupported = "gangs"
+	if _, refusal := s.Submit(r, begin); refusal == nil || refusal.Outcome != placement.Refused || !strings.Contains(refusal.Reason, "gangs") {
+		t.Errorf("%+v", refusal)
+	}
+	big := join(s, "a", 1, begin)
+	if _, refusal := s.Submit(request("big", 1, 9000), begin); refusal == nil || refusal.Outcome != placement.Refused {
+		t.Errorf("a task that fits no target: %+v", refusal)
+	}
+	labelled := request("labelled", 1, 1000)
+	labelled.Job.Steps[0].RequiredLabel = "b"
+	if _, refusal := s.Submit(labelled, begin); refusal == nil {
+		t.Error("a task whose label no target has waits")
+	}
+	s.LinkDown("a", big, begin)
+	tickUntil(s, 0, 4*time.Second)
+	if _, refusal := s.Submit(request("k", 1, 1000), after(4*time.Second)); refusal == nil || refusal.RetryAfter <= 0 {
+		t.Errorf("without a target: %+v", refusal)
+	}
+}
+
+// Guards against steps that start before the steps that they wait for.
+func TestStepsWaitForEarlierSteps(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	r := request("j", 2, 1000)
+	r.Job.Steps = append(r.Job.Steps, workload.Step{Tasks: 1, Need: workload.Resources{CPU: 1000}, After: []int{0}})
+	ticket := submit(t, s, r, begin)
+	s.HandleEnd("a", l, end(l, 0, wire.EndDone), begin)
+	if n := len(l.starts()); n != 2 {
+		t.Fatalf("%d starts while a task of the first step runs", n)
+	}
+	s.HandleEnd("a", l, end(l, 1, wire.EndDone), begin)
+	if n := len(l.starts()); n != 3 || l.starts()[2].Run.Task.Step != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	s.HandleEnd("a", l, end(l, 2, wire.EndDone), begin)
+	if a, ok := answered(ticket); !ok || a.Outcome != placement.Done {
+		t.Errorf("%+v", a)
+	}
+}
