Let the second inquiry pause between answers

It now asks 40 ms after its last answer, which is the longest delay of an end whose first answer was lost.

--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -13,16 +13,21 @@
 )
 
 // inquireLoop renews the lease and asks the target for its runs without a break:
-// each inquiry waits at the target until a run ends or the renewal is due.
-func (s *Sidecar) inquireLoop() error {
+// each inquiry waits at the target until a run ends or the renewal is due. Pause is
+// the time between an answer and the next inquiry.
+func (s *Sidecar) inquireLoop(pause time.Duration) error {
 	for s.tomb.Alive() {
-		if s.inquire() {
+		wait := pause
+		if !s.inquire() {
+			wait = s.opts.Renew
+		}
+		if wait == 0 {
 			continue
 		}
 		select {
 		case <-s.tomb.Dying():
 		case <-s.wake:
-		case <-time.After(s.opts.Renew):
+		case <-time.After(wait):
 		}
 	}
 	return nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -34,8 +34,12 @@
 	// second.
 	DefaultOrderLimit = 100 * time.Millisecond
 	// inquirers is the number of inquiries that wait at the target at once, so
-	// that one whose answer is lost delays the news of no end.
+	// that one whose answer is lost delays the news of an end by backupPause only.
 	inquirers = 2
+	// backupPause is the pause between the inquiries of all inquirers but the
+	// first. Each answer that is lost costs a connection, so that the others ask
+	// no more often than a late end is worth.
+	backupPause = 40 * time.Millisecond
 	// silenceLimit is how long no inquiry may be answered before the target takes
 	// no more runs: all inquirers have failed once.
 	silenceLimit = 400 * time.Millisecond
@@ -142,8 +146,9 @@
 // Start starts the loops.
 func (s *Sidecar) Start() {
 	s.tomb.Go(func() error {
-		for range inquirers {
-			s.tomb.Go(s.inquireLoop)
+		s.tomb.Go(func() error { return s.inquireLoop(0) })
+		for range inquirers - 1 {
+			s.tomb.Go(func() error { return s.inquireLoop(backupPause) })
 		}
 		s.tomb.Go(s.roomLoop)
 		return nil
