--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -38,16 +36,6 @@
 	return ""
 }
 
-// serveAdmin serves the metrics page.
-func (g *Gateway) serveAdmin() error {
-	if g.opts.AdminPort == 0 {
-		return nil
-	}
-	r := bunrouter.New()
-	r.GET("/metrics", bunrouter.HTTPHandler(g.opts.Metrics.Handler()))
-	return g.serve(net.JoinHostPort(g.node.IP, strconv.Itoa(g.opts.AdminPort)), r)
-}
-
 // gaugeLoop keeps the gauges.
 func (g *Gateway) gaugeLoop() error {
 	ticker := time.NewTicker(gaugeInterval)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/internal/standstill"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/member"
@@ -60,13 +60,12 @@
 	stopping atomic.Bool // a planned stop has begun
 	refusing atomic.Bool // new jobs are refused
 	requests atomic.Int64
-	servers  []*http.Server
+	servers  *httpserve.Servers
 
 	mu     sync.Mutex
 	agents map[*transport.Link]bool
 	peers  map[*transport.Link]bool
 	dials  map[string]bool // addresses of peers that a loop dials
-	asked  map[string]uint64
 }
 
 // New returns a gateway that Run starts.
@@ -87,6 +86,7 @@
 		peers:       make(map[*transport.Link]bool),
 		dials:       make(map[string]bool),
 	}
+	g.servers = httpserve.New(&g.tomb, o.Log)
 	g.scheduler = placement.New(placement.Options{
 		FailureDomain: o.Node.FailureDomain,
 		Random:        rand.New(rand.NewPCG(uint64(g.incarnation), 1)),
@@ -121,13 +121,13 @@
 		return err
 	}
 	g.listener = listener
-	if err := g.serve(g.node.CallerAddress, g.opts.Callers(g)); err != nil {
+	if err := g.servers.Serve(g.node.CallerAddress, g.opts.Callers(g)); err != nil {
 		return err
 	}
-	if err := g.serve(g.node.ReadyAddress, g.readyRoutes()); err != nil {
+	if err := g.servers.Serve(g.node.ReadyAddress, g.readyRoutes()); err != nil {
 		return err
 	}
-	if err := g.serveAdmin(); err != nil {
+	if err := g.servers.ServeMetrics(g.node.IP, g.opts.AdminPort, g.opts.Metrics); err != nil {
 		return err
 	}
 	g.members.Start()
@@ -148,28 +148,6 @@
 	}
 }
 
-// serve serves HTTP on an address until the gateway stops.
-func (g *Gateway) serve(address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	server := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          settings.ServerLog(g.log),
-	}
-	g.servers = append(g.servers, server)
-	g.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			return Error.Wrap(err)
-		}
-		return nil
-	})
-	return nil
-}
-
 // Find returns the route of a request and the version that selected it, or one of
 // routing.ErrNoTable and routing.ErrNoRoute.
 func (g *Gateway) Find(host, path string) (routing.Route, uint64, error) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -51,10 +51,7 @@
 	g.refusing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), lastMoments/2)
 	defer cancel()
-	for _, s := range g.servers {
-		// What is left after the limit is cut by the process's end.
-		_ = s.Shutdown(ctx)
-	}
+	g.servers.Shutdown(ctx)
 	g.tomb.Kill(nil)
 	if err := g.members.Stop(ctx); err != nil {
 		g.log.Warn("the entry stays listed until its lease ends", zap.Error(err))
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -38,11 +38,7 @@
 	// memberBackoff bounds the pause between attempts to register while the store
 	// fails: an entry that is back must be listed within 2 s of the store's return.
 	memberBackoff = 1500 * time.Millisecond
-	// headerTimeout bounds how long a connection may take to send a request's
-	// header; idleTimeout closes kept-alive connections that went silent.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
-	// adminTimeout bounds a request for the metrics page.
+	// gaugeInterval is how old a gauge may be; the page is read every few seconds.
 	gaugeInterval = time.Second
 	// dialInterval is the pause between attempts to reach a peer.
 	dialInterval = 500 * time.Millisecond
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/uptrace/bunrouter"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/internal/standstill"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/member"
@@ -39,13 +37,11 @@
 	// in its buffers are still acted on. It is below the time after which entries
 	// start runs elsewhere.
 	maxPause = 600 * time.Millisecond
-	// headerTimeout bounds how long a connection may take to send a request's
-	// header.
-	headerTimeout = 3 * time.Second
 	// lastMoments is what the end of a planned stop may take.
-	lastMoments   = 300 * time.Millisecond
+	lastMoments = 300 * time.Millisecond
+	// gaugeInterval is how old a gauge may be; the page is read every few seconds.
 	gaugeInterval = time.Second
-	// heardTTL is how long an entry that nobody lists any more is still dialled.
+	// forgetAfter is how long an entry that nobody lists any more is dialled.
 	forgetAfter = 30 * time.Second
 )
 
@@ -72,7 +68,7 @@
 	sidecar     *Sidecar
 	standstill  *standstill.Detector
 	tomb        tomb.Tomb
-	servers     []*http.Server
+	servers     *httpserve.Servers
 
 	mu      sync.Mutex
 	entries map[string]time.Time // addresses of entries and when they were last listed
@@ -87,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Process{
+	p := &Process{
 		opts:        o,
 		node:        o.Node,
 		log:         o.Log,
@@ -95,7 +91,9 @@
 		credentials: credentials,
 		entries:     make(map[string]time.Time),
 		dials:       make(map[string]bool),
-	}, nil
+	}
+	p.servers = httpserve.New(&p.tomb, o.Log)
+	return p, nil
 }
 
 // Run serves until ctx is cancelled, which begins a planned stop, and returns
@@ -104,7 +102,6 @@
 	p.standstill = standstill.Start(maxPause)
 	defer p.standstill.Stop()
 	p.sidecar = New(Options{
-		Service:       p.node.Service,
 		FailureDomain: p.node.FailureDomain,
 		Target:        p.opts.Target,
 		Log:           p.log,
@@ -112,10 +109,10 @@
 		Lease:         lease(p.node.MaxLease),
 		Paused:        p.standstill.Paused,
 	})
-	if err := p.serve(p.node.ReportAddress, p.opts.Reports(p.sidecar)); err != nil {
+	if err := p.servers.Serve(p.node.ReportAddress, p.opts.Reports(p.sidecar)); err != nil {
 		return err
 	}
-	if err := p.serveAdmin(); err != nil {
+	if err := p.servers.ServeMetrics(p.node.IP, p.opts.AdminPort, p.opts.Metrics); err != nil {
 		return err
 	}
 	p.sidecar.Start()
@@ -156,10 +153,7 @@
 func (p *Process) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), lastMoments/2)
 	defer cancel()
-	for _, s := range p.servers {
-		// What is left after the limit is cut by the process's end.
-		_ = s.Shutdown(ctx)
-	}
+	p.servers.Shutdown(ctx)
 	p.tomb.Kill(nil)
 	err := p.tomb.Wait()
 	_ = p.sidecar.Kill()
@@ -167,31 +161,6 @@
 	return err
 }
 
-func (p *Process) serve(address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: settings.ServerLog(p.log)}
-	p.servers = append(p.servers, server)
-	p.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			return Error.Wrap(err)
-		}
-		return nil
-	})
-	return nil
-}
-
-func (p *Process) serveAdmin() error {
-	if p.opts.AdminPort == 0 {
-		return nil
-	}
-	r := bunrouter.New()
-	r.GET("/metrics", bunrouter.HTTPHandler(p.opts.Metrics.Handler()))
-	return p.serve(net.JoinHostPort(p.node.IP, strconv.Itoa(p.opts.AdminPort)), r)
-}
-
 // lookupLoop finds entries in the store while none is linked.
 func (p *Process) lookupLoop() error {
 	for p.tomb.Alive() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,7 +69,6 @@
 
 // Options configure a Sidecar. Zero durations take the defaults.
 type Options struct {
-	Service       string
 	FailureDomain string
 	Target        targets.Client
 	Log           *zap.Logger
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -133,7 +133,7 @@
 
 func (b *bed) newSidecar() *sidecar.Sidecar {
 	s := sidecar.New(sidecar.Options{
-		Service: "frames", FailureDomain: "a", Target: b.client, Log: zap.NewNop(), Metrics: noMetrics{},
+		FailureDomain: "a", Target: b.client, Log: zap.NewNop(), Metrics: noMetrics{},
 		Paused: func() bool { return b.paused },
 	})
 	s.Start()
