Keep the urgency of jobs that are of no use within what a duration holds

Their order key was 1e12 s, which overflowed the message to the agents: where such a job headed an entry's queue, its backlog was the most urgent of all and held freed room back from the others. Found by reading; TestLostJobIsTheLeastUrgent fails before.

--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -241,3 +241,21 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// Guards against a job that is of no use any more being told to agents as the
+// most urgent one.
+func TestLostJobIsTheLeastUrgent(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	submit(t, s, request("j", 2, 5000), begin) // room for one task only
+	tickUntil(s, 0, 3*time.Second)
+	var last *wire.Backlog
+	for _, m := range l.sent {
+		if b, ok := m.(*wire.Backlog); ok {
+			last = b
+		}
+	}
+	if last == nil || last.Tasks != 1 || last.Urgency < time.Hour {
+		t.Errorf("told of a lost job: %+v", last)
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -23,9 +23,10 @@
 	startedBonus = 0.2
 )
 
-// lostOffset puts jobs whose answers are of no use behind all others. It is
-// longer, in seconds, than any process lives.
-const lostOffset = 1e12
+// lostOffset puts jobs whose answers are of no use behind all others: eleven days,
+// in seconds, which no job waits. Agents are told keys as durations, which hold
+// 292 years at most.
+const lostOffset = 1e6
 
 // orderKey is the time, in seconds, by which jobs are served. A job that can no
 // longer be in time counts with all of its remaining work, so that it lets others
@@ -33,7 +34,7 @@
 func orderKey(j *activeJob) float64 {
 	arrived := float64(j.arrived.UnixMicro()) / 1e6
 	if j.stage == lost {
-		return lostOffset + j.remaining().Seconds()
+		return arrived + lostOffset + j.remaining().Seconds()
 	}
 	if j.stage == late {
 		return arrived + patience*j.remaining().Seconds()
