Take targets whose clock was set back, count refusals of a moment once, end logs safely

Found by reading, each with a test that fails before: a target that started again after the time of day had stepped back had an earlier birth, and its reports were ignored for good; several starts refused at once doubled the target's pause up to a second; a line logged after the end of the log's writer ended the process with a panic.

--- a/internal/asyncwriter/asyncwriter.go
+++ b/internal/asyncwriter/asyncwriter.go
@@ -16,13 +16,14 @@
 type Writer struct {
 	to      io.Writer
 	lines   chan []byte
+	quit    chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 }
 
 // New returns a writer with room for a number of lines.
 func New(to io.Writer, lines int) *Writer {
-	w := &Writer{to: to, lines: make(chan []byte, lines), done: make(chan struct{})}
+	w := &Writer{to: to, lines: make(chan []byte, lines), quit: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -48,25 +49,33 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		batch := line
-		for len(batch) < maxBatch && len(w.lines) > 0 {
-			next, ok := <-w.lines
-			if !ok {
-				break
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.quit:
+			for len(w.lines) > 0 {
+				w.write(<-w.lines)
 			}
-			batch = append(batch, next...)
+			return
 		}
-		if n := w.dropped.Swap(0); n > 0 {
-			batch = append(batch, fmt.Sprintf("{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)...)
-		}
-		// There is nowhere to report that the log cannot be written.
-		_, _ = w.to.Write(batch)
 	}
 }
 
-// Close writes what is queued. No Write may follow.
+// write writes a line and those that wait behind it.
+func (w *Writer) write(batch []byte) {
+	for len(batch) < maxBatch && len(w.lines) > 0 {
+		batch = append(batch, <-w.lines...)
+	}
+	if n := w.dropped.Swap(0); n > 0 {
+		batch = append(batch, fmt.Sprintf("{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)...)
+	}
+	// There is nowhere to report that the log cannot be written.
+	_, _ = w.to.Write(batch)
+}
+
+// Close writes what is queued. Lines that are written later are dropped.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.quit)
 	<-w.done
 }
--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -259,3 +259,18 @@
 		t.Errorf("told of a lost job: %+v", last)
 	}
 }
+
+// Guards against a target that stays unused for a second because several starts
+// that were on their way together were refused.
+func TestRefusalsOfOneMomentCountOnce(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	submit(t, s, request("j", 6, 1000), begin)
+	for i := range 6 {
+		s.HandleEnd("a", l, end(l, i, wire.EndNotRun), begin)
+	}
+	tickUntil(s, 0, 70*time.Millisecond)
+	if n := len(l.starts()); n != 12 {
+		t.Errorf("%d starts 70 ms after the refusals, want 12", n)
+	}
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -100,8 +100,7 @@
 		k.avoid = t
 	case wire.EndNotRun:
 		k.avoid = t
-		t.pause = min(max(2*t.pause, minRefusalPause), maxRefusalPause)
-		t.pausedUntil = now.Add(t.pause)
+		t.pauseStarts(now)
 	case wire.EndNoRoom:
 		j.noRoom++
 	case wire.EndStale:
--- a/placement/target.go
+++ b/placement/target.go
@@ -45,6 +45,16 @@
 	maxRefusalPause = time.Second
 )
 
+// pauseStarts stops starts for a while after a refusal. Refusals of starts that
+// were on their way together count once.
+func (t *target) pauseStarts(now time.Time) {
+	if now.Before(t.pausedUntil) {
+		return
+	}
+	t.pause = min(max(2*t.pause, minRefusalPause), maxRefusalPause)
+	t.pausedUntil = now.Add(t.pause)
+}
+
 // usable reports whether runs may be sent.
 func (t *target) usable() bool { return t.link != nil && t.known && !t.state.Closed }
 
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -102,6 +102,7 @@
 func (s *Sidecar) takeListing(q targets.Inquiry, asked time.Time, l targets.Listing) bool {
 	now := time.Now()
 	if l.Replaced {
+		s.target.replaced = true
 		return false // the new incarnation's report is on its way
 	}
 	if l.Born == s.target.born && l.Clock < s.target.clock {
@@ -170,14 +171,28 @@
 	return orphans
 }
 
+// outOfDate reports whether a report is of an earlier life or was overtaken. The
+// time of day may step back between two lives: what the target itself has answered
+// counts more than the birth in its reports.
+func (s *Sidecar) outOfDate(r targets.Report) bool {
+	switch {
+	case !s.reported || s.target.replaced:
+		return false
+	case r.Target == s.report.Target && r.Born == s.report.Born:
+		return r.Sequence < s.report.Sequence
+	case s.target.born != 0 && r.Target == s.report.Target && r.Born == s.target.born:
+		return false
+	}
+	return r.Born < s.report.Born
+}
+
 // TargetReported takes in what the target says of itself, and reports whether
 // the report is of the current incarnation. A report that a partition delayed
 // may arrive after a new incarnation's first one.
 func (s *Sidecar) TargetReported(r targets.Report) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reported && r.Born < s.report.Born ||
-		r.Target == s.report.Target && r.Born == s.report.Born && r.Sequence < s.report.Sequence {
+	if s.outOfDate(r) {
 		s.log.Info("out-of-date report ignored", zap.String("target", r.Target), zap.Int64("born", r.Born), zap.Uint64("sequence", r.Sequence))
 		return false
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -120,6 +120,7 @@
 	seen      uint64 // number of the last end that was taken note of
 	synced    bool   // the table holds everything that may be on the target
 	reachable bool
+	replaced  bool // it answered that it is another incarnation
 	answered  time.Time
 	pause     time.Time // no start before, since the target refused one
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -140,11 +140,13 @@
 	return s
 }
 
-func (b *bed) report(state string) {
+func (b *bed) report(state string) { b.reportAs("i-standin", state) }
+
+func (b *bed) reportAs(target, state string) {
 	b.number++
 	r := b.runner.Report("frames", state, b.number)
 	b.sidecar.TargetReported(targets.Report{
-		Target: "i-standin", Service: "frames", Capacity: workload.Resources{CPU: 32000, Memory: 131072},
+		Target: target, Service: "frames", Capacity: workload.Resources{CPU: 32000, Memory: 131072},
 		Draining: state == "draining", Born: r["born"].(int64), Sequence: b.number,
 	})
 }
@@ -381,3 +383,18 @@
 		}
 	})
 }
+
+// Guards against a target that is never used again because the time of day was
+// set back before it started again.
+func TestTargetBornAfterTheClockStepsBack(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		l := b.open("a")
+		b.runner.Replace("i-next", time.Hour)
+		time.Sleep(300 * time.Millisecond)
+		b.reportAs("i-next", "ready")
+		time.Sleep(300 * time.Millisecond)
+		if s := l.state(); s.Target != "i-next" || s.Closed {
+			t.Errorf("%+v", s)
+		}
+	})
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -29,6 +29,7 @@
 	mu     sync.Mutex
 	faults RunnerFaults
 	born   time.Time
+	behind time.Duration // of the time of day
 	life   int
 	fence  uint64
 	lease  time.Time
@@ -104,6 +105,19 @@
 	r.reset()
 }
 
+// Replace ends the process at once and starts another incarnation whose time of day
+// is behind.
+func (r *Runner) Replace(id string, behind time.Duration) {
+	r.Restart()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.ID = id
+	r.behind = behind
+}
+
+// bornMS is the target's birth by its own time of day, in Unix ms.
+func (r *Runner) bornMS() int64 { return r.born.Add(-r.behind).UnixMilli() }
+
 // SetFaults sets the switches.
 func (r *Runner) SetFaults(f RunnerFaults) {
 	r.mu.Lock()
@@ -136,7 +150,7 @@
 	return map[string]any{
 		"service": service, "address": "", "zone": "a", "version": "v1", "slots": 8, "state": state,
 		"capacity": map[string]any{"cpu": r.opts.CPU, "mem_mb": 131072, "gpu": 0},
-		"labels":   []string{"a", "r1-1"}, "sequence": sequence, "born": r.born.UnixMilli(),
+		"labels":   []string{"a", "r1-1"}, "sequence": sequence, "born": r.bornMS(),
 	}
 }
 
@@ -270,7 +284,7 @@
 
 func (r *Runner) listing() platform.RunAnswer {
 	a := r.answer("")
-	a.Born = r.born.UnixMilli()
+	a.Born = r.bornMS()
 	for task, run := range r.runs {
 		a.Running = append(a.Running, row(task, run.attempt, "", 0))
 	}
@@ -288,6 +302,12 @@
 	return out
 }
 
+func (r *Runner) id() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opts.ID
+}
+
 // dropped takes one off a count of answers to drop.
 func (r *Runner) dropped(count func(*RunnerFaults) *int) (bool, time.Duration) {
 	r.mu.Lock()
@@ -318,7 +338,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if meant := req.Header.Get(platform.HeaderTargetInstance); meant != "" && meant != r.opts.ID {
+		if meant := req.Header.Get(platform.HeaderTargetInstance); meant != "" && meant != r.id() {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
