--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -32,10 +32,15 @@
 		return
 	}
 	t.state.Room = m.Room
-	if r := t.runs[m.Run]; r != nil {
+	r := t.runs[m.Run]
+	if r != nil {
 		s.ended(t, r, m.End, m.RunTime, m.Reason, now)
 	}
-	s.pump(now)
+	if r == nil || m.End == wire.EndDone && len(r.job.tasks) == 1 {
+		s.pumpOn([]*target{t}, now)
+		return
+	}
+	s.pump(now) // a task is back, or a later step may start
 }
 
 // ended takes a run off its target and decides what becomes of its task.
--- a/placement/place.go
+++ b/placement/place.go
@@ -117,15 +117,19 @@
 }
 
 // pump starts waiting tasks as long as targets have room for them.
-func (s *Scheduler) pump(now time.Time) {
+func (s *Scheduler) pump(now time.Time) { s.pumpOn(s.ordered, now) }
+
+// pumpOn does so on some targets. Where only one target has changed since the last
+// pump, no other has room for what waits, and looking at all of them at each of a
+// large fleet's messages would cost an entry most of its processor time.
+func (s *Scheduler) pumpOn(changed []*target, now time.Time) {
 	if len(s.queue) > 0 {
-		s.placeQueue(now)
+		s.placeQueue(s.roomView(changed, now), now)
 	}
 	s.tellBacklog(now)
 }
 
-func (s *Scheduler) placeQueue(now time.Time) {
-	view := s.roomView(now)
+func (s *Scheduler) placeQueue(view []candidate, now time.Time) {
 	blocked := 0
 	for _, j := range slices.Clone(s.queue) {
 		if len(view) == 0 || blocked >= maxScan {
@@ -146,9 +150,9 @@
 	free   workload.Resources
 }
 
-func (s *Scheduler) roomView(now time.Time) []candidate {
-	view := make([]candidate, 0, len(s.ordered))
-	for _, t := range s.ordered {
+func (s *Scheduler) roomView(targets []*target, now time.Time) []candidate {
+	view := make([]candidate, 0, len(targets))
+	for _, t := range targets {
 		if !t.usable() || now.Before(t.pausedUntil) || !t.health.accepts(t, now) {
 			continue
 		}
--- a/placement/target.go
+++ b/placement/target.go
@@ -199,5 +199,5 @@
 		return
 	}
 	t.state.Room = *m
-	s.pump(now)
+	s.pumpOn([]*target{t}, now)
 }
