Keep a job that is sent again one job

A caller whose connection broke sends its job again, by chance to the same entry, which may not have noticed the break: two jobs of one id started the same tasks on different targets. The second request now waits for the first one's job, which ends when its last caller goes away. Found by reading; TestJobSentAgainStaysOne fails before. Also renames three identifiers to plain words.

--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -274,3 +274,23 @@
 		t.Errorf("%d starts 70 ms after the refusals, want 12", n)
 	}
 }
+
+// Guards against a job that is sent again, while the entry has not noticed that the
+// first connection broke, running twice.
+func TestJobSentAgainStaysOne(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	first := submit(t, s, request("j", 1, 1000), begin)
+	again := submit(t, s, request("j", 1, 1000), after(10*time.Millisecond))
+	if n := len(l.starts()); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	first.Cancel(after(20 * time.Millisecond))
+	if a, ok := answered(first); !ok || a.Outcome != placement.Cancelled || l.stops() != 0 {
+		t.Errorf("the first caller: %+v, %d stops", a, l.stops())
+	}
+	s.HandleEnd("a", l, end(l, 0, wire.EndDone), after(30*time.Millisecond))
+	if a, ok := answered(again); !ok || a.Outcome != placement.Done {
+		t.Errorf("the second caller: %+v", a)
+	}
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -108,7 +108,7 @@
 		}
 	case wire.EndFailed:
 		if !r.job.failedElsewhere(r) {
-			s.accuse(t, "failures", now)
+			s.addEvidence(t, "failures", now)
 		}
 	}
 }
@@ -127,8 +127,8 @@
 	return false
 }
 
-// accuse adds evidence of a fault.
-func (s *Scheduler) accuse(t *target, reason string, now time.Time) {
+// addEvidence adds evidence of a fault.
+func (s *Scheduler) addEvidence(t *target, reason string, now time.Time) {
 	t.health.evidence++
 	if t.health.evidence >= maxEvidence || t.health.distrusted {
 		s.distrust(t, reason, now)
@@ -194,12 +194,12 @@
 }
 
 func (s *Scheduler) handleOverdue(t *target, r *run, now time.Time) {
-	if !r.accused {
-		r.accused = true
-		s.accuse(t, "overdue runs", now)
+	if !r.counted {
+		r.counted = true
+		s.addEvidence(t, "overdue runs", now)
 	}
-	if t.health.distrusted && r.job.tasks[r.step][r.index].rescues == 0 {
-		r.job.tasks[r.step][r.index].rescues++
+	if t.health.distrusted && r.job.tasks[r.step][r.index].restarts == 0 {
+		r.job.tasks[r.step][r.index].restarts++
 		r.stopping = true
 		s.send(t, &wire.RunStop{Runs: []workload.RunID{r.id}})
 	}
--- a/placement/job.go
+++ b/placement/job.go
@@ -47,7 +47,7 @@
 	failures int
 	avoid    *target // where the last run failed or was lost
 	run      *run    // while out
-	rescues  int     // runs that were stopped for taking too long
+	restarts int     // runs that were stopped for taking too long
 	doneOn   *target
 	took     time.Duration // of the run that was done
 }
@@ -69,9 +69,9 @@
 	stage     stage
 	key       float64
 	firstRun  time.Time
-	runs      int // runs sent
-	noRoom    int // runs refused for want of room
-	done      chan Answer
+	runs      int           // runs sent
+	noRoom    int           // runs refused for want of room
+	callers   []chan Answer // of everyone who waits for the answer
 }
 
 func newJob(r Request, now time.Time) *activeJob {
@@ -81,7 +81,6 @@
 		tasks:     make([][]task, len(r.Job.Steps)),
 		doneTasks: make([]int, len(r.Job.Steps)),
 		expected:  make([]time.Duration, len(r.Job.Steps)),
-		done:      make(chan Answer, 1),
 	}
 	for i, step := range r.Job.Steps {
 		j.tasks[i] = make([]task, step.Tasks)
@@ -91,6 +90,13 @@
 	return j
 }
 
+// addCaller returns where a caller gets the job's answer.
+func (j *activeJob) addCaller() chan Answer {
+	c := make(chan Answer, 1)
+	j.callers = append(j.callers, c)
+	return c
+}
+
 // started reports whether a run of a task has begun or may have.
 func (j *activeJob) started() bool { return j.ran || j.out > 0 }
 
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -127,7 +127,9 @@
 	}
 	s.stopRuns(j)
 	s.reportJob(j, a, now)
-	j.done <- a
+	for _, c := range j.callers {
+		c <- a
+	}
 }
 
 func (s *Scheduler) stopRuns(j *activeJob) {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -87,10 +87,17 @@
 	Deadline time.Time
 }
 
-// Submit accepts a job or refuses it, not run. Done delivers the answer.
+// Submit accepts a job or refuses it, not run. Done delivers the answer. A job that
+// is sent again while it is here stays one job, whose answer both callers get.
 func (s *Scheduler) Submit(r Request, now time.Time) (*Ticket, *Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if j := s.byID[r.Job.ID]; j != nil && j.request.Route.Name == r.Route.Name {
+		if r.Deadline.After(j.request.Deadline) {
+			j.request.Deadline = r.Deadline
+		}
+		return &Ticket{s: s, j: j, answer: j.addCaller()}, nil
+	}
 	j := newJob(r, now)
 	if refusal := s.admit(j, now); refusal != nil {
 		s.reportJob(j, *refusal, now)
@@ -100,25 +107,36 @@
 	s.jobs[j] = struct{}{}
 	s.byID[r.Job.ID] = j
 	s.enqueue(j)
+	answer := j.addCaller()
 	s.pump(now)
-	return &Ticket{s: s, j: j}, nil
+	return &Ticket{s: s, j: j, answer: answer}, nil
 }
 
 // Ticket is a caller's hold on an accepted job.
 type Ticket struct {
-	s *Scheduler
-	j *activeJob
+	s      *Scheduler
+	j      *activeJob
+	answer chan Answer
 }
 
 // Done delivers the job's one answer.
-func (t *Ticket) Done() <-chan Answer { return t.j.done }
+func (t *Ticket) Done() <-chan Answer { return t.answer }
 
-// Cancel ends a job because its caller went away.
+// Cancel takes note that the caller went away. The job ends with its last caller.
 func (t *Ticket) Cancel(now time.Time) {
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
-	t.s.end(t.j, Answer{Outcome: Cancelled, Reason: "the caller went away"}, now)
-	t.s.pump(now)
+	if t.j.ended {
+		return
+	}
+	gone := Answer{Outcome: Cancelled, Reason: "the caller went away"}
+	if len(t.j.callers) == 1 {
+		t.s.end(t.j, gone, now)
+		t.s.pump(now)
+		return
+	}
+	t.j.callers = slices.DeleteFunc(t.j.callers, func(c chan Answer) bool { return c == t.answer })
+	t.answer <- gone
 }
 
 // Cancel ends a job by its caller's id and reports whether there was one.
--- a/placement/target.go
+++ b/placement/target.go
@@ -19,7 +19,7 @@
 	sent        time.Time
 	expected    time.Duration
 	stopping    bool
-	accused     bool // has counted against its target for taking too long
+	counted     bool // has counted against its target for taking too long
 }
 
 // target is one agent with its target, as one entry sees it.
