Remove state and fields that nothing reads

Found on a second reading of the platform's path: a gateway's set of peer links, a link's closed flag in the sidecar (the link has left the map by then), two fields of RunReport, Resources.IsZero, the services of a routing table, the resend time of a node, and a result of adopt. The targets' order and labels use package slices.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,6 @@
 
 	mu     sync.Mutex
 	agents map[*transport.Link]bool
-	peers  map[*transport.Link]bool
 	dials  map[string]bool // addresses of peers that a loop dials
 }
 
@@ -83,7 +82,6 @@
 		incarnation: wire.NewIncarnation(time.Now()),
 		credentials: credentials,
 		agents:      make(map[*transport.Link]bool),
-		peers:       make(map[*transport.Link]bool),
 		dials:       make(map[string]bool),
 	}
 	g.servers = httpserve.New(&g.tomb, o.Log)
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -83,17 +83,11 @@
 }
 
 func (g *Gateway) peerUp(l *transport.Link) {
-	g.mu.Lock()
-	g.peers[l] = true
-	g.mu.Unlock()
 	g.log.Info("peer linked", zap.String("peer", l.Name()))
 	_ = l.Send(&wire.Heartbeat{Revision: g.version()})
 }
 
 func (g *Gateway) peerDown(l *transport.Link, err error) {
-	g.mu.Lock()
-	delete(g.peers, l)
-	g.mu.Unlock()
 	g.log.Info("peer link ended", zap.String("peer", l.Name()), zap.Error(err))
 }
 
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -18,18 +18,18 @@
 	return 0
 }
 
-// adopt takes routes into force unless those in force are as new. It reports
-// whether they could be read.
-func (g *Gateway) adopt(document []byte, source string) bool {
+// adopt takes routes into force unless those in force are as new. Routes that
+// cannot be read change nothing.
+func (g *Gateway) adopt(document []byte, source string) {
 	table, err := g.opts.Decode(document)
 	if err != nil {
 		g.log.Error("routes cannot be read", zap.String("source", source), zap.Error(err))
-		return false
+		return
 	}
 	for {
 		current := g.routes.Load()
 		if current != nil && current.Version >= table.Version {
-			return true
+			return
 		}
 		if g.routes.CompareAndSwap(current, table) {
 			break
@@ -37,7 +37,6 @@
 	}
 	g.opts.Metrics.Set(metrics.ConfigRevision, float64(table.Version))
 	g.log.Info("routes in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes()), zap.String("source", source))
-	return true
 }
 
 // routesLoop keeps one watch pending on the routes' key. After a failure the key
--- a/gateway/routes_test.go
+++ b/gateway/routes_test.go
@@ -56,7 +56,7 @@
 	if err := json.Unmarshal(document, &version); err != nil {
 		return nil, err
 	}
-	return routing.Build(version, nil, nil, document), nil
+	return routing.Build(version, nil, document), nil
 }
 
 // follow runs a gateway's routes loop against a store in virtual time.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -9,18 +9,16 @@
 
 // RunReport is the end of a run, for logs and metrics.
 type RunReport struct {
-	Run       workload.RunID
-	Route     string
-	Agent     string
-	Target    string
-	End       wire.End
-	Reason    string
-	Out       time.Duration // since it was sent
-	RunTime   time.Duration // as the agent measured it
-	Expected  time.Duration
-	JobEnded  bool
-	RoomAge   time.Duration
-	Abandoned bool
+	Run      workload.RunID
+	Route    string
+	Agent    string
+	Target   string
+	End      wire.End
+	Reason   string
+	Out      time.Duration // since it was sent
+	RunTime  time.Duration // as the agent measured it
+	Expected time.Duration
+	JobEnded bool
 }
 
 // HandleEnd takes in the end of a run.
--- a/placement/target.go
+++ b/placement/target.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/catkinline/catkinline/wire"
@@ -73,12 +75,7 @@
 	if label == "" {
 		return true
 	}
-	for _, l := range t.state.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(t.state.Labels, label)
 }
 
 // TargetChange is a change of what the scheduler believes of a target.
@@ -117,13 +114,8 @@
 
 func (s *Scheduler) addTarget(t *target) {
 	s.targets[t.name] = t
-	at := len(s.ordered)
-	for at > 0 && s.ordered[at-1].name > t.name {
-		at--
-	}
-	s.ordered = append(s.ordered, nil)
-	copy(s.ordered[at+1:], s.ordered[at:])
-	s.ordered[at] = t
+	at, _ := slices.BinarySearchFunc(s.ordered, t.name, func(o *target, name string) int { return strings.Compare(o.name, name) })
+	s.ordered = slices.Insert(s.ordered, at, t)
 }
 
 // LinkDown tells the scheduler that an agent's link closed. A link that was
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -28,32 +28,22 @@
 	TargetDuration time.Duration // added to the objective
 }
 
-// Service is a set of targets that run the tasks of routes.
-type Service struct {
-	Name string
-}
-
 // Table is one version of the operators' routes. It is not changed after Build.
 type Table struct {
 	Version  uint64
-	Services map[string]Service
 	Document []byte // as the store holds it, for peers
 	byHost   map[string][]Route
 	routes   int
 }
 
 // Build returns the table of a version.
-func Build(version uint64, routes []Route, services []Service, document []byte) *Table {
+func Build(version uint64, routes []Route, document []byte) *Table {
 	t := &Table{
 		Version:  version,
-		Services: make(map[string]Service, len(services)),
 		Document: document,
 		byHost:   make(map[string][]Route),
 		routes:   len(routes),
 	}
-	for _, s := range services {
-		t.Services[s.Name] = s
-	}
 	for _, r := range routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
--- a/settings/node.go
+++ b/settings/node.go
@@ -21,7 +21,6 @@
 	Service       string        // of the target beside an agent
 	StoreURL      string        // of the platform's store
 	MaxLease      time.Duration // longest lease that a target grants its runs
-	ResendAfter   time.Duration // after a broken connection a caller sends its job again this much later
 	Grace         time.Duration // from the request to stop until the process is killed
 }
 
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -142,7 +142,7 @@
 			s.finish(e)
 		}
 	}
-	s.target = targetState{born: l.Born, synced: false}
+	s.target = targetState{born: l.Born}
 }
 
 // applyListing reports the ends that are listed and returns the runs that the
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -18,7 +18,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.links[l.Name()]
-	if state == nil || state.link != l || state.closed {
+	if state == nil || state.link != l {
 		return
 	}
 	if paused {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,6 +50,9 @@
 	roomInterval = time.Millisecond
 	// stopPause is the time between two orders to stop a run.
 	stopPause = 100 * time.Millisecond
+	// drainPoll is how often a planned stop looks whether runs are left: short
+	// against the shortest runs.
+	drainPoll = 10 * time.Millisecond
 )
 
 // Link is a connection to one entry. Send never blocks.
@@ -83,11 +86,10 @@
 
 // linkState is a link and what was told on it.
 type linkState struct {
-	link   Link
-	seen   uint64 // starts received
-	told   wire.Room
-	closed bool
-	stale  bool // starts on it may be out of date
+	link  Link
+	seen  uint64 // starts received
+	told  wire.Room
+	stale bool // starts on it may be out of date
 }
 
 // Sidecar is a running agent. One mutex guards its state and is held for
@@ -170,7 +172,7 @@
 	s.stopping = true
 	s.tellState()
 	s.mu.Unlock()
-	ticker := time.NewTicker(stopPause / 10)
+	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for {
 		s.mu.Lock()
@@ -232,7 +234,6 @@
 }
 
 func (s *Sidecar) dropLink(state *linkState, reason string) {
-	state.closed = true
 	owner := ownerOf(state.link)
 	s.offers.Remove(owner)
 	signal(s.room)
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -30,9 +30,6 @@
 	return r.CPU <= room.CPU && r.Memory <= room.Memory && r.Accelerators <= room.Accelerators
 }
 
-// IsZero reports whether r is no amount of anything.
-func (r Resources) IsZero() bool { return r == Resources{} }
-
 // TaskID names one task of a job.
 type TaskID struct {
 	Job   string `cbor:"1,keyasint"`
