Do less for each message: no sum of the backlog that is not told, no sort of runs that are fine

Each message of an agent added up the whole queue, although a backlog is told at most every few milliseconds; each tick sorted all runs of all targets, by texts made for runs that were started together, to look for overdue ones. The sum is now made when it may be told, and only the runs that matter are sorted, in the same order.

--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinline/catkinline/wire"
@@ -27,8 +28,12 @@
 
 // tellBacklog tells the agents what waits here when it has changed.
 func (s *Scheduler) tellBacklog(now time.Time) {
+	soon := now.Sub(s.toldAt) < backlogInterval+backlogPerTarget*time.Duration(len(s.ordered))
+	if soon && s.told.tasks > 0 && s.anyWaits() {
+		return // before the sum over the whole queue, since every message gets here
+	}
 	current := s.backlog()
-	if !s.worthTelling(current, now) {
+	if !s.worthTelling(current) {
 		return
 	}
 	s.told, s.toldAt = current, now
@@ -41,12 +46,17 @@
 	}
 }
 
-func (s *Scheduler) worthTelling(b backlog, now time.Time) bool {
-	if (b.tasks == 0) != (s.told.tasks == 0) {
-		return true
-	}
-	if b.tasks == 0 || now.Sub(s.toldAt) < backlogInterval+backlogPerTarget*time.Duration(len(s.ordered)) {
-		return false
+// anyWaits reports whether any task waits for room.
+func (s *Scheduler) anyWaits() bool {
+	return slices.ContainsFunc(s.queue, func(j *activeJob) bool {
+		_, waits := j.leastNeed()
+		return waits
+	})
+}
+
+func (s *Scheduler) worthTelling(b backlog) bool {
+	if b.tasks == 0 || s.told.tasks == 0 {
+		return b.tasks != s.told.tasks
 	}
 	change := b.key - s.told.key
 	return change > backlogChange || change < -backlogChange || b.least != s.told.least
--- a/placement/health.go
+++ b/placement/health.go
@@ -177,10 +177,9 @@
 		if t.link == nil {
 			continue
 		}
-		for _, r := range t.sortedRuns() {
-			if !r.stopping && !r.job.ended && r.overdue(now) {
-				s.handleOverdue(t, r, now)
-			}
+		late := t.sortedRuns(func(r *run) bool { return !r.stopping && !r.job.ended && r.overdue(now) })
+		for _, r := range late {
+			s.handleOverdue(t, r, now)
 		}
 	}
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -222,10 +222,13 @@
 	})
 }
 
-func (t *target) sortedRuns() []*run {
-	runs := make([]*run, 0, len(t.runs))
+// sortedRuns returns the runs for which keep holds, in the order of their starts.
+func (t *target) sortedRuns(keep func(*run) bool) []*run {
+	var runs []*run
 	for _, r := range t.runs {
-		runs = append(runs, r)
+		if keep(r) {
+			runs = append(runs, r)
+		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
 		if c := a.sent.Compare(b.sent); c != 0 {
--- a/placement/target.go
+++ b/placement/target.go
@@ -175,10 +175,8 @@
 
 // endLost ends the runs of a target that cannot be there any more.
 func (s *Scheduler) endLost(t *target, now time.Time, gone func(*run) bool) {
-	for _, r := range t.sortedRuns() {
-		if gone(r) {
-			s.ended(t, r, wire.EndStopped, 0, "its agent or target was lost", now)
-		}
+	for _, r := range t.sortedRuns(gone) {
+		s.ended(t, r, wire.EndStopped, 0, "its agent or target was lost", now)
 	}
 }
 
