Let the drain tests begin when every entry knows every target

The logs show that entry-1 had heard of agent-0 only: the drain of its target was in force at 06.954 s and agent-1 linked at 06.991 s, late for want of processor. The refusals were true, and the test says nothing of an entry that is still starting. Reproduced on purpose: an entry restarted while agent-1 is down refuses in the same way until that agent is back.

--- a/integration/config_leaving_test.go
+++ b/integration/config_leaving_test.go
@@ -47,6 +47,7 @@
 func TestConfigLeavingTargetGetsNoWork(t *testing.T) {
 	t.Parallel()
 	f := startConfigFleet(t, 2, 4, nil)
+	f.allLinked(2, 4)
 	l := f.load(8, inTurn(2))
 	leave := []struct {
 		name string
@@ -106,6 +107,7 @@
 func TestConfigDrainReachesEntryCutOff(t *testing.T) {
 	t.Parallel()
 	f := startConfigFleet(t, 2, 2, withRelays)
+	f.allLinked(2, 2)
 	f.isolate()
 	l := f.load(6, func(int64) int { return 1 }) // only the entry that is cut off
 	f.isBusy(0)
@@ -132,6 +134,7 @@
 func TestConfigDrainHoldsAgainstThawedEntry(t *testing.T) {
 	t.Parallel()
 	f := startConfigFleet(t, 2, 2, nil)
+	f.allLinked(2, 2)
 	frozen := f.load(6, func(int64) int { return 1 })
 	f.isBusy(0)
 	f.must(f.Freeze("entry-1"))
--- a/integration/config_restart_test.go
+++ b/integration/config_restart_test.go
@@ -113,6 +113,8 @@
 	f.must(f.WaitReady(f.t.Context(), name))
 }
 
+// allLinked waits until every entry knows every target. An entry that has heard of
+// one target only refuses jobs, not run, as soon as that one is drained.
 func (f *configFleet) allLinked(entries, targets int) {
 	f.t.Helper()
 	f.eventually("every agent is linked to every entry", func() bool {
