Let a hanging call to the stand-in store end with its caller

Cause: Go's HTTP server notices that a caller has gone only once the body of its request is read. A write that hung in the stand-in store waited for ever, and with it the end of the test's server: TestPlatformServesWithoutStore hung since agents write to the store. Ruled out by its goroutine trace: the agents and gateways had all ended. The body is now read before the faults are applied.

--- a/standin/store_http.go
+++ b/standin/store_http.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,9 +53,16 @@
 // answered ends its connection.
 func handle[A any](s *Store, write bool, apply func(*http.Request) (A, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxStoreRequestBytes)
+		// The server notices that a caller has gone only once the body is read, and a
+		// hanging call ends with its caller.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStoreRequestBytes))
+		if err != nil {
+			reply(w, http.StatusOK, nil, fmt.Errorf("%w: %w", errBadRequest, err))
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		var answer A
-		err := s.serve(r.Context(), write, func() (err error) {
+		err = s.serve(r.Context(), write, func() (err error) {
 			answer, err = apply(r)
 			return err
 		})
