Take jobs during a planned stop that will end in time

Cause: a stopping gateway refused every job from 4 s after SIGTERM on. Ruled out from the logs: missing targets and routes.

A job is taken while twice its expected duration and 150 ms fit into the time that is left; what is left at the end gets its answer before the process ends.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,17 +7,15 @@
 	"go.uber.org/zap"
 )
 
-// drain is the first part of a planned stop: the balancer is told at once, jobs
-// that still arrive are served, and later refused, until none is left.
+// drain is the first part of a planned stop: the balancer is told at once, and jobs
+// that still arrive are served if they will end in time, until none is left.
 func (g *Gateway) drain() {
 	begun := time.Now()
 	g.log.Info("planned stop begins", zap.Int64("requests", g.requests.Load()))
 	g.stopping.Store(true)
-	end := g.node.Grace
-	if end <= 0 {
-		end = refuseAfter + 2*time.Second
-	}
-	limit := time.NewTimer(max(0, end-lastMoments))
+	left := g.stopTime()
+	g.scheduler.StopAt(begun.Add(left))
+	limit := time.NewTimer(left)
 	defer limit.Stop()
 	ticker := time.NewTicker(quietTime / 10)
 	defer ticker.Stop()
@@ -27,12 +25,11 @@
 		case <-g.tomb.Dying():
 			return
 		case <-limit.C:
+			g.refusing.Store(true)
 			g.log.Warn("planned stop ends with requests left", zap.Int64("requests", g.requests.Load()))
+			g.scheduler.AbandonAll("the entry stops", time.Now())
 			return
 		case now := <-ticker.C:
-			if now.Sub(begun) >= refuseAfter {
-				g.refusing.Store(true)
-			}
 			if g.requests.Load() > 0 {
 				quiet = now
 			}
@@ -43,6 +40,15 @@
 	}
 }
 
+// stopTime is how long a planned stop may serve jobs.
+func (g *Gateway) stopTime() time.Duration {
+	grace := g.node.Grace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	return max(0, grace-lastMoments)
+}
+
 // lastMoments is what the end of a planned stop may take.
 const lastMoments = 300 * time.Millisecond
 
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -54,9 +54,9 @@
 const (
 	// leaveAfter is when answers ask callers to close their connections.
 	leaveAfter = 2200 * time.Millisecond
-	// refuseAfter is when new jobs are refused. Most jobs end within 1.5 s, which
-	// leaves half a second of the usual 6 s.
-	refuseAfter = 4 * time.Second
+	// defaultGrace is the usual time from the request to stop until the process is
+	// killed, for a platform that does not say.
+	defaultGrace = 6 * time.Second
 	// quietTime is how long no request may have come for the stop to end early.
 	quietTime = 300 * time.Millisecond
 )
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -12,6 +12,14 @@
 	maxRetryAfter = 10 * time.Second
 )
 
+// A job is taken during a planned stop if stopFactor times its expected duration
+// and stopSlack fit in: callers' estimates are off by a factor of 1.5, targets'
+// speeds differ, and a job may wait for room for a moment.
+const (
+	stopFactor = 2
+	stopSlack  = 150 * time.Millisecond
+)
+
 // retryAfter is about when what waits now will have been served by the room that
 // the targets have.
 func (s *Scheduler) retryAfter() time.Duration {
@@ -52,6 +60,9 @@
 		reason := fmt.Sprintf("no target has the room or the label that step %d needs", step)
 		return &Answer{Outcome: Refused, Reason: reason, RetryAfter: maxRetryAfter}
 	}
+	if !s.stopAt.IsZero() && now.Add(stopFactor*j.chain()+stopSlack).After(s.stopAt) {
+		return &Answer{Outcome: Refused, Reason: "the entry is stopping", RetryAfter: minRetryAfter}
+	}
 	if !now.Before(j.request.Deadline) {
 		return &Answer{Outcome: Refused, Reason: "the caller's time is over", RetryAfter: minRetryAfter}
 	}
--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -294,3 +294,24 @@
 		t.Errorf("the second caller: %+v", a)
 	}
 }
+
+// Guards against callers who are refused by a stopping entry that has the time to
+// serve them, and against jobs that are cut when it ends.
+func TestStoppingEntryTakesWhatEndsInTime(t *testing.T) {
+	s := placement.New(placement.Options{})
+	join(s, "a", 1, begin)
+	s.StopAt(after(5700 * time.Millisecond))
+	short := request("0000000000000001", 1, 100)
+	short.Deadline = after(8 * time.Second)
+	submit(t, s, short, after(5*time.Second))
+	long := request("0000000000000002", 1, 100)
+	long.Job.Steps[0].Estimate = 2 * time.Second
+	long.Deadline = after(8 * time.Second)
+	if _, refusal := s.Submit(long, after(3*time.Second)); refusal == nil || refusal.Outcome != placement.Refused || refusal.RetryAfter <= 0 {
+		t.Errorf("a job that ends after the entry: %+v", refusal)
+	}
+	short.Job.ID = "0000000000000003"
+	if _, refusal := s.Submit(short, after(5600*time.Millisecond)); refusal == nil {
+		t.Error("a job was taken a moment before the entry's end")
+	}
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -62,6 +62,7 @@
 	toldAt    time.Time
 	begun     time.Time // first call of Tick
 	reachable time.Time // when a target was last usable
+	stopAt    time.Time // when every job must have ended; zero: the entry stays
 }
 
 // New returns a scheduler without targets.
@@ -99,11 +100,11 @@
 		return &Ticket{s: s, j: j, answer: j.addCaller()}, nil
 	}
 	j := newJob(r, now)
+	s.estimate(j)
 	if refusal := s.admit(j, now); refusal != nil {
 		s.reportJob(j, *refusal, now)
 		return nil, refusal
 	}
-	s.estimate(j)
 	s.jobs[j] = struct{}{}
 	s.byID[r.Job.ID] = j
 	s.enqueue(j)
@@ -222,6 +223,14 @@
 	return n
 }
 
+// StopAt begins a planned stop: until then every job has to end, and jobs that will
+// probably take longer are refused.
+func (s *Scheduler) StopAt(limit time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopAt = limit
+}
+
 // AbandonAll ends every job. A process that stood still cannot know which of its
 // callers were answered elsewhere in the meantime.
 func (s *Scheduler) AbandonAll(reason string, now time.Time) {
