Test frozen gateways, jobs sent again and a store that turns some away, as processes

Three tests with gateways and sidecars as processes of their own: an entry that is stopped by a signal, succeeded by another one and resumed; a job whose caller breaks off and sends it to another entry after 1.3 s; routes that reach a gateway whose path to the store is cut.

--- /dev/null
+++ b/integration/platform_process_test.go
@@ -0,0 +1,309 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/internal/faultproxy"
+	"github.com/catkinline/catkinline/internal/fleet"
+	"github.com/catkinline/catkinline/platform"
+	"github.com/catkinline/catkinline/standin"
+)
+
+// platformFleet is gateways and sidecars as processes of their own, with stand-ins
+// of the platform's store and of the targets in this process.
+type platformFleet struct {
+	t        *testing.T
+	ctx      context.Context
+	store    *standin.Store
+	runners  []*standin.Runner
+	gateways []*gatewayProcess
+	// storeAddress is what processes get as the store's address.
+	storeAddress string
+	prefix       string // of the route that jobs are sent to
+}
+
+type gatewayProcess struct {
+	*fleet.Process
+	callers string
+}
+
+const platformRoutes = `{"version":%d,"routes":[{"name":"r-0","host":"jobs.example","prefix":%q,"service":"frames","max_attempts":2,"stretch":1.6,"target_duration_ms":60,"timeout_ms":1500}],"services":[{"name":"frames"}]}`
+
+func newPlatformFleet(t *testing.T, gateways, targets int, work time.Duration) *platformFleet {
+	t.Helper()
+	store := standin.NewStore(standin.StoreOptions{FirstRevision: 1})
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	f := &platformFleet{t: t, ctx: ctx, store: store, storeAddress: strings.TrimPrefix(server.URL, "http://")}
+	f.configure(1, "/frames/")
+	for range gateways {
+		f.startGateway()
+	}
+	for i := range targets {
+		f.startTarget(i, work)
+	}
+	for _, g := range f.gateways {
+		f.await("a gateway has no target", func() bool { return f.submit(g, "0000000000000001", 1) == http.StatusOK })
+	}
+	return f
+}
+
+func (f *platformFleet) startGateway() *gatewayProcess {
+	callers, ready := freeAddress(f.t), freeAddress(f.t)
+	p := f.launch(fmt.Sprint("edge-", len(f.gateways)), "gateway", map[string]any{"front": callers, "readiness": ready}, "")
+	g := &gatewayProcess{Process: p, callers: callers}
+	f.gateways = append(f.gateways, g)
+	f.await("a gateway does not answer", func() bool {
+		resp, err := http.Get("http://" + ready + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err == nil
+	})
+	return g
+}
+
+// configure writes the operators' routes: one, below a prefix.
+func (f *platformFleet) configure(version int, prefix string) {
+	f.t.Helper()
+	f.prefix = prefix
+	document := fmt.Sprintf(platformRoutes, version, prefix)
+	store := f.store.Local()
+	var known uint64
+	if e, err := store.Get(f.ctx, platform.RoutesKey); err == nil {
+		known = e.Version
+	}
+	if _, err := store.CompareAndSwap(f.ctx, platform.RoutesKey, known, []byte(document), 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *platformFleet) startTarget(i int, work time.Duration) {
+	id := fmt.Sprint("i-", i)
+	runner := standin.NewRunner(standin.RunnerOptions{ID: id, Work: func(_, spec string) (time.Duration, bool) {
+		if spec == "short" {
+			return time.Millisecond, false
+		}
+		return work, false
+	}})
+	server := httptest.NewServer(runner.Handler())
+	f.t.Cleanup(server.Close)
+	reports := freeAddress(f.t)
+	f.launch(fmt.Sprint("side-", i), "sidecar", map[string]any{"control": reports}, strings.TrimPrefix(server.URL, "http://"))
+	f.runners = append(f.runners, runner)
+	go func() {
+		for n := uint64(1); f.ctx.Err() == nil; n++ {
+			body, _ := json.Marshal(runner.Report("frames", "ready", n)) // plain values always encode
+			if resp, err := http.Post("http://"+reports+"/instances/"+id+"/heartbeat", "application/json", strings.NewReader(string(body))); err == nil {
+				resp.Body.Close()
+			}
+			select {
+			case <-f.ctx.Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+}
+
+// launch writes a process's settings file and starts it.
+func (f *platformFleet) launch(name, role string, listen map[string]any, app string) *fleet.Process {
+	f.t.Helper()
+	port := freePort(f.t)
+	file, _ := json.Marshal(map[string]any{ // plain values always encode
+		"node_name": name, "zone": "a", "ip": "127.0.0.1", "listen": listen, "port_range": []int{port, port}, "app": app,
+		"service": "frames", "platform": map[string]any{"address": f.storeAddress},
+		"bounds": map[string]any{"grace_s": 6, "max_hold_ms": 1000},
+	})
+	dir := f.t.TempDir()
+	path := filepath.Join(dir, "settings.json")
+	if err := os.WriteFile(path, file, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	p, err := fleet.StartProcess(name, filepath.Join(dir, "log"), role, "--settings", path, "--admin-port", "0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.Close)
+	return p
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func freeAddress(t *testing.T) string { return fmt.Sprint("127.0.0.1:", freePort(t)) }
+
+// submit hands in a job with a number of tasks and waits for its status; 0 stands
+// for a broken connection. Jobs of one task are short.
+func (f *platformFleet) submit(g *gatewayProcess, id string, tasks int) int {
+	status, err := f.send(f.ctx, g, id, tasks)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+func (f *platformFleet) send(ctx context.Context, g *gatewayProcess, id string, tasks int) (int, error) {
+	spec := "long"
+	if tasks == 1 {
+		spec = "short"
+	}
+	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"steps":[{"count":%d,"cpu":3000,"mem_mb":64,"est_runtime_ms":50}]}`, spec, tasks)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callers+f.prefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	r.Host = "jobs.example"
+	r.Header.Set(platform.HeaderDeadline, "8000")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// await repeats a check until it holds; the limit only ends a failed test.
+func (f *platformFleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatal(what)
+}
+
+// running returns how many of a job's tasks run now, over all targets.
+func (f *platformFleet) running(id string) map[string]int {
+	tasks := make(map[string]int)
+	for _, r := range f.runners {
+		for name := range r.Running() {
+			if strings.HasPrefix(name, id) {
+				tasks[name]++
+			}
+		}
+	}
+	return tasks
+}
+
+// watchTwice fails the test when two runs of one task of a job are seen at the same
+// time. It returns when stop is closed.
+func (f *platformFleet) watchTwice(id string, stop <-chan struct{}, done chan<- struct{}) {
+	defer close(done)
+	for {
+		for name, n := range f.running(id) {
+			if n > 1 {
+				f.t.Errorf("%d runs of %s at the same time", n, name)
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// resendPause is when callers send a job again whose connection broke.
+const resendPause = 1300 * time.Millisecond
+
+// Guards against two runs of one task when an entry stands still and wakes after
+// another one has taken its job over.
+func TestPlatformFrozenGatewayIsSucceeded(t *testing.T) {
+	f := newPlatformFleet(t, 2, 2, 1500*time.Millisecond)
+	const id = "00000000000000aa"
+	stop, done := make(chan struct{}), make(chan struct{})
+	go f.watchTwice(id, stop, done)
+	go f.send(f.ctx, f.gateways[0], id, 4) // its answer never comes in time
+	f.await("the job does not start", func() bool { return len(f.running(id)) == 4 })
+	if err := f.gateways[0].Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(resendPause)
+	if left := f.running(id); len(left) != 0 {
+		t.Errorf("runs of the frozen entry go on: %v", left)
+	}
+	answer := make(chan int, 1)
+	go func() { answer <- f.submit(f.gateways[1], id, 4) }()
+	f.await("the job does not start again", func() bool { return len(f.running(id)) == 4 })
+	if err := f.gateways[0].Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if status := <-answer; status != http.StatusOK {
+		t.Errorf("the successor answers %d", status)
+	}
+	close(stop)
+	<-done
+	if status := f.submit(f.gateways[0], "00000000000000ab", 1); status != http.StatusOK {
+		t.Errorf("the entry that woke answers %d", status)
+	}
+}
+
+// Guards against two runs of one task when a caller's connection broke and it sends
+// its job to another entry, while the first one is well.
+func TestPlatformJobSentAgainElsewhere(t *testing.T) {
+	f := newPlatformFleet(t, 2, 2, 1500*time.Millisecond)
+	const id = "00000000000000bb"
+	stop, done := make(chan struct{}), make(chan struct{})
+	go f.watchTwice(id, stop, done)
+	ctx, breakOff := context.WithCancel(f.ctx)
+	go f.send(ctx, f.gateways[0], id, 4) // broken off
+	f.await("the job does not start", func() bool { return len(f.running(id)) == 4 })
+	breakOff()
+	time.Sleep(resendPause)
+	if status := f.submit(f.gateways[1], id, 4); status != http.StatusOK {
+		t.Errorf("the second entry answers %d", status)
+	}
+	close(stop)
+	<-done
+}
+
+// Guards against an instance that keeps old routes because the store turns it away
+// while it serves the others: it hears of new ones from its peers in time.
+func TestPlatformRoutesReachGatewayThatTheStoreTurnsAway(t *testing.T) {
+	const bound = 2 * time.Second // of the platform, from the write to the effect
+	f := newPlatformFleet(t, 1, 1, time.Second)
+	relay, err := faultproxy.NewTCP(faultproxy.TCPOptions{Listen: "127.0.0.1:0", Upstream: f.storeAddress})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	f.storeAddress = relay.Address()
+	away := f.startGateway()
+	f.await("the second gateway serves nothing", func() bool { return f.submit(away, "00000000000000ca", 1) == http.StatusOK })
+	time.Sleep(time.Second) // both gateways list each other, and their link is up
+	if err := relay.Set(faultproxy.Faults{Cut: faultproxy.CutBoth}); err != nil {
+		t.Fatal(err)
+	}
+	f.configure(2, "/beads/")
+	time.Sleep(bound)
+	if status := f.submit(away, "00000000000000cb", 1); status != http.StatusOK {
+		t.Errorf("a new route at the gateway that is turned away: %d", status)
+	}
+	f.prefix = "/frames/"
+	if status := f.submit(away, "00000000000000cc", 1); status != http.StatusNotFound {
+		t.Errorf("a dropped route at the gateway that is turned away: %d", status)
+	}
+}
--- /dev/null
+++ b/internal/fleet/single.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"os"
+	"syscall"
+)
+
+// Process is one process of the program that a test starts by itself, beside or
+// without a fleet.
+type Process struct{ p *process }
+
+// StartProcess starts the test binary as the program; its TestMain must call
+// RunChild. The output is appended to a log.
+func StartProcess(name, logPath string, arguments ...string) (*Process, error) {
+	options, err := TestOptions()
+	if err != nil {
+		return nil, err
+	}
+	p := &process{name: name, executable: options.Executable, arguments: arguments, logPath: logPath}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	return &Process{p}, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s os.Signal) error { return p.p.signal(s) }
+
+// Close ends the process at once, a frozen one too, and waits for its end.
+func (p *Process) Close() {
+	_ = p.Signal(syscall.SIGKILL) // an error means that it has ended
+	p.p.awaitExit()
+}
