Let links without runs beat slower

Cause: each link carried a heartbeat every 150 ms both ways, 1,000 a second at an entry of the grown site, most of them on links without a run. Their silence costs nothing that has to be undone, so they beat every 750 ms now, as the product's own links do; with a run on either side a link beats as before and is given up after 500 ms.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -20,9 +20,16 @@
 		Revision:    g.version,
 		Counter:     metrics.Messages{Registry: g.opts.Metrics},
 		Timing:      LinkTiming,
+		Idle:        g.idle,
 	}
 }
 
+// idle reports whether nothing is lost when it is noticed late that a link went
+// silent: it leads to a peer, or to an agent without a run of this entry.
+func (g *Gateway) idle(l *transport.Link) bool {
+	return l.Role() == wire.RoleEntry || g.scheduler.Idle(l.Name())
+}
+
 // linkHandler passes what happens on links to the gateway.
 type linkHandler struct{ g *Gateway }
 
--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -315,3 +315,21 @@
 		t.Error("a job was taken a moment before the entry's end")
 	}
 }
+
+// Guards against a link that beats slowly while a run of this entry is out: its
+// silence would be noticed too late for the run's task.
+func TestLinkWithRunsIsNotIdle(t *testing.T) {
+	s := placement.New(placement.Options{})
+	l := join(s, "a", 1, begin)
+	if !s.Idle("a") || !s.Idle("unknown") {
+		t.Error("a link without runs is busy")
+	}
+	submit(t, s, request("0000000000000001", 1, 100), begin)
+	if s.Idle("a") {
+		t.Error("a link with a run is idle")
+	}
+	s.HandleEnd("a", l, &wire.RunEnd{Run: l.starts()[0].Run, End: wire.EndDone}, after(time.Second))
+	if !s.Idle("a") {
+		t.Error("a link is busy after the end of its run")
+	}
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -132,6 +132,14 @@
 	s.changed(t, "link_lost", "")
 }
 
+// Idle reports whether no run of this entry is out at an agent.
+func (s *Scheduler) Idle(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[name]
+	return t == nil || len(t.runs) == 0
+}
+
 // linked returns the target that a link belongs to, or nil for a link that was
 // replaced by a newer one.
 func (s *Scheduler) linked(name string, link Sender) *target {
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -67,6 +67,16 @@
 // Len returns the number of runs.
 func (t *Table) Len() int { return len(t.runs) }
 
+// Owns reports whether an entry has a run here.
+func (t *Table) Owns(owner Owner) bool {
+	for _, r := range t.runs {
+		if r.Owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
 // Get returns a run, or nil.
 func (t *Table) Get(id workload.RunID) *Run { return t.runs[id] }
 
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -256,6 +256,7 @@
 		Revision:    func() uint64 { return 0 },
 		Counter:     metrics.Messages{Registry: p.opts.Metrics},
 		Timing:      p.opts.Timing,
+		Idle:        func(l *transport.Link) bool { return p.sidecar.Idle(l) },
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -254,6 +254,14 @@
 
 func ownerOf(l Link) runs.Owner { return runs.Owner{Name: l.Name(), Incarnation: l.Incarnation()} }
 
+// Idle reports whether no run of a link's entry is here. Nothing has to be stopped
+// when such a link goes silent, so that it may be noticed later.
+func (s *Sidecar) Idle(l Link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.table.Owns(ownerOf(l))
+}
+
 // ready reports whether entries may be told of the target: its report is known
 // and nothing is left on it that is not in the table.
 func (s *Sidecar) ready() bool { return s.reported && s.target.synced }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -398,3 +398,20 @@
 		}
 	})
 }
+
+// Guards against a link that beats slowly while runs of its entry are here: they
+// must be stopped soon after it went silent.
+func TestLinkWithRunsIsNotIdle(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		busy, other := b.open("busy"), b.link("other")
+		b.start(busy, id(0, 1), 1000)
+		synctest.Wait()
+		if b.sidecar.Idle(busy) || !b.sidecar.Idle(other) {
+			t.Errorf("idle: with a run %t, without one %t", b.sidecar.Idle(busy), b.sidecar.Idle(other))
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if !b.sidecar.Idle(busy) {
+			t.Error("a link is busy after the end of its run")
+		}
+	})
+}
