--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,5 +1,5 @@
 // Package admission decides whether an entry accepts a job: bounds on its queue,
-// the teams' shares of it, and whether the job can be answered within its
+// the workspaces' shares of it, and whether the job can be answered within its
 // deadline.
 package admission
 
@@ -37,16 +37,16 @@
 
 // Options set the controller. Zero fields take the defaults.
 type Options struct {
-	Bound      Use     // of one entry; default 20,000 jobs, 400,000 tasks, 256 MiB
-	TeamFactor float64 // a team may hold this many times what is free; default 2
-	BoundsOnly bool    // baseline: no check of deadlines
+	Bound           Use     // of one entry; default 20,000 jobs, 400,000 tasks, 256 MiB
+	WorkspaceFactor float64 // a workspace may hold this many times what is free; default 2
+	BoundsOnly      bool    // baseline: no check of deadlines
 }
 
 func (o Options) withDefaults() Options {
 	options.Default(&o.Bound.Jobs, 20_000)
 	options.Default(&o.Bound.Tasks, 400_000)
 	options.Default(&o.Bound.Bytes, 256<<20)
-	options.Default(&o.TeamFactor, 2)
+	options.Default(&o.WorkspaceFactor, 2)
 	return o
 }
 
@@ -54,9 +54,9 @@
 	// reopenAt is the fill at which a full queue accepts jobs again. Without the
 	// gap, single places that come free go to small jobs only.
 	reopenAt = 0.8
-	// minTeamShare keeps a full queue from being reported to a small team as the
-	// team's own fault.
-	minTeamShare = 0.5
+	// minWorkspaceShare keeps a full queue from being reported to a small workspace as the
+	// workspace's own fault.
+	minWorkspaceShare = 0.5
 	// strainedShare is the share of its deadline that a job may be expected to
 	// need for strainedTime after a refusal. Work accepted with no margin expires
 	// in the queue when the rate falls, and its resubmission adds load.
@@ -66,7 +66,7 @@
 
 // Request describes a job that asks to be accepted.
 type Request struct {
-	Team      string
+	Workspace string
 	Use       Use
 	Deadline  time.Duration // time left until the answer is due
 	Work      time.Duration // expected slot time of all its tasks
@@ -79,30 +79,30 @@
 // Controller holds what one entry has accepted for one service or for all of
 // them. It is not safe for concurrent use.
 type Controller struct {
-	options  Options
-	rate     *Rate
-	random   *rand.Rand
-	use      Use
-	teams    map[string]Use
-	closed   bool      // the queue was full and has not reached reopenAt
-	strained time.Time // until when deadlines are checked with a margin
-	horizon  time.Time // to which resubmissions are promised a place
+	options    Options
+	rate       *Rate
+	random     *rand.Rand
+	use        Use
+	workspaces map[string]Use
+	closed     bool      // the queue was full and has not reached reopenAt
+	strained   time.Time // until when deadlines are checked with a margin
+	horizon    time.Time // to which resubmissions are promised a place
 }
 
 // New returns a controller without accepted jobs. The rate is the caller's to
 // feed; random is the source of jitter.
 func New(o Options, rate *Rate, random *rand.Rand) *Controller {
-	return &Controller{options: o.withDefaults(), rate: rate, random: random, teams: map[string]Use{}}
+	return &Controller{options: o.withDefaults(), rate: rate, random: random, workspaces: map[string]Use{}}
 }
 
 // Use returns what is accepted and not released.
 func (c *Controller) Use() Use { return c.use }
 
-// TeamUse returns one team's part of Use.
-func (c *Controller) TeamUse(team string) Use { return c.teams[team] }
+// WorkspaceUse returns one workspace's part of Use.
+func (c *Controller) WorkspaceUse(workspace string) Use { return c.workspaces[workspace] }
 
 // Admit accepts a job and counts it, or returns the reason not to: QueueFull,
-// TeamQueueFull or DeadlineInfeasible, with a time after which to retry. A
+// WorkspaceQueueFull or DeadlineInfeasible, with a time after which to retry. A
 // deadline that no wait can make feasible has none.
 func (c *Controller) Admit(r Request, now time.Time) *result.Error {
 	if err := c.checkBounds(r, now); err != nil {
@@ -113,20 +113,20 @@
 			return err
 		}
 	}
-	c.Adjust(r.Team, r.Use)
+	c.Adjust(r.Workspace, r.Use)
 	return nil
 }
 
-// Adjust changes what a team is counted with: less when tasks are sent and jobs
+// Adjust changes what a workspace is counted with: less when tasks are sent and jobs
 // end, more when a task waits again. It never refuses.
-func (c *Controller) Adjust(team string, d Use) {
+func (c *Controller) Adjust(workspace string, d Use) {
 	c.use = c.use.plus(d)
-	u := c.teams[team].plus(d)
+	u := c.workspaces[workspace].plus(d)
 	if u == (Use{}) {
-		delete(c.teams, team)
+		delete(c.workspaces, workspace)
 		return
 	}
-	c.teams[team] = u
+	c.workspaces[workspace] = u
 }
 
 func (c *Controller) checkBounds(r Request, now time.Time) *result.Error {
@@ -139,26 +139,26 @@
 		c.closed = c.closed || !c.use.fits(bound.scale(reopenAt))
 		return result.New(result.QueueFull, "").WithRetryAfter(c.retryAfter(r, now))
 	}
-	if !c.teamFits(r, bound.minus(after)) {
-		return result.New(result.TeamQueueFull, "").WithRetryAfter(c.retryAfter(r, now))
+	if !c.workspaceFits(r, bound.minus(after)) {
+		return result.New(result.WorkspaceQueueFull, "").WithRetryAfter(c.retryAfter(r, now))
 	}
 	return nil
 }
 
-// teamFits reports whether a team may hold what it asks for: a multiple of what
-// stays free, so that one team alone leaves room and many teams share evenly,
-// and in any case minTeamShare of an equal share.
-func (c *Controller) teamFits(r Request, free Use) bool {
-	held, known := c.teams[r.Team]
-	teams := len(c.teams)
+// workspaceFits reports whether a workspace may hold what it asks for: a multiple of what
+// stays free, so that one workspace alone leaves room and many workspaces share evenly,
+// and in any case minWorkspaceShare of an equal share.
+func (c *Controller) workspaceFits(r Request, free Use) bool {
+	held, known := c.workspaces[r.Workspace]
+	workspaces := len(c.workspaces)
 	if !known {
-		teams++
+		workspaces++
 	}
 	after := held.plus(r.Use)
-	if after.fits(free.scale(c.options.TeamFactor)) {
+	if after.fits(free.scale(c.options.WorkspaceFactor)) {
 		return true
 	}
-	return after.fits(c.options.Bound.scale(minTeamShare / float64(teams)))
+	return after.fits(c.options.Bound.scale(minWorkspaceShare / float64(workspaces)))
 }
 
 // checkDeadline compares the time to the deadline with the time that the work
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -20,9 +20,9 @@
 }
 
 // ask is a job of ten one-second tasks that is due in ten seconds.
-func ask(team string, ahead time.Duration) Request {
+func ask(workspace string, ahead time.Duration) Request {
 	return Request{
-		Team: team, Use: Use{1, 10, 100}, Deadline: 10 * second,
+		Workspace: workspace, Use: Use{1, 10, 100}, Deadline: 10 * second,
 		Work: 10 * second, Longest: second, Ahead: ahead, Confident: true,
 	}
 }
@@ -55,17 +55,17 @@
 	}
 }
 
-// Guards against one team that fills the queue and locks the others out, and
-// against teams that stay on the books.
-func TestTeamShare(t *testing.T) {
+// Guards against one workspace that fills the queue and locks the others out, and
+// against workspaces that stay on the books.
+func TestWorkspaceShare(t *testing.T) {
 	c := controller(Options{Bound: Use{90, 1 << 30, 1 << 40}}, 1000)
 	n := 0
 	for ; c.Admit(ask("flood", 0), epoch) == nil; n++ {
 	}
 	if n != 60 {
-		t.Errorf("one team holds %d of 90, want two thirds", n)
+		t.Errorf("one workspace holds %d of 90, want two thirds", n)
 	}
-	if got := code(c.Admit(ask("flood", 0), epoch)); got != result.TeamQueueFull {
+	if got := code(c.Admit(ask("flood", 0), epoch)); got != result.WorkspaceQueueFull {
 		t.Errorf("flood: %v", got)
 	}
 	c.Adjust("filler", Use{Jobs: 29})
@@ -78,8 +78,8 @@
 	c.Adjust("filler", Use{Jobs: -29})
 	c.Adjust("flood", Use{-60, -600, -6000})
 	c.Adjust("other", Use{-1, -10, -100})
-	if len(c.teams) != 0 || c.Use() != (Use{}) {
-		t.Errorf("left: %v, %v", c.teams, c.Use())
+	if len(c.workspaces) != 0 || c.Use() != (Use{}) {
+		t.Errorf("left: %v, %v", c.workspaces, c.Use())
 	}
 }
 
--- a/api/api.go
+++ b/api/api.go
@@ -14,8 +14,8 @@
 
 // Job is the body of a submission.
 type Job struct {
-	Key        string    `json:"key"`  // names the submission within its team
-	Team       string    `json:"team"` // accounting unit of the caller
+	Key        string    `json:"key"`       // names the submission within its workspace
+	Workspace  string    `json:"workspace"` // accounting unit of the caller
 	Labels     label.Set `json:"labels,omitempty"`
 	DeadlineMS int64     `json:"deadline_ms"` // from arrival to the answer
 	Idempotent bool      `json:"idempotent"`
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -64,7 +64,7 @@
 	// Live reports whether an entry's incarnation is live. Without it, claims
 	// of other entries are never deleted.
 	Live func(wire.Incarnation) bool
-	// Scopes lists the services and teams whose claims the sweep visits, in
+	// Scopes lists the services and workspaces whose claims the sweep visits, in
 	// lists of a sixteenth of a scope each. Without it, the sweep reads all
 	// claims in one list, which suits only small stores.
 	Scopes func() []Scope
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -17,7 +17,7 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-var shop = Scope{Service: "orders", Team: "gabrovo/a"}
+var shop = Scope{Service: "orders", Workspace: "gabrovo/a"}
 
 type entry struct {
 	*Claims
--- a/claim/record.go
+++ b/claim/record.go
@@ -14,11 +14,11 @@
 )
 
 // Prefix is where claims keep their keys:
-// Prefix + service + "/" + team + "/" + hash of the request key.
+// Prefix + service + "/" + workspace + "/" + hash of the request key.
 const Prefix = "claims/"
 
 // hashBytes is the length of the hash in a key: at 128 bits, two request keys
-// of one team do not meet by accident.
+// of one workspace do not meet by accident.
 const hashBytes = 16
 
 // State says how far a claimed job got.
@@ -63,14 +63,14 @@
 	return r
 }
 
-// Scope is the part of the request keys that one team uses at one service.
+// Scope is the part of the request keys that one workspace uses at one service.
 type Scope struct {
-	Service string
-	Team    string
+	Service   string
+	Workspace string
 }
 
 func (s Scope) prefix() string {
-	return Prefix + url.PathEscape(s.Service) + "/" + url.PathEscape(s.Team) + "/"
+	return Prefix + url.PathEscape(s.Service) + "/" + url.PathEscape(s.Workspace) + "/"
 }
 
 func keyOf(s Scope, requestKey string) string {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -12,7 +12,7 @@
 	"github.com/catkinline/catkinline/api"
 )
 
-var testJob = api.Job{Key: "k", Team: "t", DeadlineMS: 60_000, Tasks: []api.Task{{Payload: "p"}}}
+var testJob = api.Job{Key: "k", Workspace: "t", DeadlineMS: 60_000, Tasks: []api.Task{{Payload: "p"}}}
 
 func newTestClient(t *testing.T, handler http.HandlerFunc) *Client {
 	t.Helper()
--- a/command/ctl_print.go
+++ b/command/ctl_print.go
@@ -90,8 +90,8 @@
 	switch {
 	case v.Service != nil:
 		content = v.Service
-	case v.Team != nil:
-		content = v.Team
+	case v.Workspace != nil:
+		content = v.Workspace
 	case v.Target != nil:
 		content = v.Target
 	default:
--- a/command/demo.go
+++ b/command/demo.go
@@ -38,7 +38,7 @@
 // demoDocument is the operators' configuration of the demonstration.
 const demoDocument = `{
 	"services": {"frames": {"rules": [{"requests": "kind=panorama", "targets": "memory=large"}], "non_idempotent": true}},
-	"teams": {"north-crew": {"weight": 2}, "south-crew": {}},
+	"workspaces": {"north-crew": {"weight": 2}, "south-crew": {}},
 }`
 
 // demoTimeout bounds the whole demonstration.
@@ -232,12 +232,12 @@
 		payload, _ := json.Marshal(map[string]any{"run_ms": ms, "echo": fmt.Sprintf("frame of %d ms", ms)})
 		return api.Task{Payload: string(payload), RunMS: float64(ms)}
 	}
-	previews := api.Job{Key: "previews", Team: "north-crew", DeadlineMS: 10_000, Idempotent: true, Labels: label.Set{"kind": "preview"}}
+	previews := api.Job{Key: "previews", Workspace: "north-crew", DeadlineMS: 10_000, Idempotent: true, Labels: label.Set{"kind": "preview"}}
 	for i := range 24 {
 		previews.Tasks = append(previews.Tasks, task(50+25*(i%8)))
 	}
-	check := api.Job{Key: "exposure", Team: "south-crew", DeadlineMS: 10_000, Idempotent: true, Tasks: []api.Task{task(80)}}
-	panorama := api.Job{Key: "panorama", Team: "north-crew", DeadlineMS: 15_000, Labels: label.Set{"kind": "panorama"}, Tasks: []api.Task{task(1500), task(900)}}
+	check := api.Job{Key: "exposure", Workspace: "south-crew", DeadlineMS: 10_000, Idempotent: true, Tasks: []api.Task{task(80)}}
+	panorama := api.Job{Key: "panorama", Workspace: "north-crew", DeadlineMS: 15_000, Labels: label.Set{"kind": "panorama"}, Tasks: []api.Task{task(1500), task(900)}}
 	return []api.Job{previews, check, panorama}
 }
 
--- a/config/applier_test.go
+++ b/config/applier_test.go
@@ -33,26 +33,26 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		first, second := newApplier(store), newApplier(store)
-		expect(t, "create", first.Edit(t.Context(), "c0", PutTeam("shops", Team{Weight: 1})), Accepted, 0)
+		expect(t, "create", first.Edit(t.Context(), "c0", PutWorkspace("shops", Workspace{Weight: 1})), Accepted, 0)
 		// The second operator's write loses its race: it reads the version
 		// before the first operator's.
-		expect(t, "first", first.Edit(t.Context(), "c1", PutTeam("shops", Team{Weight: 2})), Accepted, 0)
+		expect(t, "first", first.Edit(t.Context(), "c1", PutWorkspace("shops", Workspace{Weight: 2})), Accepted, 0)
 		store.set(func() { store.stale = 1 })
-		r := second.Edit(t.Context(), "c2", PutTeam("shops", Team{Weight: 3}))
+		r := second.Edit(t.Context(), "c2", PutWorkspace("shops", Workspace{Weight: 3}))
 		expect(t, "second", r, Refused, result.ConfigConflict)
 		o := r.Conflict.Objects[0]
-		if o.Name != "shops" || o.Yours.Team.Weight != 3 || o.Theirs.Team.Weight != 2 {
+		if o.Name != "shops" || o.Yours.Workspace.Weight != 3 || o.Theirs.Workspace.Weight != 2 {
 			t.Errorf("conflict %+v", o)
 		}
 		// A whole document from an old revision.
-		r = second.Apply(t.Context(), "c3", r.Conflict.Base, Document{Teams: map[string]Team{"shops": {Weight: 4}}})
+		r = second.Apply(t.Context(), "c3", r.Conflict.Base, Document{Workspaces: map[string]Workspace{"shops": {Weight: 4}}})
 		expect(t, "document", r, Refused, result.ConfigConflict)
 		if len(r.Conflict.Objects) != 1 || r.Conflict.Current != r.Conflict.Base+3 {
 			t.Errorf("conflict %+v", r.Conflict)
 		}
 		// Both want the same: nothing is lost.
 		store.set(func() { store.stale = 1 })
-		expect(t, "same", second.Edit(t.Context(), "c4", PutTeam("shops", Team{Weight: 2})), Accepted, 0)
+		expect(t, "same", second.Edit(t.Context(), "c4", PutWorkspace("shops", Workspace{Weight: 2})), Accepted, 0)
 	})
 }
 
@@ -98,7 +98,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := newFakeStore()
 				store.faults = faults
-				r := newApplier(store).Apply(t.Context(), "c1", 0, Document{Teams: map[string]Team{"a": {Weight: 1}}})
+				r := newApplier(store).Apply(t.Context(), "c1", 0, Document{Workspaces: map[string]Workspace{"a": {Weight: 1}}})
 				expect(t, name, r, Accepted, 0)
 				time.Sleep(time.Second)
 				if n := store.written("c1"); n != 1 || r.Revision != 3 {
@@ -199,7 +199,7 @@
 		a := newApplier(store)
 		base := uint64(0)
 		for i := range 3 {
-			r := a.Apply(t.Context(), fmt.Sprint("c", i), base, Document{Teams: map[string]Team{"a": {Weight: float64(i + 1)}}})
+			r := a.Apply(t.Context(), fmt.Sprint("c", i), base, Document{Workspaces: map[string]Workspace{"a": {Weight: float64(i + 1)}}})
 			expect(t, "apply", r, Accepted, 0)
 			base = r.Revision
 		}
@@ -224,18 +224,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		a := newApplier(store)
-		bad := Document{Teams: map[string]Team{"a b": {Weight: -1}}}
+		bad := Document{Workspaces: map[string]Workspace{"a b": {Weight: -1}}}
 		r := a.Apply(t.Context(), "", 0, bad)
 		expect(t, "invalid", r, Refused, result.ConfigInvalid)
 		if len(r.Errors) != 3 {
 			t.Errorf("errors %v", r.Errors)
 		}
-		big := Document{Teams: map[string]Team{}}
+		big := Document{Workspaces: map[string]Workspace{}}
 		for i := range 60_000 {
-			big.Teams[fmt.Sprint("team-", i)] = Team{Weight: 1}
+			big.Workspaces[fmt.Sprint("workspace-", i)] = Workspace{Weight: 1}
 		}
 		// The file is under the limit, but not with the defaults written out.
-		file := []byte(`{"teams":{`)
+		file := []byte(`{"workspaces":{`)
 		for i := range 50_000 {
 			file = fmt.Appendf(file, `"t%d":{},`, i)
 		}
@@ -268,7 +268,7 @@
 			var all sync.WaitGroup
 			for i := range results {
 				delay := time.Duration(random.Intn(200)) * time.Millisecond
-				edit := PutTeam(fmt.Sprint("team-", random.Intn(3)), Team{Weight: float64(i + 1)})
+				edit := PutWorkspace(fmt.Sprint("workspace-", random.Intn(3)), Workspace{Weight: float64(i + 1)})
 				all.Go(func() {
 					time.Sleep(delay)
 					results[i] = newApplier(store).Edit(context.Background(), fmt.Sprint("c", i), edit)
@@ -292,11 +292,11 @@
 func TestChangeAtReplacedStoreIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		applier := newApplier(newFakeStore())
-		old := Document{Teams: map[string]Team{"shops": {Weight: 1}}}
+		old := Document{Workspaces: map[string]Workspace{"shops": {Weight: 1}}}
 		if adopted, err := applier.Holder.AdoptBody(1000, old.encode()); !adopted {
 			t.Fatal(err)
 		}
-		r := applier.Edit(t.Context(), "c1", PutTeam("shops", Team{Weight: 2}))
+		r := applier.Edit(t.Context(), "c1", PutWorkspace("shops", Workspace{Weight: 2}))
 		expect(t, "edit", r, Refused, result.ConfigUnavailable)
 		r = applier.Apply(t.Context(), "c2", 0, Document{})
 		expect(t, "document", r, Refused, result.ConfigUnavailable)
--- a/config/diff.go
+++ b/config/diff.go
@@ -13,9 +13,9 @@
 
 // The kinds of objects.
 const (
-	KindService Kind = "service"
-	KindTeam    Kind = "team"
-	KindTarget  Kind = "target"
+	KindService   Kind = "service"
+	KindWorkspace Kind = "workspace"
+	KindTarget    Kind = "target"
 )
 
 // Object names one object of the document.
@@ -27,9 +27,9 @@
 // Value is the content of an object: the field of its kind, or none if the
 // document does not have the object.
 type Value struct {
-	Service *Service `json:"service,omitempty"`
-	Team    *Team    `json:"team,omitempty"`
-	Target  *Target  `json:"target,omitempty"`
+	Service   *Service   `json:"service,omitempty"`
+	Workspace *Workspace `json:"workspace,omitempty"`
+	Target    *Target    `json:"target,omitempty"`
 }
 
 // Difference is an object with its content on two sides.
@@ -59,8 +59,8 @@
 		for name := range d.Services {
 			all[Object{KindService, name}] = true
 		}
-		for name := range d.Teams {
-			all[Object{KindTeam, name}] = true
+		for name := range d.Workspaces {
+			all[Object{KindWorkspace, name}] = true
 		}
 		for name := range d.Targets {
 			all[Object{KindTarget, name}] = true
@@ -79,9 +79,9 @@
 		if s, ok := d.Services[o.Name]; ok {
 			v.Service = &s
 		}
-	case KindTeam:
-		if t, ok := d.Teams[o.Name]; ok {
-			v.Team = &t
+	case KindWorkspace:
+		if t, ok := d.Workspaces[o.Name]; ok {
+			v.Workspace = &t
 		}
 	case KindTarget:
 		if t, ok := d.Targets[o.Name]; ok {
@@ -96,8 +96,8 @@
 	switch o.Kind {
 	case KindService:
 		d.Services = replaced(d.Services, o.Name, v.Service)
-	case KindTeam:
-		d.Teams = replaced(d.Teams, o.Name, v.Team)
+	case KindWorkspace:
+		d.Workspaces = replaced(d.Workspaces, o.Name, v.Workspace)
 	case KindTarget:
 		d.Targets = replaced(d.Targets, o.Name, v.Target)
 	}
--- a/config/document.go
+++ b/config/document.go
@@ -33,10 +33,10 @@
 // Document is the operators' configuration. Its stored form is JSON with every
 // default written out, so that releases with other defaults agree about it.
 type Document struct {
-	Services map[string]Service `json:"services,omitempty"` // by service name
-	Teams    map[string]Team    `json:"teams,omitempty"`    // by team name
-	Targets  map[string]Target  `json:"targets,omitempty"`  // by target name; absent: no overrides
-	Changes  []Change           `json:"changes,omitempty"`  // oldest first; the system maintains them
+	Services   map[string]Service   `json:"services,omitempty"`   // by service name
+	Workspaces map[string]Workspace `json:"workspaces,omitempty"` // by workspace name
+	Targets    map[string]Target    `json:"targets,omitempty"`    // by target name; absent: no overrides
+	Changes    []Change             `json:"changes,omitempty"`    // oldest first; the system maintains them
 }
 
 // Service is the configuration of one service.
@@ -71,9 +71,9 @@
 	MaxMS     int `json:"max_ms" cbor:"2,keyasint"`     // default 900000
 }
 
-// Team is the configuration of one team.
-type Team struct {
-	Weight     float64 `json:"weight"`                // share of the capacity relative to other teams; default 1
+// Workspace is the configuration of one workspace.
+type Workspace struct {
+	Weight     float64 `json:"weight"`                // share of the capacity relative to other workspaces; default 1
 	QuotaSlots int     `json:"quota_slots,omitempty"` // slots in use at once over all entries; 0: no quota
 }
 
@@ -130,7 +130,7 @@
 }
 
 // SetDefaults fills zero fields.
-func (t *Team) SetDefaults() {
+func (t *Workspace) SetDefaults() {
 	if t.Weight == 0 {
 		t.Weight = 1
 	}
--- a/config/edit.go
+++ b/config/edit.go
@@ -64,13 +64,13 @@
 	}
 }
 
-// PutTeam creates or replaces a team. Zero fields take the defaults.
-func PutTeam(name string, team Team) Edit {
-	team.SetDefaults()
+// PutWorkspace creates or replaces a workspace. Zero fields take the defaults.
+func PutWorkspace(name string, workspace Workspace) Edit {
+	workspace.SetDefaults()
 	return Edit{
-		object: Object{KindTeam, name},
-		intent: team,
-		apply:  func(Value) Value { return Value{Team: &team} },
+		object: Object{KindWorkspace, name},
+		intent: workspace,
+		apply:  func(Value) Value { return Value{Workspace: &workspace} },
 	}
 }
 
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -97,14 +97,14 @@
 	return service, ok
 }
 
-// Team returns a team's configuration.
-func (s *Snapshot) Team(name string) (Team, bool) {
-	t, ok := s.document.Teams[name]
+// Workspace returns a workspace's configuration.
+func (s *Snapshot) Workspace(name string) (Workspace, bool) {
+	t, ok := s.document.Workspaces[name]
 	return t, ok
 }
 
-// Teams returns all teams by name. The map must not be changed.
-func (s *Snapshot) Teams() map[string]Team { return s.document.Teams }
+// Workspaces returns all workspaces by name. The map must not be changed.
+func (s *Snapshot) Workspaces() map[string]Workspace { return s.document.Workspaces }
 
 // Target returns what operators set about a target; zero if nothing.
 func (s *Snapshot) Target(name string) Target {
--- a/config/snapshot_test.go
+++ b/config/snapshot_test.go
@@ -195,7 +195,7 @@
 func FuzzDocument(f *testing.F) {
 	f.Add(example(f))
 	f.Add([]byte(`{"services":{"a b":{"rules":[{"requests":"x in (a|b","targets":"!"}],"max_ejected_share":1e999}}}`))
-	f.Add([]byte(`{"changes":[{"id":"c1","revision":4},{"id":"c2"}],"teams":{"":null}}`))
+	f.Add([]byte(`{"changes":[{"id":"c1","revision":4},{"id":"c2"}],"workspaces":{"":null}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		d, errs := Parse(data)
 		_, _ = Compile(1, data)
--- a/config/validate.go
+++ b/config/validate.go
@@ -29,10 +29,10 @@
 		c.Name(path, name)
 		d.Services[name].check(c, path)
 	}
-	for _, name := range slices.Sorted(maps.Keys(d.Teams)) {
-		path := member("teams", name)
+	for _, name := range slices.Sorted(maps.Keys(d.Workspaces)) {
+		path := member("workspaces", name)
 		c.Name(path, name)
-		d.Teams[name].check(c, path)
+		d.Workspaces[name].check(c, path)
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.Targets)) {
 		path := member("targets", name)
@@ -106,7 +106,7 @@
 	settings.CheckRange(c, path+".max_waiting", l.MaxWaiting, 1, maxWaiting)
 }
 
-func (t Team) check(c *settings.Check, path string) {
+func (t Workspace) check(c *settings.Check, path string) {
 	settings.CheckRange(c, path+".weight", t.Weight, minWeight, maxWeight)
 	settings.CheckRange(c, path+".quota_slots", t.QuotaSlots, 0, maxQuota)
 }
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -78,7 +78,7 @@
 				t.Fatalf("revision %d, want %d", got, revision)
 			}
 		}
-		store.set(func() { store.stale = 0; _, _ = store.write(revision, []byte(`{"teams": 1}`)) })
+		store.set(func() { store.stale = 0; _, _ = store.write(revision, []byte(`{"workspaces": 1}`)) })
 		time.Sleep(effectTime)
 		if s := h.Current(); s.Revision() != revision || !s.Target("r2").Drain {
 			t.Errorf("an invalid document replaced revision %d", revision)
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -159,7 +159,7 @@
 
 func (s *Scheduler) setWeights() {
 	weights := make(map[string]float64)
-	for name, t := range s.rules.Teams() {
+	for name, t := range s.rules.Workspaces() {
 		weights[name] = t.Weight
 	}
 	s.queue.SetWeights(weights)
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -120,7 +120,7 @@
 		"non_idempotent": true,
 		"rules": [{"requests": "kind=panorama", "targets": "gpu=yes"}],
 	}},
-	"teams": {"a": {}, "b": {}, "c": {}, "capped": {"quota_slots": 2}},
+	"workspaces": {"a": {}, "b": {}, "c": {}, "capped": {"quota_slots": 2}},
 }`
 
 func compileRules(t *testing.T, revision uint64, document string) *config.Snapshot {
@@ -307,7 +307,7 @@
 
 // spec returns a job of n tasks that take run each.
 func spec(n int, run time.Duration) *job.Spec {
-	s := &job.Spec{Key: "k", Team: "a", Deadline: time.Minute, Idempotent: true}
+	s := &job.Spec{Key: "k", Workspace: "a", Deadline: time.Minute, Idempotent: true}
 	for range n {
 		s.Tasks = append(s.Tasks, job.Task{Payload: []byte(run.String()), RunTime: run})
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -99,7 +99,7 @@
 	a.job.at[key.index] = nil
 	s.tasksOut--
 	if s.opts.Quotas != nil {
-		s.opts.Quotas.Ended(a.job.job.Spec().Team)
+		s.opts.Quotas.Ended(a.job.job.Spec().Workspace)
 	}
 }
 
@@ -160,9 +160,9 @@
 	}
 }
 
-// charge corrects the slot time that the team was charged at the start.
+// charge corrects the slot time that the workspace was charged at the start.
 func (s *Scheduler) charge(a *attempt, o *wire.Outcome) {
-	s.queue.Charge(a.job.job.Spec().Team, o.RunTime-a.expected)
+	s.queue.Charge(a.job.job.Spec().Workspace, o.RunTime-a.expected)
 	if o.State != wire.StateDone {
 		return
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -62,7 +62,7 @@
 func (j *activeJob) item() queue.Item {
 	return queue.Item{
 		Job:       j.job.ID(),
-		Team:      j.job.Spec().Team,
+		Workspace: j.job.Spec().Workspace,
 		Group:     j.group.id,
 		Class:     j.nextClass(),
 		Remaining: max(0, j.left),
@@ -82,7 +82,7 @@
 	}
 	j.use = admission.Use{Jobs: 1, Tasks: len(j.expected), Bytes: j.bytes}
 	return s.admission.Admit(admission.Request{
-		Team:      j.job.Spec().Team,
+		Workspace: j.job.Spec().Workspace,
 		Use:       j.use,
 		Deadline:  j.job.Deadline().Sub(now),
 		Work:      j.left,
@@ -151,12 +151,12 @@
 	d := admission.Use{Tasks: tasks, Bytes: bytes}
 	j.use.Tasks += tasks
 	j.use.Bytes += bytes
-	s.admission.Adjust(j.job.Spec().Team, d)
+	s.admission.Adjust(j.job.Spec().Workspace, d)
 }
 
 // releaseUse gives back what an ended job is still counted with.
 func (s *Scheduler) releaseUse(j *activeJob) {
-	s.admission.Adjust(j.job.Spec().Team, admission.Use{Jobs: -j.use.Jobs, Tasks: -j.use.Tasks, Bytes: -j.use.Bytes})
+	s.admission.Adjust(j.job.Spec().Workspace, admission.Use{Jobs: -j.use.Jobs, Tasks: -j.use.Tasks, Bytes: -j.use.Bytes})
 	j.use = admission.Use{}
 }
 
@@ -164,7 +164,7 @@
 func (s *Scheduler) observe(t *target, a *attempt, o *wire.Outcome, now time.Time) {
 	done := o.State == wire.StateDone
 	if done || !a.job.job.Ended() { // a cancelled task says nothing about its target
-		key := a.job.job.Spec().Team + " " + a.job.labels
+		key := a.job.job.Spec().Workspace + " " + a.job.labels
 		before := s.outliers.State(t.name, now)
 		s.outliers.Observe(t.name, key, done, o.RunTime, a.expected, now)
 		if before == outlier.Healthy && s.outliers.State(t.name, now) != outlier.Healthy {
@@ -174,7 +174,7 @@
 	if !done {
 		return
 	}
-	s.record.Duration(metrics.TaskSeconds, o.RunTime, metrics.TagTeam, a.job.job.Spec().Team, metrics.TagClass, a.class.String())
+	s.record.Duration(metrics.TaskSeconds, o.RunTime, metrics.TagWorkspace, a.job.job.Spec().Workspace, metrics.TagClass, a.class.String())
 	task := &a.job.job.Spec().Tasks[a.id.Index]
 	s.estimates.Observe(estimate.Key(a.job.labels, task.SizeBytes), task.RunTime, o.RunTime, now)
 	s.rate.Finished(a.expected, o.RunTime, now)
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -162,12 +162,12 @@
 	return s.queue.Select(general, s.allow)
 }
 
-func (s *Scheduler) allow(team string, _ wire.Class) bool {
-	return s.opts.Quotas == nil || s.opts.Quotas.Allow(team)
+func (s *Scheduler) allow(workspace string, _ wire.Class) bool {
+	return s.opts.Quotas == nil || s.opts.Quotas.Allow(workspace)
 }
 
-func (s *Scheduler) allowShort(team string, class wire.Class) bool {
-	return class == wire.ClassShort && s.allow(team, class)
+func (s *Scheduler) allowShort(workspace string, class wire.Class) bool {
+	return class == wire.ClassShort && s.allow(workspace, class)
 }
 
 // mayStart reports whether a target may get a task now: it has a free slot for
@@ -259,20 +259,20 @@
 	t.noteStart(now)
 	s.tasksOut++
 	if s.opts.Quotas != nil {
-		s.opts.Quotas.Started(spec.Team)
+		s.opts.Quotas.Started(spec.Workspace)
 	}
-	s.queue.Charge(spec.Team, a.expected)
+	s.queue.Charge(spec.Workspace, a.expected)
 	s.adjust(j, -1, -int64(len(spec.Tasks[index].Payload)))
 	s.updateItem(j)
 	s.recordStart(j, now)
 	s.ready = append(s.ready, readyStart{t, &wire.Start{
-		Task:     id,
-		Grant:    grantID,
-		Revision: a.revision,
-		Team:     spec.Team,
-		Class:    class,
-		TimeLeft: s.timeLeft(j, now),
-		Payload:  spec.Tasks[index].Payload,
+		Task:      id,
+		Grant:     grantID,
+		Revision:  a.revision,
+		Workspace: spec.Workspace,
+		Class:     class,
+		TimeLeft:  s.timeLeft(j, now),
+		Payload:   spec.Tasks[index].Payload,
 	}})
 	return true
 }
@@ -299,7 +299,7 @@
 	}
 	j.started = true
 	s.record.Duration(metrics.QueueSeconds, now.Sub(j.job.Arrived()),
-		metrics.TagTeam, j.job.Spec().Team, metrics.TagClass, j.longestClass().String())
+		metrics.TagWorkspace, j.job.Spec().Workspace, metrics.TagClass, j.longestClass().String())
 }
 
 func (t *target) takeAcks() []wire.TaskID {
--- a/dispatch/push.go
+++ b/dispatch/push.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	b := t.bound[0]
-	if t.credit(b.job.classes[b.index]) == 0 || !s.allow(b.job.job.Spec().Team, wire.ClassShort) {
+	if t.credit(b.job.classes[b.index]) == 0 || !s.allow(b.job.job.Spec().Workspace, wire.ClassShort) {
 		return false
 	}
 	t.bound = t.bound[1:]
--- a/dispatch/quota_test.go
+++ b/dispatch/quota_test.go
@@ -7,37 +7,37 @@
 	"github.com/catkinline/catkinline/settings"
 )
 
-// fixedQuotas gives teams a fixed number of slots.
+// fixedQuotas gives workspaces a fixed number of slots.
 type fixedQuotas struct {
 	limits  map[string]int
 	running map[string]int
 	most    int
 }
 
-func (q *fixedQuotas) Allow(team string) bool {
-	limit, limited := q.limits[team]
-	return !limited || q.running[team] < limit
+func (q *fixedQuotas) Allow(workspace string) bool {
+	limit, limited := q.limits[workspace]
+	return !limited || q.running[workspace] < limit
 }
 
-func (q *fixedQuotas) Started(team string) {
-	q.running[team]++
-	if team == "capped" {
-		q.most = max(q.most, q.running[team])
+func (q *fixedQuotas) Started(workspace string) {
+	q.running[workspace]++
+	if workspace == "capped" {
+		q.most = max(q.most, q.running[workspace])
 	}
 }
 
-func (q *fixedQuotas) Ended(team string) { q.running[team]-- }
+func (q *fixedQuotas) Ended(workspace string) { q.running[workspace]-- }
 
-// Guards against a team at its quota whose waiting work holds up other teams,
+// Guards against a workspace at its quota whose waiting work holds up other workspaces,
 // against a start over the quota, and against work that is never started after
 // the quota has grown without any other event.
-func TestTeamAtItsQuotaHoldsUpNobody(t *testing.T) {
+func TestWorkspaceAtItsQuotaHoldsUpNobody(t *testing.T) {
 	f := newFleet(t, 1, 1, 8, settings.Policy{})
 	s := f.entries[0].s
 	q := &fixedQuotas{limits: map[string]int{"capped": 2}, running: map[string]int{}}
 	s.opts.Quotas = q
 	capped := spec(40, time.Second)
-	capped.Team = "capped"
+	capped.Workspace = "capped"
 	first := f.submit(0, capped)
 	f.advance(100 * time.Millisecond)
 	other := f.submit(0, spec(12, 300*time.Millisecond))
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -89,7 +89,7 @@
 // Guards against a drained target that still gets work.
 func TestDrainedTargetGetsNoWork(t *testing.T) {
 	f := newFleet(t, 1, 2, 8, settings.Policy{})
-	drained := strings.Replace(testDocument, `"teams"`, `"targets": {"target-0": {"drain": true}}, "teams"`, 1)
+	drained := strings.Replace(testDocument, `"workspaces"`, `"targets": {"target-0": {"drain": true}}, "workspaces"`, 1)
 	f.entries[0].s.SetRules(compileRules(t, 6, drained), f.now)
 	ticket := f.submit(0, spec(32, 200*time.Millisecond))
 	f.advance(150 * time.Millisecond)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -29,13 +29,13 @@
 	Ratio(name string, v float64, tags ...string)
 }
 
-// Quotas bound the slots that a team uses over all entries.
+// Quotas bound the slots that a workspace uses over all entries.
 type Quotas interface {
-	// Allow reports whether the team may use one more slot.
-	Allow(team string) bool
-	// Started and Ended follow the team's use of slots at this entry.
-	Started(team string)
-	Ended(team string)
+	// Allow reports whether the workspace may use one more slot.
+	Allow(workspace string) bool
+	// Started and Ended follow the workspace's use of slots at this entry.
+	Started(workspace string)
+	Ended(workspace string)
 }
 
 // Options configure a Scheduler.
@@ -228,16 +228,16 @@
 }
 
 func (s *Scheduler) recordEnd(j *activeJob, a job.Answer, now time.Time) {
-	team, class := j.job.Spec().Team, j.longestClass().String()
+	workspace, class := j.job.Spec().Workspace, j.longestClass().String()
 	if a.Err != nil {
 		s.record.Add(metrics.JobsFailed, 1, metrics.TagCode, a.Err.Code.String())
 		return
 	}
 	took := now.Sub(j.job.Arrived())
 	s.record.Add(metrics.JobsComplete, 1)
-	s.record.Duration(metrics.JobSeconds, took, metrics.TagTeam, team, metrics.TagClass, class)
+	s.record.Duration(metrics.JobSeconds, took, metrics.TagWorkspace, workspace, metrics.TagClass, class)
 	if j.longest > 0 {
-		s.record.Ratio(metrics.ResponseOverhead, float64(took)/float64(j.longest), metrics.TagTeam, team, metrics.TagClass, class)
+		s.record.Ratio(metrics.ResponseOverhead, float64(took)/float64(j.longest), metrics.TagWorkspace, workspace, metrics.TagClass, class)
 	}
 }
 
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -29,11 +29,11 @@
 	Targets []TargetStatus
 }
 
-// AddWaiting adds the number of waiting tasks of each team to a sum.
-func (s *Scheduler) AddWaiting(byTeam map[string]int) {
+// AddWaiting adds the number of waiting tasks of each workspace to a sum.
+func (s *Scheduler) AddWaiting(byWorkspace map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue.AddWaiting(byTeam)
+	s.queue.AddWaiting(byWorkspace)
 }
 
 // Status returns a reading of the scheduler.
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -26,7 +26,7 @@
 	return nil
 }
 
-const callerDocument = `{"services": {"frames": {"deadline": {"max_ms": 60000}}}, "teams": {"t": {}}}`
+const callerDocument = `{"services": {"frames": {"deadline": {"max_ms": 60000}}}, "workspaces": {"t": {}}}`
 
 // newTestEntry returns an entry with small limits, without sockets and loops, and
 // the messages to its one agent, which has granted no slot yet.
@@ -64,7 +64,7 @@
 
 const (
 	framesPath = "/v1/services/frames/jobs"
-	jobHead    = `{"key":"k","team":"t","idempotent":true,"deadline_ms":5000,`
+	jobHead    = `{"key":"k","workspace":"t","idempotent":true,"deadline_ms":5000,`
 )
 
 // Guards against a limit that is not checked at the API or is answered with
@@ -97,9 +97,9 @@
 		{framesPath, jobHead + `"labels":{"a b":""},"tasks":[{}]}`, result.BadLabel, 400},
 		{framesPath, jobHead + `"tasks":[[[[[[[[[[[]]]]]]]]]]]}`, result.NestingTooDeep, 400},
 		{framesPath, jobHead + `"tasks":[{"run_ms":-1}]}`, result.BadHint, 400},
-		{framesPath, `{"team":"t","deadline_ms":5,"tasks":[{}]}`, result.MissingKey, 400},
-		{framesPath, `{"key":"k","team":"t","idempotent":true,"deadline_ms":60001,"tasks":[{}]}`, result.BadDeadline, 400},
-		{framesPath, `{"key":"k","team":"u","idempotent":true,"deadline_ms":500,"tasks":[{}]}`, result.UnknownTeam, 403},
+		{framesPath, `{"workspace":"t","deadline_ms":5,"tasks":[{}]}`, result.MissingKey, 400},
+		{framesPath, `{"key":"k","workspace":"t","idempotent":true,"deadline_ms":60001,"tasks":[{}]}`, result.BadDeadline, 400},
+		{framesPath, `{"key":"k","workspace":"u","idempotent":true,"deadline_ms":500,"tasks":[{}]}`, result.UnknownWorkspace, 403},
 		{"/v1/services/x/jobs", jobHead + `"tasks":[{}]}`, result.UnknownService, 404},
 	}
 	for _, c := range cases {
@@ -220,7 +220,7 @@
 // Guards against a service's default deadline that is configured and not applied.
 func TestJobWithoutDeadlineGetsTheServicesDefault(t *testing.T) {
 	e, _ := newTestEntry(t)
-	body := `{"key":"k","team":"t","idempotent":true,"tasks":[{}]}`
+	body := `{"key":"k","workspace":"t","idempotent":true,"tasks":[{}]}`
 	spec, refusal := job.Decode(strings.NewReader(body), e.jobLimits("frames"))
 	if refusal != nil || spec.Deadline != 30*time.Second {
 		t.Fatalf("%+v, refusal %v", spec, refusal)
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -40,7 +40,7 @@
 		return nil, result.New(result.ClaimUnavailable, "this entry has no store")
 	}
 	held, err := e.claims.Claim(ctx, claim.Request{
-		Scope: claim.Scope{Service: service, Team: spec.Team},
+		Scope: claim.Scope{Service: service, Workspace: spec.Workspace},
 		Key:   spec.Key,
 		Job:   t.ID(),
 	})
@@ -66,7 +66,7 @@
 	return claim.Failed
 }
 
-// claimScopes lists the services and teams whose old claims are swept.
+// claimScopes lists the services and workspaces whose old claims are swept.
 func (e *Entry) claimScopes() []claim.Scope {
 	current := e.config.Current()
 	var scopes []claim.Scope
@@ -74,8 +74,8 @@
 		if !s.NonIdempotent {
 			continue
 		}
-		for team := range current.Teams() {
-			scopes = append(scopes, claim.Scope{Service: service, Team: team})
+		for workspace := range current.Workspaces() {
+			scopes = append(scopes, claim.Scope{Service: service, Workspace: workspace})
 		}
 	}
 	return scopes
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -278,7 +278,7 @@
 	for name := range current.Document().Services {
 		e.scheduler(name)
 	}
-	e.quotas.setTeams(current.Teams()) // before the schedulers start tasks of a new team
+	e.quotas.setWorkspaces(current.Workspaces()) // before the schedulers start tasks of a new workspace
 	now := time.Now()
 	for _, s := range *e.schedulers.Load() {
 		s.SetRules(current, now)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -219,12 +219,12 @@
 	e.sendState(e.quotas.report(time.Now()))
 }
 
-func (e *Entry) sendState(uses []wire.TeamUse, reported bool) {
+func (e *Entry) sendState(uses []wire.WorkspaceUse, reported bool) {
 	state := &wire.PeerState{
-		Revision: e.config.Current().Revision(),
-		Teams:    uses,
-		Leaving:  e.stopping.Load(),
-		Reported: reported,
+		Revision:   e.config.Current().Revision(),
+		Workspaces: uses,
+		Leaving:    e.stopping.Load(),
+		Reported:   reported,
 	}
 	for _, l := range e.peerLinks() {
 		_ = l.Send(state)
--- a/entry/quotas.go
+++ b/entry/quotas.go
@@ -13,12 +13,12 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// reportShare is the change of a team's demand, as a share of its quota or of
+// reportShare is the change of a workspace's demand, as a share of its quota or of
 // its last reported demand, that is worth a report before the regular one. Less
 // would move few slots between entries.
 const reportShare = 0.1
 
-// quotaBook follows the teams' use of slots at this entry and divides their
+// quotaBook follows the workspaces' use of slots at this entry and divides their
 // quotas with the other entries. It implements dispatch.Quotas.
 //
 // Entries are named by name and incarnation, so that the tasks of an earlier run
@@ -29,7 +29,7 @@
 	limits   map[string]int
 	running  map[string]int
 	waiting  map[string]int
-	reported map[string]int  // demand by team in the last report
+	reported map[string]int  // demand by workspace in the last report
 	peers    map[string]bool // that the divider knows and that are not gone
 	changed  bool            // quotas or peers have changed since the last report
 }
@@ -46,13 +46,13 @@
 	return name + "/" + strconv.FormatUint(uint64(incarnation), 16)
 }
 
-// setTeams takes the teams' quotas into force.
-func (q *quotaBook) setTeams(teams map[string]config.Team) {
+// setWorkspaces takes the workspaces' quotas into force.
+func (q *quotaBook) setWorkspaces(workspaces map[string]config.Workspace) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	old := q.limits
 	q.limits = make(map[string]int)
-	for name, t := range teams {
+	for name, t := range workspaces {
 		if t.QuotaSlots > 0 {
 			q.limits[name] = t.QuotaSlots
 		}
@@ -61,57 +61,57 @@
 		return
 	}
 	q.changed = true
-	for team := range old {
-		if _, limited := q.limits[team]; !limited {
-			q.divider.Own(team, 0, 0)
+	for workspace := range old {
+		if _, limited := q.limits[workspace]; !limited {
+			q.divider.Own(workspace, 0, 0)
 		}
 	}
 	q.divider.SetQuotas(q.limits)
-	for team := range q.limits {
-		q.note(team)
+	for workspace := range q.limits {
+		q.note(workspace)
 	}
 }
 
-// note tells the divider what a team with a quota uses.
-func (q *quotaBook) note(team string) {
-	if _, limited := q.limits[team]; limited {
-		q.divider.Own(team, q.running[team], q.waiting[team])
+// note tells the divider what a workspace with a quota uses.
+func (q *quotaBook) note(workspace string) {
+	if _, limited := q.limits[workspace]; limited {
+		q.divider.Own(workspace, q.running[workspace], q.waiting[workspace])
 	}
 }
 
 // Allow implements dispatch.Quotas.
-func (q *quotaBook) Allow(team string) bool {
+func (q *quotaBook) Allow(workspace string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, limited := q.limits[team]; !limited {
+	if _, limited := q.limits[workspace]; !limited {
 		return true
 	}
-	return q.divider.May(team, time.Now())
+	return q.divider.May(workspace, time.Now())
 }
 
 // Started implements dispatch.Quotas.
-func (q *quotaBook) Started(team string) { q.add(team, 1) }
+func (q *quotaBook) Started(workspace string) { q.add(workspace, 1) }
 
 // Ended implements dispatch.Quotas.
-func (q *quotaBook) Ended(team string) { q.add(team, -1) }
+func (q *quotaBook) Ended(workspace string) { q.add(workspace, -1) }
 
-func (q *quotaBook) add(team string, n int) {
+func (q *quotaBook) add(workspace string, n int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.running[team] += n
-	if q.running[team] == 0 {
-		delete(q.running, team)
+	q.running[workspace] += n
+	if q.running[workspace] == 0 {
+		delete(q.running, workspace)
 	}
-	q.note(team)
+	q.note(workspace)
 }
 
-// setWaiting takes in the tasks that wait at this entry, by team.
+// setWaiting takes in the tasks that wait at this entry, by workspace.
 func (q *quotaBook) setWaiting(waiting map[string]int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiting = waiting
-	for team := range q.limits {
-		q.note(team)
+	for workspace := range q.limits {
+		q.note(workspace)
 	}
 }
 
@@ -123,9 +123,9 @@
 	if q.changed {
 		return true
 	}
-	for team, limit := range q.limits {
-		was := q.reported[team]
-		change := math.Abs(float64(q.running[team] + q.waiting[team] - was))
+	for workspace, limit := range q.limits {
+		was := q.reported[workspace]
+		change := math.Abs(float64(q.running[workspace] + q.waiting[workspace] - was))
 		if change > reportShare*float64(max(limit, was)) {
 			return true
 		}
@@ -135,7 +135,7 @@
 
 // report returns what to tell all peers. It reports false if the last report is
 // too recent.
-func (q *quotaBook) report(now time.Time) ([]wire.TeamUse, bool) {
+func (q *quotaBook) report(now time.Time) ([]wire.WorkspaceUse, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	uses, ok := q.divider.Report(now)
@@ -145,13 +145,13 @@
 	q.changed = false
 	q.reported = make(map[string]int, len(uses))
 	for _, u := range uses {
-		q.reported[u.Team] = int(u.Running) + int(u.Waiting)
+		q.reported[u.Workspace] = int(u.Running) + int(u.Waiting)
 	}
 	return uses, true
 }
 
 // receive takes in a peer's report.
-func (q *quotaBook) receive(peer string, uses []wire.TeamUse, now time.Time) {
+func (q *quotaBook) receive(peer string, uses []wire.WorkspaceUse, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.peers[peer] = true
@@ -182,7 +182,7 @@
 // says nothing about use.
 func (e *Entry) handlePeerState(l *transport.Link, m *wire.PeerState) {
 	if m.Reported {
-		e.quotas.receive(quotaName(l.Name(), l.Incarnation()), m.Teams, time.Now())
+		e.quotas.receive(quotaName(l.Name(), l.Incarnation()), m.Workspaces, time.Now())
 	}
 }
 
--- a/entry/quotas_test.go
+++ b/entry/quotas_test.go
@@ -15,11 +15,11 @@
 	due  time.Time
 	from string
 	to   int
-	uses []wire.TeamUse
+	uses []wire.WorkspaceUse
 }
 
 // bookFleet joins quota books by messages that take up to 45 ms. Every book's
-// entry starts the waiting tasks of one team as far as the book allows.
+// entry starts the waiting tasks of one workspace as far as the book allows.
 type bookFleet struct {
 	random  *rand.Rand
 	books   []*quotaBook
@@ -50,7 +50,7 @@
 				others[name] = true
 			}
 		}
-		b.setTeams(map[string]config.Team{"t": {QuotaSlots: testQuota}, "free": {}})
+		b.setWorkspaces(map[string]config.Workspace{"t": {QuotaSlots: testQuota}, "free": {}})
 		b.setPeers(others, time.Now())
 	}
 	return f
@@ -94,7 +94,7 @@
 	b.setWaiting(map[string]int{"t": f.waiting[i]})
 }
 
-func (f *bookFleet) send(from int, uses []wire.TeamUse, now time.Time) {
+func (f *bookFleet) send(from int, uses []wire.WorkspaceUse, now time.Time) {
 	for to := range f.books {
 		if to != from {
 			due := now.Add(time.Duration(1+f.random.IntN(45)) * time.Millisecond)
@@ -115,7 +115,7 @@
 	f.reports = left
 }
 
-// Guards against entries that use more of a team's quota together than the bound
+// Guards against entries that use more of a workspace's quota together than the bound
 // in package quota, and against slots that stay idle at one entry while work
 // waits at another, when demand is skewed and swings between entries.
 func TestBooksHoldOneQuotaTogether(t *testing.T) {
@@ -148,7 +148,7 @@
 }
 
 // Guards against a change of demand that peers learn of only by the regular
-// report, and against reports about teams without a quota.
+// report, and against reports about workspaces without a quota.
 func TestReportFollowsAChangeOfDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBookFleet(2, 1).books[0]
@@ -158,7 +158,7 @@
 		b.Started("free")
 		b.setWaiting(map[string]int{"t": 1, "free": 100})
 		if b.due() {
-			t.Error("a small change, or one of a team without a quota, is reported at once")
+			t.Error("a small change, or one of a workspace without a quota, is reported at once")
 		}
 		b.setWaiting(map[string]int{"t": 5})
 		if !b.due() {
@@ -166,13 +166,13 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 		uses, ok := b.report(time.Now())
-		if !ok || len(uses) != 1 || uses[0] != (wire.TeamUse{Team: "t", Waiting: 5}) {
+		if !ok || len(uses) != 1 || uses[0] != (wire.WorkspaceUse{Workspace: "t", Waiting: 5}) {
 			t.Errorf("reported %v, %v", uses, ok)
 		}
 	})
 }
 
-// Guards against a team that keeps an old limit after its quota was lifted, and
+// Guards against a workspace that keeps an old limit after its quota was lifted, and
 // against use that is forgotten when a quota is set while tasks run.
 func TestQuotaChangeCountsRunningTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -180,11 +180,11 @@
 		for range 3 {
 			b.Started("t")
 		}
-		b.setTeams(map[string]config.Team{"t": {QuotaSlots: 3}})
+		b.setWorkspaces(map[string]config.Workspace{"t": {QuotaSlots: 3}})
 		if b.Allow("t") {
 			t.Error("a fourth task may start under a quota of 3")
 		}
-		b.setTeams(map[string]config.Team{"t": {}})
+		b.setWorkspaces(map[string]config.Workspace{"t": {}})
 		if !b.Allow("t") {
 			t.Error("the lifted quota still limits")
 		}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -98,8 +98,8 @@
 	if !ok {
 		return result.New(result.UnknownService, label.Quote(service))
 	}
-	if _, ok := current.Team(spec.Team); !ok {
-		return result.New(result.UnknownTeam, label.Quote(spec.Team))
+	if _, ok := current.Workspace(spec.Workspace); !ok {
+		return result.New(result.UnknownWorkspace, label.Quote(spec.Workspace))
 	}
 	if !spec.Idempotent && !s.NonIdempotent {
 		return result.New(result.BadRequest, "the service takes idempotent jobs only")
--- a/integration/config_golden_test.go
+++ b/integration/config_golden_test.go
@@ -69,7 +69,7 @@
 	f := startConfigFleet(t, 1, 1, func(o *fleet.Options) {
 		o.Configuration = json.RawMessage(`{"services": {
 			"frames": {"targets": "stage=live", "non_idempotent": true, "rules": [{"requests": "kind=panorama", "targets": "memory=large"}]},
-			"checks": {}}, "teams": {"crew": {}}}`)
+			"checks": {}}, "workspaces": {"crew": {}}}`)
 	})
 	f.allLinked(1, 1)
 	var session strings.Builder
@@ -84,7 +84,7 @@
 		fmt.Fprintf(&session, "# %s\nPOST /v1/services/%s/jobs\n%s\n%s\n%s\n", title, service, body, response.Status, data)
 	}
 	job := func(key, rest string) string {
-		return `{"key":"` + key + `","team":"crew","deadline_ms":20000,` + rest + `}`
+		return `{"key":"` + key + `","workspace":"crew","deadline_ms":20000,` + rest + `}`
 	}
 	tasks := `"tasks":[{"payload":"{\"run_ms\":20,\"echo\":\"one\"}"},{"payload":"{\"run_ms\":5,\"echo\":\"two\"}"}]`
 	send("complete", "frames", job("a", `"idempotent":true,`+tasks))
@@ -93,7 +93,7 @@
 	send("not JSON", "frames", "{")
 	send("no task", "frames", job("c", `"idempotent":true,"tasks":[]`))
 	send("unknown service", "prints", job("d", `"idempotent":true,`+tasks))
-	send("unknown team", "frames", strings.Replace(job("e", `"idempotent":true,`+tasks), "crew", "lab", 1))
+	send("unknown workspace", "frames", strings.Replace(job("e", `"idempotent":true,`+tasks), "crew", "lab", 1))
 	send("service takes idempotent jobs only", "checks", job("f", tasks))
 	send("deadline over the bound", "frames", strings.Replace(job("g", `"idempotent":true,`+tasks), "20000", "900001", 1))
 	send("no matching target", "frames", job("h", `"idempotent":true,"labels":{"kind":"panorama"},`+tasks))
--- a/integration/config_helper_test.go
+++ b/integration/config_helper_test.go
@@ -31,7 +31,7 @@
 // change can take a target out.
 const configDocument = `{
 	"services": {"frames": {"targets": "stage=live", "non_idempotent": true}},
-	"teams": {"crew": {}}
+	"workspaces": {"crew": {}}
 }`
 
 const (
@@ -197,7 +197,7 @@
 }
 
 func configJob(key string, idempotent bool, runMS ...int) api.Job {
-	j := api.Job{Key: key, Team: "crew", DeadlineMS: 30_000, Idempotent: idempotent}
+	j := api.Job{Key: key, Workspace: "crew", DeadlineMS: 30_000, Idempotent: idempotent}
 	for i, ms := range runMS {
 		echo := key
 		if i > 0 {
--- a/integration/tasks_answer_test.go
+++ b/integration/tasks_answer_test.go
@@ -102,7 +102,7 @@
 	answer := f.submit(0, j)
 	raw := make(chan string, 1)
 	go func() {
-		body := `{"key":"raw","team":"b","deadline_ms":30000,"idempotent":true,"tasks":[{"payload":"{\"run_ms\":20000}"}]}`
+		body := `{"key":"raw","workspace":"b","deadline_ms":30000,"idempotent":true,"tasks":[{"payload":"{\"run_ms\":20000}"}]}`
 		response, err := http.Post(f.CallerURLs()[0]+"/v1/services/frames/jobs", "application/json", strings.NewReader(body))
 		if err != nil {
 			raw <- ""
--- a/integration/tasks_helper_test.go
+++ b/integration/tasks_helper_test.go
@@ -41,7 +41,7 @@
 		"deadline": {"max_ms": 60000},
 		"non_idempotent": true
 	}, "quotes": {}},
-	"teams": {"a": {}, "b": {}, "c": {}, "d": {}}
+	"workspaces": {"a": {}, "b": {}, "c": {}, "d": {}}
 }`
 
 // tasksFleet is a fleet with what a test of invariants needs.
@@ -138,7 +138,7 @@
 
 // tasksJob is a job whose tasks echo their own place in it.
 func tasksJob(name string, deadlineMS int64, runMS ...float64) api.Job {
-	j := api.Job{Key: name, Team: "a", DeadlineMS: deadlineMS, Idempotent: true}
+	j := api.Job{Key: name, Workspace: "a", DeadlineMS: deadlineMS, Idempotent: true}
 	for i, ms := range runMS {
 		j.Tasks = append(j.Tasks, tasksTask(standin.TargetPayload{RunMS: ms, Echo: tasksEcho(name, i)}))
 	}
--- a/integration/tasks_isolation_test.go
+++ b/integration/tasks_isolation_test.go
@@ -10,9 +10,9 @@
 	"github.com/catkinline/catkinline/internal/fleet"
 )
 
-var tasksTeams = []string{"a", "b", "c", "d"}
+var tasksWorkspaces = []string{"a", "b", "c", "d"}
 
-// tasksMixedJobs returns jobs of different teams and sizes under one request
+// tasksMixedJobs returns jobs of different workspaces and sizes under one request
 // key. Every task has its own echo.
 func tasksMixedJobs(n int, seed uint64) []api.Job {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -24,7 +24,7 @@
 		}
 		jobs[i] = tasksJob(fmt.Sprintf("job-%d-%d", seed, i), 55_000, run...)
 		jobs[i].Key = "same-key"
-		jobs[i].Team = tasksTeams[i%len(tasksTeams)]
+		jobs[i].Workspace = tasksWorkspaces[i%len(tasksWorkspaces)]
 	}
 	return jobs
 }
--- a/integration/tasks_notrun_test.go
+++ b/integration/tasks_notrun_test.go
@@ -91,7 +91,7 @@
 		{result.BadDeadline, "frames", func(j *api.Job) { j.DeadlineMS = -1 }, same},
 		{result.BadDeadline, "frames", func(j *api.Job) { j.DeadlineMS = 60_001 }, same},
 		{result.UnknownService, "kites", plain, same},
-		{result.UnknownTeam, "frames", func(j *api.Job) { j.Team = "nobody" }, same},
+		{result.UnknownWorkspace, "frames", func(j *api.Job) { j.Workspace = "nobody" }, same},
 		{result.MissingKey, "frames", func(j *api.Job) { j.Key = "" }, same},
 		{result.BadLabel, "frames", func(j *api.Job) { j.Labels = label.Set{"x": "a,b"} }, same},
 		{result.BadHint, "frames", func(j *api.Job) { j.Tasks[2].RunMS = -1 }, same},
@@ -101,7 +101,7 @@
 	jobs := make([]api.Job, len(cases))
 	for i, c := range cases {
 		jobs[i] = tasksJob(fmt.Sprintf("refused-%d", i), 30_000, tasksRepeat(4, 10)...)
-		jobs[i].Team = tasksTeams[i%len(tasksTeams)]
+		jobs[i].Workspace = tasksWorkspaces[i%len(tasksWorkspaces)]
 		c.edit(&jobs[i])
 		body, err := json.Marshal(jobs[i])
 		f.must(err)
@@ -133,7 +133,7 @@
 }
 
 // Guards against a job over a queue bound that says not run and holds a place,
-// and against refusals that name the team where the whole queue is full.
+// and against refusals that name the workspace where the whole queue is full.
 func TestTasksNotRunWhenQueueIsFull(t *testing.T) {
 	f := startTasksFleet(t, func(o *fleet.Options) {
 		o.EditEntry = func(_ int, s *settings.Entry) { s.Limits.QueuedJobs = 8 }
@@ -143,10 +143,10 @@
 	var refused []api.Job
 	var accepted []<-chan tasksAnswer
 	var held []api.Job
-	fill := func(team string, stop result.Code) {
+	fill := func(workspace string, stop result.Code) {
 		for i := range 9 {
-			j := tasksJob(fmt.Sprintf("%s-%d", team, i), 50_000, 10)
-			j.Team = team
+			j := tasksJob(fmt.Sprintf("%s-%d", workspace, i), 50_000, 10)
+			j.Workspace = workspace
 			answer := f.submit(0, j)
 			a, answered := f.settled(j, answer)
 			if !answered {
@@ -160,11 +160,11 @@
 			}
 			f.checkNotRun(j, a.Answer, a.Code)
 		}
-		t.Errorf("team %s was never refused with %d", team, stop)
+		t.Errorf("workspace %s was never refused with %d", workspace, stop)
 	}
-	fill("a", result.TeamQueueFull)
-	for _, team := range []string{"b", "c"} {
-		fill(team, result.TeamQueueFull)
+	fill("a", result.WorkspaceQueueFull)
+	for _, workspace := range []string{"b", "c"} {
+		fill(workspace, result.WorkspaceQueueFull)
 		if len(held) >= 7 {
 			break
 		}
@@ -214,7 +214,7 @@
 	answer := f.submit(0, front)
 	f.until("every slot taken", func() bool { return f.started(front) == 16 })
 	expired := tasksJob("expired", 1000, tasksRepeat(4, 10)...)
-	expired.Team = "b"
+	expired.Workspace = "b"
 	f.checkNotRun(expired, f.wait(f.submit(0, expired)).Answer, result.ExpiredInQueue)
 	cancelled := tasksJob("cancelled", 50_000, tasksRepeat(4, 10)...)
 	var before, during entry.Counts
--- a/integration/tasks_silent_test.go
+++ b/integration/tasks_silent_test.go
@@ -142,20 +142,20 @@
 		}
 		return a.State == api.StateComplete
 	})
-	f.addTeam("late")
+	f.addWorkspace("late")
 	n = 0
-	f.until("the new team", func() bool {
+	f.until("the new workspace", func() bool {
 		n++
 		j := tasksJob(fmt.Sprintf("late-%d", n), 20_000, 20)
-		j.Team = "late"
+		j.Workspace = "late"
 		return f.wait(f.submit(0, j)).State == api.StateComplete
 	})
 	f.checkStarts()
 	f.checkCounts(0)
 }
 
-// addTeam writes a configuration with one more team to the store.
-func (f *tasksFleet) addTeam(name string) {
+// addWorkspace writes a configuration with one more workspace to the store.
+func (f *tasksFleet) addWorkspace(name string) {
 	f.t.Helper()
 	store, err := platform.NewStore(f.StoreURL(), platform.StoreOptions{})
 	f.must(err)
@@ -163,7 +163,7 @@
 	defer cancel()
 	current, err := store.Get(ctx, config.Key)
 	f.must(err)
-	value := strings.Replace(string(current.Value), `"teams": {`, fmt.Sprintf(`"teams": {%q: {}, `, name), 1)
+	value := strings.Replace(string(current.Value), `"workspaces": {`, fmt.Sprintf(`"workspaces": {%q: {}, `, name), 1)
 	_, err = store.CompareAndSwap(ctx, config.Key, current.Version, []byte(value), 0)
 	f.must(err)
 }
--- a/job/decode.go
+++ b/job/decode.go
@@ -13,7 +13,7 @@
 // body is the JSON form of a job.
 type body struct {
 	Key        string      `json:"key"`
-	Team       string      `json:"team"`
+	Workspace  string      `json:"workspace"`
 	Labels     label.Set   `json:"labels"`
 	DeadlineMS int64       `json:"deadline_ms"`
 	Idempotent bool        `json:"idempotent"`
@@ -63,7 +63,7 @@
 func (b *body) spec(l Limits) (*Spec, *result.Error) {
 	spec := &Spec{
 		Key:         b.Key,
-		Team:        b.Team,
+		Workspace:   b.Workspace,
 		Labels:      b.Labels,
 		Deadline:    deadline(b.DeadlineMS, l),
 		Idempotent:  b.Idempotent,
--- a/job/decode_test.go
+++ b/job/decode_test.go
@@ -19,7 +19,7 @@
 	return l
 }
 
-const head = `{"key":"k","team":"t","deadline_ms":500,`
+const head = `{"key":"k","workspace":"t","deadline_ms":500,`
 
 // Guards against a limit that is not checked, or that is reported with another
 // limit's code.
@@ -37,7 +37,7 @@
 		"repeated label":    {head + `"labels":{"a":"b","a":"c"},"tasks":[{}]}`, result.BadRequest},
 		"invalid UTF-8":     {head + `"tasks":[{"payload":"` + "\xff" + `"}]}`, result.BadRequest},
 		"half a surrogate":  {head + `"tasks":[{"payload":"\ud800x"}]}`, result.BadRequest},
-		"long key":          {`{"key":"` + strings.Repeat("k", 257) + `","team":"t","deadline_ms":5,"tasks":[{}]}`, result.BadRequest},
+		"long key":          {`{"key":"` + strings.Repeat("k", 257) + `","workspace":"t","deadline_ms":5,"tasks":[{}]}`, result.BadRequest},
 		"unknown field":     {head + `"tasks":[{}],"extra":1}`, result.UnknownField},
 		"other case":        {head + `"Tasks":[{}]}`, result.UnknownField},
 		"escaped name":      {head + `"t\u0061sks":[{}]}`, result.UnknownField},
@@ -51,10 +51,10 @@
 		"label key":         {head + `"labels":{"` + long + `":""},"tasks":[{}]}`, result.LabelTooLong},
 		"label value":       {head + `"labels":{"a":"` + long + `"},"tasks":[{}]}`, result.LabelTooLong},
 		"nesting":           {head + `"tasks":[[[[[]]]]]}`, result.NestingTooDeep},
-		"no deadline":       {`{"key":"k","team":"t","tasks":[{}]}`, result.BadDeadline},
-		"huge deadline":     {`{"key":"k","team":"t","deadline_ms":9223372036854775807,"tasks":[{}]}`, result.BadDeadline},
-		"no team":           {`{"key":"k","deadline_ms":5,"tasks":[{}]}`, result.UnknownTeam},
-		"no key":            {`{"team":"t","deadline_ms":5,"tasks":[{}]}`, result.MissingKey},
+		"no deadline":       {`{"key":"k","workspace":"t","tasks":[{}]}`, result.BadDeadline},
+		"huge deadline":     {`{"key":"k","workspace":"t","deadline_ms":9223372036854775807,"tasks":[{}]}`, result.BadDeadline},
+		"no workspace":      {`{"key":"k","deadline_ms":5,"tasks":[{}]}`, result.UnknownWorkspace},
+		"no key":            {`{"workspace":"t","deadline_ms":5,"tasks":[{}]}`, result.MissingKey},
 		"null":              {`null`, result.MissingKey},
 		"label characters":  {head + `"labels":{"a b":""},"tasks":[{}]}`, result.BadLabel},
 		"empty label key":   {head + `"labels":{"":"a"},"tasks":[{}]}`, result.BadLabel},
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -20,7 +20,7 @@
 )
 
 func newJob(tasks int) *Job {
-	spec := &Spec{Key: "k", Team: "t", Deadline: time.Second, ResultBytes: 8, Tasks: make([]Task, tasks)}
+	spec := &Spec{Key: "k", Workspace: "t", Deadline: time.Second, ResultBytes: 8, Tasks: make([]Task, tasks)}
 	return New(testID, spec, epoch)
 }
 
--- a/job/scan.go
+++ b/job/scan.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	jobFields  = []string{"key", "team", "labels", "deadline_ms", "idempotent", "tasks"}
+	jobFields  = []string{"key", "workspace", "labels", "deadline_ms", "idempotent", "tasks"}
 	taskFields = []string{"payload", "size_bytes", "run_ms"}
 )
 
--- a/job/spec.go
+++ b/job/spec.go
@@ -22,7 +22,7 @@
 // Spec is a job as its caller submitted it.
 type Spec struct {
 	Key         string        // request key, names the submission
-	Team        string        // accounting unit of the caller
+	Workspace   string        // accounting unit of the caller
 	Labels      label.Set     // matched by the services' request selectors
 	Deadline    time.Duration // from arrival to the answer
 	Idempotent  bool
@@ -52,7 +52,7 @@
 	LabelValueBytes int           // LabelTooLong
 	Nesting         int           // NestingTooDeep, levels of arrays and objects
 	KeyBytes        int           // BadRequest
-	TeamBytes       int           // UnknownTeam
+	WorkspaceBytes  int           // UnknownWorkspace
 	MinDeadline     time.Duration // BadDeadline
 	MaxDeadline     time.Duration // BadDeadline
 	DefaultDeadline time.Duration // for a job without a deadline; zero: BadDeadline
@@ -72,7 +72,7 @@
 		LabelValueBytes: label.MaxValueBytes,
 		Nesting:         8, // the body needs three levels
 		KeyBytes:        256,
-		TeamBytes:       63,
+		WorkspaceBytes:  63,
 		MinDeadline:     time.Millisecond,
 		MaxDeadline:     24 * time.Hour, // the largest bound that a service may set; the service's own is lower
 	}
@@ -106,8 +106,8 @@
 	if len(s.Key) > l.KeyBytes {
 		return result.Newf(result.BadRequest, "the request key has %d bytes, the limit is %d", len(s.Key), l.KeyBytes)
 	}
-	if s.Team == "" || len(s.Team) > l.TeamBytes {
-		return result.Newf(result.UnknownTeam, "the name has %d bytes", len(s.Team))
+	if s.Workspace == "" || len(s.Workspace) > l.WorkspaceBytes {
+		return result.Newf(result.UnknownWorkspace, "the name has %d bytes", len(s.Workspace))
 	}
 	return nil
 }
--- a/load/answer.go
+++ b/load/answer.go
@@ -59,7 +59,7 @@
 	job := d.records[i].job
 	q := api.Job{
 		Key:        fmt.Sprintf("%s-%d", d.run, i),
-		Team:       job.team,
+		Workspace:  job.workspace,
 		Labels:     job.class.Labels,
 		DeadlineMS: job.class.DeadlineMS,
 		Idempotent: !job.class.NonIdempotent,
--- a/load/compare.go
+++ b/load/compare.go
@@ -77,7 +77,7 @@
 func (p *Report) measures() []measure {
 	out := []measure{{"complete jobs", float64(p.Jobs.Complete)}}
 	for _, g := range p.Groups {
-		if g.Kind != "class" && g.Kind != "team" && g.Kind != "class and arrival" {
+		if g.Kind != "class" && g.Kind != "workspace" && g.Kind != "class and arrival" {
 			continue
 		}
 		name := g.Name + ": response over ideal "
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -57,7 +57,7 @@
 	TargetRelays   bool            `json:"target_relays"`
 	StoreRelays    bool            `json:"store_relays"`
 	TargetLabels   []label.Set     `json:"target_labels"` // target i has the labels at i modulo the length
-	Configuration  json.RawMessage `json:"configuration"` // the operators' document; empty: the service and the classes' teams
+	Configuration  json.RawMessage `json:"configuration"` // the operators' document; empty: the service and the classes' workspaces
 }
 
 // Class is a kind of job.
@@ -67,7 +67,7 @@
 	Tasks         Distribution       `json:"tasks"` // tasks in a job
 	RunMS         Distribution       `json:"run_ms"`
 	Declared      Distribution       `json:"declared_factor"` // declared over true run time; absent: 1
-	Teams         map[string]float64 `json:"teams"`           // team to share
+	Workspaces    map[string]float64 `json:"workspaces"`      // workspace to share
 	Labels        label.Set          `json:"labels"`
 	NonIdempotent bool               `json:"non_idempotent"`
 	DeadlineMS    int64              `json:"deadline_ms"`
--- a/load/experiment_test.go
+++ b/load/experiment_test.go
@@ -120,7 +120,7 @@
 	}
 	class := &plan.Classes[0]
 	job := func(at time.Duration) *plannedJob {
-		return &plannedJob{at: at, class: class, team: "a", runMS: []float64{9, 4}}
+		return &plannedJob{at: at, class: class, workspace: "a", runMS: []float64{9, 4}}
 	}
 	d := &driver{plan: plan, records: []record{
 		{job: job(0), outcome: outcomeComplete, took: time.Hour},
--- a/load/report.go
+++ b/load/report.go
@@ -45,7 +45,7 @@
 
 // Group is the response of some of the complete jobs.
 type Group struct {
-	Kind      string    `json:"kind"` // class, team, class and team, arrival
+	Kind      string    `json:"kind"` // class, workspace, class and workspace, arrival
 	Name      string    `json:"name"`
 	Jobs      int       `json:"jobs"`
 	Complete  int       `json:"complete"`
@@ -146,8 +146,8 @@
 func (r *resolved) keys(j *plannedJob) []groupKey {
 	return []groupKey{
 		{"class", j.class.Name},
-		{"team", j.team},
-		{"class and team", j.class.Name + " " + j.team},
+		{"workspace", j.workspace},
+		{"class and workspace", j.class.Name + " " + j.workspace},
 		{"arrival", r.phase(j.at.Seconds())},
 		{"class and arrival", j.class.Name + " " + r.phase(j.at.Seconds())},
 	}
@@ -181,7 +181,7 @@
 }
 
 func (p *Report) setGroups(groups map[groupKey]*groupData) {
-	order := []string{"class", "team", "class and team", "arrival", "class and arrival"}
+	order := []string{"class", "workspace", "class and workspace", "arrival", "class and arrival"}
 	for key, data := range groups {
 		p.Groups = append(p.Groups, Group{
 			Kind:      key.kind,
--- a/load/run.go
+++ b/load/run.go
@@ -177,11 +177,11 @@
 	var took []time.Duration
 	for n := 0; len(took) < idealProbes; n++ {
 		job := plannedJob{
-			class:    class,
-			team:     slices.Min(slices.Collect(maps.Keys(class.Teams))),
-			entry:    float64(n%idealProbes) / idealProbes,
-			runMS:    []float64{run},
-			declared: []float64{run},
+			class:     class,
+			workspace: slices.Min(slices.Collect(maps.Keys(class.Workspaces))),
+			entry:     float64(n%idealProbes) / idealProbes,
+			runMS:     []float64{run},
+			declared:  []float64{run},
 		}
 		d := newDriver(r, fmt.Sprintf("probe-%s-%d", class.Name, n), []plannedJob{job}, b)
 		d.send(ctx, 0, time.Now())
@@ -201,8 +201,8 @@
 // document is the operators' configuration that a fleet starts with, with every
 // default written out as in its stored form.
 type document struct {
-	Services map[string]documentService `json:"services"`
-	Teams    map[string]documentTeam    `json:"teams"`
+	Services   map[string]documentService   `json:"services"`
+	Workspaces map[string]documentWorkspace `json:"workspaces"`
 }
 
 type documentService struct {
@@ -223,12 +223,12 @@
 	MaxMS     int `json:"max_ms"`
 }
 
-type documentTeam struct {
+type documentWorkspace struct {
 	Weight float64 `json:"weight"`
 }
 
 // configuration returns the file's document or one with the service and the
-// teams of all classes.
+// workspaces of all classes.
 func (r *resolved) configuration() json.RawMessage {
 	if len(r.Fleet.Configuration) > 0 {
 		return r.Fleet.Configuration
@@ -241,12 +241,12 @@
 		MaxEjectedShare: 0.3,
 	}
 	d := document{
-		Services: map[string]documentService{r.Service: service},
-		Teams:    map[string]documentTeam{},
+		Services:   map[string]documentService{r.Service: service},
+		Workspaces: map[string]documentWorkspace{},
 	}
 	for _, class := range r.Classes {
-		for team := range class.Teams {
-			d.Teams[team] = documentTeam{Weight: 1}
+		for workspace := range class.Workspaces {
+			d.Workspaces[workspace] = documentWorkspace{Weight: 1}
 		}
 	}
 	data, _ := json.Marshal(d) // strings and finite numbers always encode
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -107,7 +107,7 @@
 	"fleet": {"targets": 2, "slots": 1, "connections": 8, "entries": 1},
 	"load": 0.4, // of two slots, with jobs of 4 ms
 	"classes": [{
-		"name": "short", "share": 1, "teams": {"a": 1, "b": 1}, "deadline_ms": 20000, "result_bytes": 9,
+		"name": "short", "share": 1, "workspaces": {"a": 1, "b": 1}, "deadline_ms": 20000, "result_bytes": 9,
 		"tasks": {"min": 2, "max": 2}, "run_ms": {"min": 1, "max": 3},
 	}],
 	"variants": {
@@ -197,7 +197,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	job := plannedJob{class: &plan.Classes[0], team: "a", runMS: []float64{0, 0}, declared: []float64{0, 0}}
+	job := plannedJob{class: &plan.Classes[0], workspace: "a", runMS: []float64{0, 0}, declared: []float64{0, 0}}
 	d := newDriver(plan, "t", []plannedJob{job}, newBalancer(f.CallerURLs(), f.EntryURLs()))
 	const late = 15 * time.Second
 	d.send(t.Context(), 0, time.Now().Add(-late))
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -70,13 +70,13 @@
 
 // plannedJob is one job of the schedule.
 type plannedJob struct {
-	at       time.Duration // intended arrival after the start
-	class    *Class
-	team     string
-	entry    float64 // draws of the entry and of cancellation, 0 to 1
-	cancel   float64
-	runMS    []float64
-	declared []float64
+	at        time.Duration // intended arrival after the start
+	class     *Class
+	workspace string
+	entry     float64 // draws of the entry and of cancellation, 0 to 1
+	cancel    float64
+	runMS     []float64
+	declared  []float64
 }
 
 // taskSeconds returns the sum of the run times.
@@ -154,11 +154,11 @@
 func (r *resolved) draw(random *rand.Rand, at time.Duration) plannedJob {
 	class := r.drawClass(random)
 	job := plannedJob{
-		at:     at,
-		class:  class,
-		team:   drawTeam(random, class.Teams),
-		entry:  random.Float64(),
-		cancel: random.Float64(),
+		at:        at,
+		class:     class,
+		workspace: drawWorkspace(random, class.Workspaces),
+		entry:     random.Float64(),
+		cancel:    random.Float64(),
 	}
 	tasks := int(math.Round(class.Tasks.draw(random)))
 	for range tasks {
@@ -184,7 +184,7 @@
 	return &r.Classes[len(r.Classes)-1]
 }
 
-func drawTeam(random *rand.Rand, shares map[string]float64) string {
+func drawWorkspace(random *rand.Rand, shares map[string]float64) string {
 	names := slices.Sorted(maps.Keys(shares))
 	var total float64
 	for _, name := range names {
--- a/load/validate.go
+++ b/load/validate.go
@@ -59,8 +59,8 @@
 
 func (c Class) validate() error {
 	switch {
-	case c.Name == "" || c.Share < 0 || len(c.Teams) == 0:
-		return Err.New("class %q: name, share and teams are required", c.Name)
+	case c.Name == "" || c.Share < 0 || len(c.Workspaces) == 0:
+		return Err.New("class %q: name, share and workspaces are required", c.Name)
 	case c.Tasks.Min < 1 || c.Tasks.Max > maxTasksPerJob:
 		return Err.New("class %q: tasks must be from 1 to %d", c.Name, maxTasksPerJob)
 	case c.DeadlineMS <= 0:
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -50,7 +50,7 @@
 	StoreCalls       = "store_calls"     // by operation and result; a pending watch is one
 )
 
-// Histograms, by team and class.
+// Histograms, by workspace and class.
 const (
 	JobSeconds       = "job_seconds"        // arrival to answer
 	QueueSeconds     = "queue_seconds"      // arrival to the start of the first task
@@ -63,7 +63,6 @@
 	TagCode      = "code"
 	TagWorkspace = "workspace"
 	TagOutcome   = "outcome"
-	TagTeam      = "team"
 	TagClass     = "class"
 	TagType      = "type"
 	TagState     = "state"
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -98,7 +98,7 @@
 	return w.Code, c, w.Body.String()
 }
 
-const teams = `{"teams": {"shops": {"weight": 2}}, /* comment */}`
+const workspaces = `{"workspaces": {"shops": {"weight": 2}}, /* comment */}`
 
 // Guards against an operator request that is served for another role, and one
 // that the role check does not cover.
@@ -129,32 +129,32 @@
 			status, c, _ := f.do("PUT", "/v1/config", body, "If-Match", base, ChangeIDHeader, id)
 			return status, c
 		}
-		status, c := put(teams, `"0"`, "c1")
+		status, c := put(workspaces, `"0"`, "c1")
 		expect("first", status, c, 200, config.Accepted, 0)
 		if c.Revision != 1 || len(c.Confirmed) != 1 || c.ChangeID != "c1" {
 			t.Errorf("answer %+v", c)
 		}
-		status, c = put(`{"teams":{"shops":{"weight":5}}}`, "0", "c2")
+		status, c = put(`{"workspaces":{"shops":{"weight":5}}}`, "0", "c2")
 		expect("conflict", status, c, 409, config.Refused, result.ConfigConflict)
-		if o := c.Conflict.Objects[0]; o.Yours.Team.Weight != 5 || o.Theirs.Team.Weight != 2 {
+		if o := c.Conflict.Objects[0]; o.Yours.Workspace.Weight != 5 || o.Theirs.Workspace.Weight != 2 {
 			t.Errorf("conflict %+v", c.Conflict)
 		}
-		status, c = put("{\n\"teams\": {\"a\": {\"wieght\": 1}}}", "1", "c3")
+		status, c = put("{\n\"workspaces\": {\"a\": {\"wieght\": 1}}}", "1", "c3")
 		expect("invalid", status, c, 422, config.Refused, result.ConfigInvalid)
-		if len(c.Errors) != 1 || c.Errors[0].Line != 2 || c.Errors[0].Field != "teams.a.wieght" {
+		if len(c.Errors) != 1 || c.Errors[0].Line != 2 || c.Errors[0].Field != "workspaces.a.wieght" {
 			t.Errorf("errors %+v", c.Errors)
 		}
-		status, c = put(teams, "1", "")
+		status, c = put(workspaces, "1", "")
 		expect("without id", status, c, 422, config.Refused, result.ConfigInvalid)
-		status, c = put(teams, "", "c4")
+		status, c = put(workspaces, "", "c4")
 		expect("without revision", status, c, 422, config.Refused, result.ConfigInvalid)
 		status, c = put(strings.Repeat(" ", 2<<20), "1", "c5")
 		expect("too large", status, c, 413, config.Refused, result.ConfigTooLarge)
 		f.store.swapErr = kv.ErrUnavailable
-		status, c = put(teams, "1", "c6")
+		status, c = put(workspaces, "1", "c6")
 		expect("store down", status, c, 503, config.Refused, result.ConfigUnavailable)
 		f.store.swapErr = kv.ErrUnknown
-		status, c = put(teams, "1", "c7")
+		status, c = put(workspaces, "1", "c7")
 		expect("unknown", status, c, 504, config.Unknown, result.ConfigUnknown)
 	})
 }
@@ -237,7 +237,7 @@
 	if status, _, body := f.do("GET", "/v1/config", ""); status != 200 || !strings.Contains(body, `"revision":0,"source":"store"`) {
 		t.Errorf("empty: %d %s", status, body)
 	}
-	f.do("PUT", "/v1/config", teams, "If-Match", "0", ChangeIDHeader, "c1")
+	f.do("PUT", "/v1/config", workspaces, "If-Match", "0", ChangeIDHeader, "c1")
 	f.store.getErr = kv.ErrUnavailable
 	if status, _, body := f.do("GET", "/v1/config", ""); status != 200 || !strings.Contains(body, `"revision":1,"source":"memory"`) {
 		t.Errorf("in memory: %d %s", status, body)
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -142,7 +142,7 @@
 
 // Observe takes in the outcome of a task that ran or may have run. Refusals and
 // cancelled tasks are not outcomes. Key names work that succeeds or fails alike,
-// such as the label set and the team: failures of a key that also fails on other
+// such as the label set and the workspace: failures of a key that also fails on other
 // targets are its caller's fault. Expected is the estimate of the run time.
 func (d *Detector) Observe(name, key string, ok bool, runTime, expected time.Duration, now time.Time) {
 	if d.options.Disabled {
--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -10,18 +10,20 @@
 )
 
 // BenchmarkSelect measures one task start: Select, Update, Charge and HeadKey,
-// with 390 teams and 4 groups. A twentieth of the teams is over its quota.
+// with 390 workspaces and 4 groups. A twentieth of the workspaces is over its quota.
 func BenchmarkSelect(b *testing.B) {
 	for _, jobs := range []int{100, 1_000, 10_000, 100_000} {
 		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
 			r := rand.New(rand.NewPCG(1, 2))
 			q := New(Options{})
 			for n := range jobs {
-				it := item(n, fmt.Sprint("team-", n%390), time.Duration(r.IntN(60_000))*time.Millisecond, time.Duration(r.IntN(20_000))*time.Millisecond)
+				it := item(n, fmt.Sprint("workspace-", n%390), time.Duration(r.IntN(60_000))*time.Millisecond, time.Duration(r.IntN(20_000))*time.Millisecond)
 				it.Group, it.Class = Group(n%4), wire.Class(n/390%2)
 				q.Add(it)
 			}
-			allow := func(team string, _ wire.Class) bool { return team[len(team)-1] != '7' || len(team) > 7 }
+			allow := func(workspace string, _ wire.Class) bool {
+				return workspace[len(workspace)-1] != '7' || len(workspace) > 7
+			}
 			groups := []Group{0, 2, 3}
 			b.ResetTimer()
 			for b.Loop() {
@@ -32,7 +34,7 @@
 					left = time.Minute
 				}
 				q.Update(job, left, e.item.Waiting, e.item.Class)
-				q.Charge(e.item.Team, 300*time.Millisecond)
+				q.Charge(e.item.Workspace, 300*time.Millisecond)
 				q.HeadKey(groups, nil)
 			}
 		})
--- a/queue/bucket.go
+++ b/queue/bucket.go
@@ -9,17 +9,17 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// bucket is a heap of the waiting jobs of one group, team and class. Selection
+// bucket is a heap of the waiting jobs of one group, workspace and class. Selection
 // looks at the heads of buckets only.
 type bucket struct {
-	group   *group
-	team    *team
-	class   wire.Class
-	entries []*entry
-	rank    rank // of the head, as the bucket stands in its group's order
-	ranked  bool
-	waiting int
-	work    time.Duration
+	group     *group
+	workspace *workspace
+	class     wire.Class
+	entries   []*entry
+	rank      rank // of the head, as the bucket stands in its group's order
+	ranked    bool
+	waiting   int
+	work      time.Duration
 }
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
@@ -50,7 +50,7 @@
 }
 
 // group is one requirement group. Its buckets are at most twice the number of
-// teams, so that a sorted slice is quicker than a tree and can be walked in
+// workspaces, so that a sorted slice is quicker than a tree and can be walked in
 // order.
 type group struct {
 	id      Group
@@ -80,10 +80,10 @@
 	return sort.Search(len(g.buckets), func(i int) bool { return g.buckets[i].rank.compare(r) >= 0 })
 }
 
-// bucketFor returns the item's bucket and makes it, its group and its team where
+// bucketFor returns the item's bucket and makes it, its group and its workspace where
 // they are missing.
 func (q *Queue) bucketFor(it Item) *bucket {
-	t := q.activate(it.Team)
+	t := q.activate(it.Workspace)
 	for _, b := range t.buckets {
 		if b.group.id == it.Group && b.class == it.Class {
 			return b
@@ -94,13 +94,13 @@
 		g = &group{id: it.Group}
 		q.groups[it.Group] = g
 	}
-	b := &bucket{group: g, team: t, class: it.Class}
+	b := &bucket{group: g, workspace: t, class: it.Class}
 	t.buckets = append(t.buckets, b)
 	return b
 }
 
 func (q *Queue) dropBucket(b *bucket) {
-	t := b.team
+	t := b.workspace
 	t.buckets = slices.DeleteFunc(t.buckets, func(other *bucket) bool { return other == b })
 	if len(t.buckets) == 0 {
 		q.deactivate(t)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue orders the waiting jobs of one service in one entry: the job
 // with the least expected remaining work first, with aging, and with weighted
-// fairness between teams by slot time.
+// fairness between workspaces by slot time.
 package queue
 
 import (
@@ -26,7 +26,7 @@
 // Item is a job as the queue sees it.
 type Item struct {
 	Job       wire.JobID
-	Team      string
+	Workspace string
 	Group     Group
 	Class     wire.Class    // of the next task
 	Remaining time.Duration // slot time that waiting and running tasks are expected to take, summed
@@ -46,15 +46,15 @@
 // Defaults of Options.
 const (
 	// DefaultMaxPatience bounds aging: no job that arrives this much later
-	// passes a waiting one of its team. It is the longest usual task.
+	// passes a waiting one of its workspace. It is the longest usual task.
 	DefaultMaxPatience = 30 * time.Second
 	// DefaultHalfWork is the remaining work at which a job has half of the
 	// longest patience: about fifty typical tasks of 0.3 s.
 	DefaultHalfWork = 15 * time.Second
-	// DefaultWindow is the slot time per unit of weight by which a team may be
-	// ahead of the least served team. It lets a job of a hundred typical tasks
-	// end without a pause; a smaller window turns the order between teams into
-	// processor sharing, which delays every team's answer.
+	// DefaultWindow is the slot time per unit of weight by which a workspace may be
+	// ahead of the least served workspace. It lets a job of a hundred typical tasks
+	// end without a pause; a smaller window turns the order between workspaces into
+	// processor sharing, which delays every workspace's answer.
 	DefaultWindow = 30 * time.Second
 )
 
@@ -71,7 +71,7 @@
 // Key returns the order key of an item: the time at which its patience ends, in
 // seconds since the epoch. Patience grows with remaining work and is at most
 // MaxPatience and half the time to the deadline, so a waiting job is passed only
-// by jobs of its team that arrive within its patience. Keys of two entries
+// by jobs of its workspace that arrive within its patience. Keys of two entries
 // compare as far as their clocks agree.
 func (o Options) Key(it Item) wire.OrderKey {
 	o = o.withDefaults()
@@ -118,24 +118,24 @@
 
 // Queue holds the jobs of one service. It is not safe for concurrent use.
 type Queue struct {
-	options Options
-	seq     uint64
-	entries map[wire.JobID]*entry
-	groups  map[Group]*group
-	teams   map[string]*team
-	active  []*team // teams with waiting tasks, by virtual time
-	weights map[string]float64
-	floor   float64 // virtual time at which a team that was idle starts
-	waiting int
+	options    Options
+	seq        uint64
+	entries    map[wire.JobID]*entry
+	groups     map[Group]*group
+	workspaces map[string]*workspace
+	active     []*workspace // workspaces with waiting tasks, by virtual time
+	weights    map[string]float64
+	floor      float64 // virtual time at which a workspace that was idle starts
+	waiting    int
 }
 
 // New returns an empty queue.
 func New(o Options) *Queue {
 	return &Queue{
-		options: o.withDefaults(),
-		entries: map[wire.JobID]*entry{},
-		groups:  map[Group]*group{},
-		teams:   map[string]*team{},
+		options:    o.withDefaults(),
+		entries:    map[wire.JobID]*entry{},
+		groups:     map[Group]*group{},
+		workspaces: map[string]*workspace{},
 	}
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -19,8 +19,8 @@
 
 func id(n int) wire.JobID { return wire.JobID{Entry: 1, Seq: uint64(n)} }
 
-func item(n int, team string, remaining time.Duration, after time.Duration) Item {
-	return Item{Job: id(n), Team: team, Remaining: remaining, Waiting: 10, Arrived: epoch.Add(after)}
+func item(n int, workspace string, remaining time.Duration, after time.Duration) Item {
+	return Item{Job: id(n), Workspace: workspace, Remaining: remaining, Waiting: 10, Arrived: epoch.Add(after)}
 }
 
 func (q *Queue) mustSelect(t *testing.T, allow Allow) int {
@@ -86,12 +86,12 @@
 	for range n {
 		got := q.mustSelect(t, allow)
 		used[got]++
-		q.Charge(q.entries[id(got)].item.Team, time.Second)
+		q.Charge(q.entries[id(got)].item.Workspace, time.Second)
 	}
 	return used
 }
 
-// Guards against a team that gets more than its weight's share because its jobs
+// Guards against a workspace that gets more than its weight's share because its jobs
 // are shorter or arrive in a flood.
 func TestWeightedFairness(t *testing.T) {
 	q := New(Options{})
@@ -105,7 +105,7 @@
 	}
 }
 
-// Guards against a returning team that waits for its share, and against a team
+// Guards against a returning workspace that waits for its share, and against a workspace
 // that is made to pay for idle shares it was lent.
 func TestIdleShareIsLent(t *testing.T) {
 	q := New(Options{})
@@ -116,25 +116,25 @@
 	q.Add(item(2, "c", time.Hour, 0))
 	used := run(t, q, 200, nil)
 	if used[1] < 100 || used[1] > 100+int(DefaultWindow.Seconds()) {
-		t.Fatalf("a used %d and the returning team %d of 200", used[1], used[2])
+		t.Fatalf("a used %d and the returning workspace %d of 200", used[1], used[2])
 	}
 }
 
-// Guards against a team that saves up its share while its quota blocks it, and
+// Guards against a workspace that saves up its share while its quota blocks it, and
 // then holds up all others.
-func TestBlockedTeamSavesAtMostAWindow(t *testing.T) {
+func TestBlockedWorkspaceSavesAtMostAWindow(t *testing.T) {
 	q := New(Options{})
 	q.Add(item(1, "a", time.Hour, 0))
 	q.Add(item(2, "b", time.Second, 0))
-	run(t, q, 1000, func(team string, _ wire.Class) bool { return team == "a" })
+	run(t, q, 1000, func(workspace string, _ wire.Class) bool { return workspace == "a" })
 	used := run(t, q, 200, nil)
 	if most := 100 + int(1.5*DefaultWindow.Seconds()) + 1; used[2] > most {
-		t.Fatalf("the team that was blocked used %d of 200, at most %d expected", used[2], most)
+		t.Fatalf("the workspace that was blocked used %d of 200, at most %d expected", used[2], most)
 	}
 }
 
 // Guards against admission that counts work which the order puts behind the job
-// or which another team's share keeps behind it.
+// or which another workspace's share keeps behind it.
 func TestAhead(t *testing.T) {
 	q := New(Options{})
 	for n := range 100 {
@@ -148,9 +148,9 @@
 	if got := q.Ahead(late, all); got != 2*time.Second+DefaultWindow+62*time.Second {
 		t.Errorf("ahead of a late job: %v", got)
 	}
-	late.Team = "flood"
+	late.Workspace = "flood"
 	if got := q.Ahead(late, all); got != 6002*time.Second {
-		t.Errorf("ahead of a late job of the same team: %v", got)
+		t.Errorf("ahead of a late job of the same workspace: %v", got)
 	}
 	if got := q.Ahead(late, []Group{1}); got != 0 {
 		t.Errorf("ahead in another group: %v", got)
@@ -169,7 +169,7 @@
 		q.Remove(id(n))
 	}
 	if q.Len()+q.Waiting()+len(q.groups)+len(q.active) != 0 {
-		t.Fatalf("%d jobs, %d tasks, %d groups, %d teams left", q.Len(), q.Waiting(), len(q.groups), len(q.active))
+		t.Fatalf("%d jobs, %d tasks, %d groups, %d workspaces left", q.Len(), q.Waiting(), len(q.groups), len(q.active))
 	}
 }
 
@@ -177,7 +177,7 @@
 func (q *Queue) naive(groups []Group, allow Allow) (best *entry, waiting int) {
 	var can []*entry
 	for _, e := range q.entries {
-		if e.item.Waiting > 0 && e.item.Group == groups[0] && allow(e.item.Team, e.item.Class) {
+		if e.item.Waiting > 0 && e.item.Group == groups[0] && allow(e.item.Workspace, e.item.Class) {
 			can = append(can, e)
 			waiting += e.item.Waiting
 		}
@@ -186,7 +186,7 @@
 		for _, e := range can {
 			in := len(class) == 0 || e.item.Class == class[0]
 			for _, other := range can {
-				in = in && q.teams[e.item.Team].virtual <= q.teams[other.item.Team].virtual+windows*q.options.Window.Seconds()
+				in = in && q.workspaces[e.item.Workspace].virtual <= q.workspaces[other.item.Workspace].virtual+windows*q.options.Window.Seconds()
 			}
 			if in && (best == nil || e.rank.compare(best.rank) < 0) {
 				best = e
@@ -203,19 +203,19 @@
 	return best, waiting
 }
 
-// Guards against short work that waits behind long work because its team is
-// ahead, and against a team that takes any share with short work.
-func TestShortWorkPassesLongWorkOfOtherTeams(t *testing.T) {
+// Guards against short work that waits behind long work because its workspace is
+// ahead, and against a workspace that takes any share with short work.
+func TestShortWorkPassesLongWorkOfOtherWorkspaces(t *testing.T) {
 	q := New(Options{})
-	q.Add(Item{Job: id(1), Team: "ahead", Class: wire.ClassShort, Remaining: time.Second, Waiting: 1, Arrived: epoch})
-	q.Add(Item{Job: id(2), Team: "behind", Class: wire.ClassLong, Remaining: time.Minute, Waiting: 1, Arrived: epoch})
+	q.Add(Item{Job: id(1), Workspace: "ahead", Class: wire.ClassShort, Remaining: time.Second, Waiting: 1, Arrived: epoch})
+	q.Add(Item{Job: id(2), Workspace: "behind", Class: wire.ClassLong, Remaining: time.Minute, Waiting: 1, Arrived: epoch})
 	q.Charge("ahead", shortLead*DefaultWindow)
 	if got, _ := q.Select([]Group{0}, nil); got != id(1) {
 		t.Errorf("job %v was selected, want the short one", got)
 	}
 	q.Charge("ahead", 2*DefaultWindow)
 	if got, _ := q.Select([]Group{0}, nil); got != id(2) {
-		t.Errorf("job %v was selected although its team is %d windows ahead", got, shortLead+2)
+		t.Errorf("job %v was selected although its workspace is %d windows ahead", got, shortLead+2)
 	}
 }
 
@@ -228,18 +228,18 @@
 	props.Property("Select returns the naive choice", prop.ForAll(func(steps []int) bool {
 		q := New(Options{})
 		for i, n := range steps {
-			team, class := fmt.Sprint(n%5), wire.Class(n/5%2)
+			workspace, class := fmt.Sprint(n%5), wire.Class(n/5%2)
 			work := time.Duration(n/7%40) * time.Second
 			switch n % 4 {
 			case 0, 1:
-				q.Add(Item{Job: id(i), Team: team, Group: Group(n / 3 % 2), Class: class, Remaining: work, Waiting: n / 11 % 3, Arrived: epoch.Add(time.Duration(i) * time.Second)})
+				q.Add(Item{Job: id(i), Workspace: workspace, Group: Group(n / 3 % 2), Class: class, Remaining: work, Waiting: n / 11 % 3, Arrived: epoch.Add(time.Duration(i) * time.Second)})
 			case 2:
 				q.Update(id(n%(i+1)), work, n/13%3, class)
-				q.Charge(team, work)
+				q.Charge(workspace, work)
 			case 3:
 				q.Remove(id(n / 17 % (i + 1)))
 			}
-			allow := func(t string, c wire.Class) bool { return t != team || c != class }
+			allow := func(t string, c wire.Class) bool { return t != workspace || c != class }
 			groups := []Group{Group(n / 19 % 2)}
 			want, waiting := q.naive(groups, allow)
 			head, headOK := q.HeadKey(groups, allow)
--- a/queue/select.go
+++ b/queue/select.go
@@ -8,11 +8,11 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// Allow says whether a task of a team and class may start now. It must be quick
+// Allow says whether a task of a workspace and class may start now. It must be quick
 // and must not change the queue. A nil Allow allows everything.
-type Allow func(team string, class wire.Class) bool
+type Allow func(workspace string, class wire.Class) bool
 
-func (a Allow) ok(b *bucket) bool { return a == nil || a(b.team.name, b.class) }
+func (a Allow) ok(b *bucket) bool { return a == nil || a(b.workspace.name, b.class) }
 
 // Head describes the work that a target could get next.
 type Head struct {
@@ -22,11 +22,11 @@
 }
 
 // Select returns the job whose next task a target should start. Groups are the
-// requirement groups that the target can run. Among the teams that are at most
-// one window ahead of the least served team with allowed work, the job with the
+// requirement groups that the target can run. Among the workspaces that are at most
+// one window ahead of the least served workspace with allowed work, the job with the
 // lowest order key wins.
 //
-// Over any time in which two teams have allowed work for the same targets, their
+// Over any time in which two workspaces have allowed work for the same targets, their
 // slot time per unit of weight differs by at most one window for what they saved
 // up before, one window of lead, and one task; short work of one against long work
 // of the other has shortLead windows more.
@@ -43,7 +43,7 @@
 }
 
 // HeadKey describes what Select would return, without a change of any state. Its
-// cost grows with the number of teams only if allow is set.
+// cost grows with the number of workspaces only if allow is set.
 func (q *Queue) HeadKey(groups []Group, allow Allow) (Head, bool) {
 	limit, ok := q.limit(groups, allow)
 	if !ok {
@@ -64,7 +64,7 @@
 	return 0, false
 }
 
-func (t *team) allowed(groups []Group, allow Allow) bool {
+func (t *workspace) allowed(groups []Group, allow Allow) bool {
 	for _, b := range t.buckets {
 		if slices.Contains(groups, b.group.id) && allow.ok(b) {
 			return true
@@ -73,10 +73,10 @@
 	return false
 }
 
-// forfeit raises teams that are more than a window behind the least served team
+// forfeit raises workspaces that are more than a window behind the least served workspace
 // with allowed work to half a window behind it. A quota or their requirements
 // keep them from running; they would save up their share without bound and later
-// hold up every other team. Half a window keeps the work per selection small.
+// hold up every other workspace. Half a window keeps the work per selection small.
 func (q *Queue) forfeit(least float64) {
 	window := q.options.Window.Seconds()
 	raised := 0
@@ -92,25 +92,25 @@
 	for _, t := range q.active[:raised] {
 		t.virtual = least - window/2
 	}
-	slices.SortFunc(q.active, (*team).compare)
+	slices.SortFunc(q.active, (*workspace).compare)
 }
 
-// shortLead is how many windows further than the limit a team may be ahead and
+// shortLead is how many windows further than the limit a workspace may be ahead and
 // still have its short work pass long work of the others. With no allowance, the
-// short jobs of the busier of two teams waited behind the long ones of the other
-// until a peak's backlog was gone; without a bound, a team with short work only
+// short jobs of the busier of two workspaces waited behind the long ones of the other
+// until a peak's backlog was gone; without a bound, a workspace with short work only
 // would take any share.
 const shortLead = 4
 
 // choose returns the best bucket within the limit, unless that is long work and
-// short work of a team not much further ahead has a lower rank.
+// short work of a workspace not much further ahead has a lower rank.
 func (q *Queue) choose(groups []Group, allow Allow, limit float64) *bucket {
 	b := q.best(groups, allow, limit)
 	if b.class == wire.ClassShort {
 		return b
 	}
-	short := func(team string, class wire.Class) bool {
-		return class == wire.ClassShort && (allow == nil || allow(team, class))
+	short := func(workspace string, class wire.Class) bool {
+		return class == wire.ClassShort && (allow == nil || allow(workspace, class))
 	}
 	if s := q.best(groups, short, limit+shortLead*q.options.Window.Seconds()); s != nil && s.rank.compare(b.rank) < 0 {
 		return s
@@ -118,8 +118,8 @@
 	return b
 }
 
-// best returns the allowed bucket with the lowest rank among the teams within
-// the limit. The team that set the limit is always among them.
+// best returns the allowed bucket with the lowest rank among the workspaces within
+// the limit. The workspace that set the limit is always among them.
 func (q *Queue) best(groups []Group, allow Allow, limit float64) *bucket {
 	if q.options.Order == FIFO {
 		limit = math.Inf(1)
@@ -134,7 +134,7 @@
 			if best != nil && best.rank.compare(b.rank) <= 0 {
 				break
 			}
-			if b.team.virtual <= limit && allow.ok(b) {
+			if b.workspace.virtual <= limit && allow.ok(b) {
 				best = b
 				break
 			}
@@ -165,8 +165,8 @@
 
 // Ahead returns the expected work of waiting jobs that run before an item that
 // is not in the queue yet. Groups are those that compete for the item's targets.
-// It is the work with a lower key, and no more than the other teams' shares
-// allow while the item's own team works off what it has ahead of the item.
+// It is the work with a lower key, and no more than the other workspaces' shares
+// allow while the item's own workspace works off what it has ahead of the item.
 func (q *Queue) Ahead(it Item, groups []Group) time.Duration {
 	key := q.options.Key(it)
 	var ahead time.Duration
@@ -181,20 +181,20 @@
 	return min(ahead, q.fairAhead(it, groups, ahead))
 }
 
-// fairAhead sums what each team can run before the item. A team other than the
-// item's gets what it is behind the item's team, one window, and its share of
-// the time in which the item's team runs its own work.
+// fairAhead sums what each workspace can run before the item. A workspace other than the
+// item's gets what it is behind the item's workspace, one window, and its share of
+// the time in which the item's workspace runs its own work.
 func (q *Queue) fairAhead(it Item, groups []Group, ahead time.Duration) time.Duration {
 	var own time.Duration
 	virtual := q.floor
-	if t, ok := q.teams[it.Team]; ok {
+	if t, ok := q.workspaces[it.Workspace]; ok {
 		own = min(t.workIn(groups), ahead)
 		virtual = max(virtual, t.virtual)
 	}
-	virtual += q.options.Window.Seconds() + (own+it.Remaining).Seconds()/q.weight(it.Team)
+	virtual += q.options.Window.Seconds() + (own+it.Remaining).Seconds()/q.weight(it.Workspace)
 	sum := own
 	for _, t := range q.active {
-		if t.name == it.Team {
+		if t.name == it.Workspace {
 			continue
 		}
 		share := max(0, virtual-t.virtual) * q.weight(t.name)
@@ -203,7 +203,7 @@
 	return sum
 }
 
-func (t *team) workIn(groups []Group) time.Duration {
+func (t *workspace) workIn(groups []Group) time.Duration {
 	var sum time.Duration
 	for _, b := range t.buckets {
 		if slices.Contains(groups, b.group.id) {
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -5,40 +5,40 @@
 	"time"
 )
 
-// Allowance returns the number of slots that this entry may use for a team now.
-// Limited is false for a team without a quota. Use above the allowance is not
+// Allowance returns the number of slots that this entry may use for a workspace now.
+// Limited is false for a workspace without a quota. Use above the allowance is not
 // taken back: no further task may start until it has fallen below.
-func (d *Divider) Allowance(team string, now time.Time) (slots int, limited bool) {
-	quota, ok := d.quotas[team]
+func (d *Divider) Allowance(workspace string, now time.Time) (slots int, limited bool) {
+	quota, ok := d.quotas[workspace]
 	if !ok {
 		return math.MaxInt, false
 	}
-	if c, ok := d.cache[team]; ok && now.Before(c.until) {
+	if c, ok := d.cache[workspace]; ok && now.Before(c.until) {
 		return c.slots, true
 	}
-	slots = d.compute(team, quota, now)
-	d.cache[team] = allowance{slots, now.Add(d.options.Delay)}
+	slots = d.compute(workspace, quota, now)
+	d.cache[workspace] = allowance{slots, now.Add(d.options.Delay)}
 	return slots, true
 }
 
-// May reports whether this entry may start one more task of a team.
-func (d *Divider) May(team string, now time.Time) bool {
-	slots, _ := d.Allowance(team, now)
-	return d.own[team].running < slots
+// May reports whether this entry may start one more task of a workspace.
+func (d *Divider) May(workspace string, now time.Time) bool {
+	slots, _ := d.Allowance(workspace, now)
+	return d.own[workspace].running < slots
 }
 
 // compute returns the lower of the allowances under the use that peers surely
 // know and under the use that was sent last, so that a report lowers this
 // entry's allowance before it raises another's.
-func (d *Divider) compute(team string, quota int, now time.Time) int {
+func (d *Divider) compute(workspace string, quota int, now time.Time) int {
 	d.forget(now)
 	if len(d.peers) == 0 {
 		return quota
 	}
-	known := d.reportedOwn(team, now)
-	slots := d.divide(team, quota, known, now).allowed(d, team, quota)
-	if latest := d.sent[team]; latest != known {
-		slots = min(slots, d.divide(team, quota, latest, now).allowed(d, team, quota))
+	known := d.reportedOwn(workspace, now)
+	slots := d.divide(workspace, quota, known, now).allowed(d, workspace, quota)
+	if latest := d.sent[workspace]; latest != known {
+		slots = min(slots, d.divide(workspace, quota, latest, now).allowed(d, workspace, quota))
 	}
 	return slots
 }
@@ -54,7 +54,7 @@
 // least share; what no one demands is split evenly, so that a burst finds slots
 // before it is reported. Peers that have not reported yet keep what they may
 // use. All entries with the same reports come to the same division.
-func (d *Divider) divide(team string, quota int, own use, now time.Time) division {
+func (d *Divider) divide(workspace string, quota int, own use, now time.Time) division {
 	out := division{
 		share: make([]int, len(d.names)),
 		least: least(quota, len(d.names), d.options.MinShare),
@@ -72,7 +72,7 @@
 			demands[i] = absent
 			continue
 		default:
-			demands[i] = p.teams[team].demand()
+			demands[i] = p.workspaces[workspace].demand()
 		}
 		out.share[i] = out.least
 		demands[i] = max(0, demands[i]-out.least)
@@ -140,10 +140,10 @@
 // hold it. Peers may still use more than their share because it was larger, or
 // they knew less, since their last report. That also holds against a peer that
 // has fallen silent.
-func (v division) allowed(d *Divider, team string, quota int) int {
+func (v division) allowed(d *Divider, workspace string, quota int) int {
 	free := quota
 	for _, p := range d.peers {
-		free -= p.held[team]
+		free -= p.held[workspace]
 	}
 	return max(v.least, min(v.share[v.own], free))
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,8 +1,8 @@
-// Package quota divides the teams' quotas of slots among the entries. Every
+// Package quota divides the workspaces' quotas of slots among the entries. Every
 // entry computes its own allowance from what the entries report to each other,
 // without a store call.
 //
-// Bound on overshoot: the slots that a team uses in all entries together stay
+// Bound on overshoot: the slots that a workspace uses in all entries together stay
 // within its quota and one slot per entry, if reports arrive within
 // Options.Delay or not at all. A change takes effect at once where it lowers an
 // allowance, and raises another only after the entries that it lowers have
@@ -36,7 +36,7 @@
 	return o
 }
 
-// use is one entry's use of slots by one team.
+// use is one entry's use of slots by one workspace.
 type use struct {
 	running, waiting int
 }
@@ -45,11 +45,11 @@
 
 // peer is what is known of another entry.
 type peer struct {
-	reported time.Time // of the last report; of the join before the first
-	known    bool      // has reported
-	gone     time.Time // zero: not known to be gone
-	teams    map[string]use
-	held     map[string]int // the most that the peer may use since its last report
+	reported   time.Time // of the last report; of the join before the first
+	known      bool      // has reported
+	gone       time.Time // zero: not known to be gone
+	workspaces map[string]use
+	held       map[string]int // the most that the peer may use since its last report
 }
 
 // allowance is a cached result.
@@ -84,7 +84,7 @@
 	}
 }
 
-// SetQuotas sets the teams' quotas in slots across all entries. A team that is
+// SetQuotas sets the workspaces' quotas in slots across all entries. A workspace that is
 // not named has none. The map must not change afterwards.
 func (d *Divider) SetQuotas(quotas map[string]int) {
 	d.quotas = quotas
@@ -92,32 +92,32 @@
 }
 
 // Own records this entry's use: tasks that are out, and tasks that wait.
-func (d *Divider) Own(team string, running, waiting int) {
+func (d *Divider) Own(workspace string, running, waiting int) {
 	if running == 0 && waiting == 0 {
-		delete(d.own, team)
+		delete(d.own, workspace)
 		return
 	}
-	d.own[team] = use{running, waiting}
+	d.own[workspace] = use{running, waiting}
 }
 
-// Report returns what to tell all peers, by team. It reports false if the last
+// Report returns what to tell all peers, by workspace. It reports false if the last
 // report is too recent: a report must have reached every peer before the next is
 // sent.
-func (d *Divider) Report(now time.Time) ([]wire.TeamUse, bool) {
+func (d *Divider) Report(now time.Time) ([]wire.WorkspaceUse, bool) {
 	if now.Sub(d.sentAt) < d.settleTime() {
 		return nil, false
 	}
 	d.settled = d.sent
 	d.sent = make(map[string]use, len(d.own))
 	d.sentAt = now
-	report := make([]wire.TeamUse, 0, len(d.own))
-	for team, u := range d.own {
-		d.sent[team] = u
-		report = append(report, wire.TeamUse{Team: team, Running: uint32(u.running), Waiting: uint32(u.waiting)})
+	report := make([]wire.WorkspaceUse, 0, len(d.own))
+	for workspace, u := range d.own {
+		d.sent[workspace] = u
+		report = append(report, wire.WorkspaceUse{Workspace: workspace, Running: uint32(u.running), Waiting: uint32(u.waiting)})
 	}
-	slices.SortFunc(report, func(a, b wire.TeamUse) int { return strings.Compare(a.Team, b.Team) })
-	for team, slots := range d.quotas {
-		d.holdShares(team, slots, d.sent[team], now)
+	slices.SortFunc(report, func(a, b wire.WorkspaceUse) int { return strings.Compare(a.Workspace, b.Workspace) })
+	for workspace, slots := range d.quotas {
+		d.holdShares(workspace, slots, d.sent[workspace], now)
 	}
 	clear(d.cache)
 	return report, true
@@ -157,18 +157,18 @@
 }
 
 // Receive takes in a peer's report.
-func (d *Divider) Receive(name string, report []wire.TeamUse, now time.Time) {
+func (d *Divider) Receive(name string, report []wire.WorkspaceUse, now time.Time) {
 	p := d.peer(name, now)
 	p.reported = now
 	p.known = true
 	p.gone = time.Time{}
-	p.teams = make(map[string]use, len(report))
+	p.workspaces = make(map[string]use, len(report))
 	for _, u := range report {
-		p.teams[u.Team] = use{int(u.Running), int(u.Waiting)}
+		p.workspaces[u.Workspace] = use{int(u.Running), int(u.Waiting)}
 	}
 	p.held = make(map[string]int, len(d.quotas))
-	for team := range d.quotas {
-		p.held[team] = p.teams[team].running
+	for workspace := range d.quotas {
+		p.held[workspace] = p.workspaces[workspace].running
 	}
 	d.hold(now)
 }
@@ -177,17 +177,17 @@
 // of a change before this entry or after it, so only the peer's next report
 // lowers what it may hold.
 func (d *Divider) hold(now time.Time) {
-	for team, slots := range d.quotas {
-		d.holdShares(team, slots, d.reportedOwn(team, now), now)
+	for workspace, slots := range d.quotas {
+		d.holdShares(workspace, slots, d.reportedOwn(workspace, now), now)
 	}
 	clear(d.cache)
 }
 
-func (d *Divider) holdShares(team string, quota int, own use, now time.Time) {
-	v := d.divide(team, quota, own, now)
+func (d *Divider) holdShares(workspace string, quota int, own use, now time.Time) {
+	v := d.divide(workspace, quota, own, now)
 	for i, p := range d.order {
 		if p != nil && p.known {
-			p.held[team] = max(p.held[team], v.share[i])
+			p.held[workspace] = max(p.held[workspace], v.share[i])
 		}
 	}
 }
@@ -216,10 +216,10 @@
 	}
 }
 
-// reportedOwn returns this entry's use of a team as every peer knows it.
-func (d *Divider) reportedOwn(team string, now time.Time) use {
+// reportedOwn returns this entry's use of a workspace as every peer knows it.
+func (d *Divider) reportedOwn(workspace string, now time.Time) use {
 	if now.Sub(d.sentAt) >= d.settleTime() {
-		return d.sent[team]
+		return d.sent[workspace]
 	}
-	return d.settled[team]
+	return d.settled[workspace]
 }
--- a/result/code.go
+++ b/result/code.go
@@ -9,21 +9,21 @@
 
 // Codes 100 to 199: the request is at fault and was not run.
 const (
-	BadRequest      Code = 100
-	UnknownField    Code = 101
-	BodyTooLarge    Code = 102
-	TooManyTasks    Code = 103
-	NoTasks         Code = 104
-	PayloadTooLarge Code = 105
-	TooManyLabels   Code = 106
-	LabelTooLong    Code = 107
-	NestingTooDeep  Code = 108
-	BadDeadline     Code = 109
-	UnknownService  Code = 110
-	UnknownTeam     Code = 111
-	MissingKey      Code = 112
-	BadLabel        Code = 113
-	BadHint         Code = 114
+	BadRequest       Code = 100
+	UnknownField     Code = 101
+	BodyTooLarge     Code = 102
+	TooManyTasks     Code = 103
+	NoTasks          Code = 104
+	PayloadTooLarge  Code = 105
+	TooManyLabels    Code = 106
+	LabelTooLong     Code = 107
+	NestingTooDeep   Code = 108
+	BadDeadline      Code = 109
+	UnknownService   Code = 110
+	UnknownWorkspace Code = 111
+	MissingKey       Code = 112
+	BadLabel         Code = 113
+	BadHint          Code = 114
 )
 
 // Codes 200 to 299: the system refused the job and did not run it.
@@ -31,7 +31,7 @@
 	NoMatchingTarget   Code = 200
 	QueueFull          Code = 201
 	DeadlineInfeasible Code = 202
-	TeamQueueFull      Code = 203
+	WorkspaceQueueFull Code = 203
 	Stopping           Code = 204
 	ClaimUnavailable   Code = 205
 	AlreadyClaimed     Code = 206
--- a/scale/document.go
+++ b/scale/document.go
@@ -12,15 +12,15 @@
 // service is the service of all measured agents.
 const service = "service-00"
 
-func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+func workspaceName(i int) string { return fmt.Sprintf("workspace-%03d", i) }
 
 // document returns a configuration with an override for every target. The
 // variant changes every override.
-func document(targets, teams, services, variant int) config.Document {
+func document(targets, workspaces, services, variant int) config.Document {
 	d := config.Document{
-		Services: make(map[string]config.Service),
-		Teams:    make(map[string]config.Team),
-		Targets:  make(map[string]config.Target),
+		Services:   make(map[string]config.Service),
+		Workspaces: make(map[string]config.Workspace),
+		Targets:    make(map[string]config.Target),
 	}
 	for i := range services {
 		s := config.Service{Rules: []config.Rule{
@@ -30,8 +30,8 @@
 		s.SetDefaults()
 		d.Services[fmt.Sprintf("service-%02d", i)] = s
 	}
-	for i := range teams {
-		d.Teams[teamName(i)] = config.Team{Weight: float64(1 + i%4), QuotaSlots: 4000}
+	for i := range workspaces {
+		d.Workspaces[workspaceName(i)] = config.Workspace{Weight: float64(1 + i%4), QuotaSlots: 4000}
 	}
 	for i := range targets {
 		d.Targets[targetName(i)] = config.Target{Labels: label.Set{
@@ -46,7 +46,7 @@
 // documentBytes is the size of the document at the target size, with the ids of
 // its last changes.
 func documentBytes() int {
-	d := document(TargetAgents, TargetTeams, TargetServices, 0)
+	d := document(TargetAgents, TargetWorkspaces, TargetServices, 0)
 	for i := range config.MaxChanges {
 		d.Changes = append(d.Changes, config.Change{
 			ID: fmt.Sprintf("%064d", i), Revision: 1 << 62, Digest: fmt.Sprintf("%064d", i),
@@ -60,11 +60,11 @@
 }
 
 // peerStateBytes is the size of an entry's report to its peers in which every
-// team has tasks out and waiting.
+// workspace has tasks out and waiting.
 func peerStateBytes() int {
 	state := &wire.PeerState{Revision: 1 << 40}
-	for i := range TargetTeams {
-		state.Teams = append(state.Teams, wire.TeamUse{Team: teamName(i), Running: 30, Waiting: 3000})
+	for i := range TargetWorkspaces {
+		state.Workspaces = append(state.Workspaces, wire.WorkspaceUse{Workspace: workspaceName(i), Running: 30, Waiting: 3000})
 	}
 	return encodedBytes(state)
 }
--- a/scale/fit_test.go
+++ b/scale/fit_test.go
@@ -38,7 +38,7 @@
 
 // Guards against a document of the target size that outgrows the store's value.
 func TestDocumentOfTargetSizeIsValid(t *testing.T) {
-	if faults := document(TargetAgents, TargetTeams, TargetServices, 0).Validate(); len(faults) > 0 {
+	if faults := document(TargetAgents, TargetWorkspaces, TargetServices, 0).Validate(); len(faults) > 0 {
 		t.Fatal(faults)
 	}
 }
--- a/scale/report.go
+++ b/scale/report.go
@@ -95,7 +95,7 @@
 	Steps         []*Step `json:"steps"`
 	Fits          []Fit   `json:"fits"`
 	DocumentBytes int     `json:"document_bytes"` // at the target size
-	PeerBytes     int     `json:"peer_bytes"`     // of one report of all teams' use to a peer
+	PeerBytes     int     `json:"peer_bytes"`     // of one report of all workspaces' use to a peer
 	ViewBytes     int     `json:"view_bytes"`     // of one agent's view
 }
 
@@ -148,7 +148,7 @@
 		{"agent, one start, ms", func(n int) (float64, bool) {
 			return r.perStart(n, agentMS, func(s *Step) float64 { return float64(s.Starts) / float64(s.Agents) })
 		}},
-		{"entry, change of a team, ms", step("change team", entryMS)},
+		{"entry, change of a workspace, ms", step("change workspace", entryMS)},
 		{"entry, change of a service, ms", step("change service", entryMS)},
 		{"entry, change of every target, ms", step("change targets", entryMS)},
 		{"entry, change of a service, bytes out", step("change service", func(s *Step) float64 { return float64(s.FromEntry) })},
--- a/scale/run.go
+++ b/scale/run.go
@@ -26,9 +26,9 @@
 // The target size of docs/design.md, section 1.6, and a number of services for
 // it, which that section leaves open.
 const (
-	TargetAgents   = 1400
-	TargetTeams    = 390
-	TargetServices = 40
+	TargetAgents     = 1400
+	TargetWorkspaces = 390
+	TargetServices   = 40
 )
 
 // headerBytes are the IPv4 and UDP headers of one packet.
@@ -118,7 +118,7 @@
 	r.server = &http.Server{Handler: r.store.Handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = r.server.Serve(l) }()
 	r.applier = config.Applier{Store: r.store.Local(), Holder: config.NewHolder()}
-	return r.apply(ctx, document(r.agents, TargetTeams, TargetServices, 0))
+	return r.apply(ctx, document(r.agents, TargetWorkspaces, TargetServices, 0))
 }
 
 // apply replaces the document.
--- a/scale/steps.go
+++ b/scale/steps.go
@@ -136,7 +136,7 @@
 	end := time.Now().Add(d)
 	for i := 0; time.Now().Before(end); i++ {
 		sent.Go(func() {
-			j := job(teamName(i%TargetTeams), tasksPerJob, taskMS, 30_000)
+			j := job(workspaceName(i%TargetWorkspaces), tasksPerJob, taskMS, 30_000)
 			answer, err := r.entries[i%len(r.entries)].client.Submit(ctx, service, j)
 			if err != nil || answer.State != api.StateComplete {
 				failed.Add(1)
@@ -159,8 +159,8 @@
 // jobs numbers the request keys.
 var jobs atomic.Uint64
 
-func job(team string, tasks, ms int, deadline int64) api.Job {
-	j := api.Job{Key: strconv.FormatUint(jobs.Add(1), 10), Team: team, DeadlineMS: deadline, Idempotent: true}
+func job(workspace string, tasks, ms int, deadline int64) api.Job {
+	j := api.Job{Key: strconv.FormatUint(jobs.Add(1), 10), Workspace: workspace, DeadlineMS: deadline, Idempotent: true}
 	for range tasks {
 		j.Tasks = append(j.Tasks, api.Task{Payload: strconv.Itoa(ms), RunMS: float64(ms)})
 	}
@@ -170,9 +170,9 @@
 // configuration measures changes that alter no view, one view, every view of a
 // service, and every target's view and announcement.
 func (r *run) configuration(ctx context.Context) error {
-	d := document(r.agents, TargetTeams, TargetServices, 0)
-	team := d.Teams[teamName(0)]
-	team.Weight = 9
+	d := document(r.agents, TargetWorkspaces, TargetServices, 0)
+	workspace := d.Workspaces[workspaceName(0)]
+	workspace.Weight = 9
 	target := d.Targets[targetName(0)]
 	target.Drain = true
 	changed := d.Services[service]
@@ -181,10 +181,10 @@
 		name string
 		edit func()
 	}{
-		{"change team", func() { d.Teams[teamName(0)] = team }},
+		{"change workspace", func() { d.Workspaces[workspaceName(0)] = workspace }},
 		{"change target", func() { d.Targets[targetName(0)] = target }},
 		{"change service", func() { d.Services[service] = changed }},
-		{"change targets", func() { d = document(r.agents, TargetTeams, TargetServices, 1) }},
+		{"change targets", func() { d = document(r.agents, TargetWorkspaces, TargetServices, 1) }},
 	} {
 		err := r.step(c.name, func(s *Step) error {
 			c.edit()
@@ -209,40 +209,40 @@
 // queues measures entries whose jobs wait while every slot is in use.
 func (r *run) queues(ctx context.Context) error {
 	for _, q := range []struct {
-		name        string
-		teams, jobs int // jobs of each team
-		tasks       int // of each job
+		name             string
+		workspaces, jobs int // jobs of each workspace
+		tasks            int // of each job
 	}{
-		{"queue 39 teams", 39, 10, 10},
-		{"queue 390 teams", TargetTeams, 1, 10},
-		{"queue 390 teams, 10 times the tasks", TargetTeams, 1, 100},
+		{"queue 39 workspaces", 39, 10, 10},
+		{"queue 390 workspaces", TargetWorkspaces, 1, 10},
+		{"queue 390 workspaces, 10 times the tasks", TargetWorkspaces, 1, 100},
 	} {
-		if err := r.queue(ctx, q.name, q.teams, q.jobs, q.tasks); err != nil {
+		if err := r.queue(ctx, q.name, q.workspaces, q.jobs, q.tasks); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *run) queue(ctx context.Context, name string, teams, jobs, tasks int) error {
+func (r *run) queue(ctx context.Context, name string, workspaces, jobs, tasks int) error {
 	held, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var sent sync.WaitGroup
 	slots := r.agents * 8 / tasksPerJob
-	for i := range teams*jobs + slots + 1 {
+	for i := range workspaces*jobs + slots + 1 {
 		n := tasks
 		if i <= slots {
 			n = tasksPerJob // these take the slots
 		}
 		sent.Go(func() {
-			_, _ = r.entries[i%len(r.entries)].client.Submit(held, service, job(teamName(i%teams), n, heldMS, 600_000))
+			_, _ = r.entries[i%len(r.entries)].client.Submit(held, service, job(workspaceName(i%workspaces), n, heldMS, 600_000))
 		})
 	}
 	if err := pause(ctx, 2*time.Second); err != nil {
 		return err
 	}
 	err := r.step(name, func(s *Step) error {
-		s.Waiting = teams * jobs * tasks
+		s.Waiting = workspaces * jobs * tasks
 		return pause(ctx, 2*time.Second)
 	})
 	cancel()
--- a/settings/check.go
+++ b/settings/check.go
@@ -11,7 +11,7 @@
 	"github.com/catkinline/catkinline/label"
 )
 
-// MaxNameBytes bounds the names of processes, targets, services and teams.
+// MaxNameBytes bounds the names of processes, targets, services and workspaces.
 // They become label values and metric tags.
 const MaxNameBytes = 63
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -180,15 +180,15 @@
 // Start asks the agent to start one task. Its loss is ambiguous until a Query
 // resolves it.
 type Start struct {
-	Task     TaskID        `cbor:"1,keyasint"`
-	Grant    GrantID       `cbor:"2,keyasint"`
-	Revision uint64        `cbor:"3,keyasint"`
-	Team     string        `cbor:"4,keyasint"`
-	Class    Class         `cbor:"5,keyasint,omitempty"`
-	TimeLeft time.Duration `cbor:"6,keyasint"`
-	Payload  []byte        `cbor:"7,keyasint,omitempty"`
-	Demand   *Demand       `cbor:"8,keyasint,omitempty"`
-	Acks     []TaskID      `cbor:"9,keyasint,omitempty"` // as in Ack, to save a message
+	Task      TaskID        `cbor:"1,keyasint"`
+	Grant     GrantID       `cbor:"2,keyasint"`
+	Revision  uint64        `cbor:"3,keyasint"`
+	Workspace string        `cbor:"4,keyasint"`
+	Class     Class         `cbor:"5,keyasint,omitempty"`
+	TimeLeft  time.Duration `cbor:"6,keyasint"`
+	Payload   []byte        `cbor:"7,keyasint,omitempty"`
+	Demand    *Demand       `cbor:"8,keyasint,omitempty"`
+	Acks      []TaskID      `cbor:"9,keyasint,omitempty"` // as in Ack, to save a message
 }
 
 // OutcomeState says how far a task got on its target.
@@ -275,19 +275,19 @@
 	Reason string `cbor:"1,keyasint,omitempty"`
 }
 
-// TeamUse is one team's use of slots at one entry.
-type TeamUse struct {
-	Team    string `cbor:"1,keyasint"`
-	Running uint32 `cbor:"2,keyasint"`
-	Waiting uint32 `cbor:"3,keyasint"`
+// WorkspaceUse is one workspace's use of slots at one entry.
+type WorkspaceUse struct {
+	Workspace string `cbor:"1,keyasint"`
+	Running   uint32 `cbor:"2,keyasint"`
+	Waiting   uint32 `cbor:"3,keyasint"`
 }
 
 // PeerState is what entries tell each other about themselves.
 type PeerState struct {
-	Revision uint64    `cbor:"1,keyasint"`
-	Teams    []TeamUse `cbor:"2,keyasint,omitempty"`
-	Leaving  bool      `cbor:"3,keyasint,omitempty"`
-	Reported bool      `cbor:"4,keyasint,omitempty"` // Teams is a report; otherwise it says nothing
+	Revision   uint64         `cbor:"1,keyasint"`
+	Workspaces []WorkspaceUse `cbor:"2,keyasint,omitempty"`
+	Leaving    bool           `cbor:"3,keyasint,omitempty"`
+	Reported   bool           `cbor:"4,keyasint,omitempty"` // Workspaces is a report; otherwise it says nothing
 }
 
 // DocumentRequest asks a peer for its configuration document if it is newer.
