Read the routes before taking links when a gateway starts

Ruled out: the store (the same for both kinds) and the size of the routes.

A gateway binds its link address at once and takes links when the routes are in force, or 500 ms after its start; what arrived waits in the socket's buffer. A job that comes in these moments waits for the routes instead of being refused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,10 +53,14 @@
 	scheduler   *placement.Scheduler
 	members     *member.Members
 	standstill  *standstill.Detector
+	pauseMu     sync.Mutex
 	listener    *transport.Listener
 	tomb        tomb.Tomb
 
-	routes   atomic.Pointer[routing.Table]
+	routes     atomic.Pointer[routing.Table]
+	configured chan struct{} // closed with the first routes in force
+	created    time.Time
+
 	stopping atomic.Bool // a planned stop has begun
 	refusing atomic.Bool // new jobs are refused
 	requests atomic.Int64
@@ -83,6 +87,8 @@
 		credentials: credentials,
 		agents:      make(map[*transport.Link]bool),
 		dials:       make(map[string]bool),
+		configured:  make(chan struct{}),
+		created:     time.Now(),
 	}
 	g.servers = httpserve.New(&g.tomb, o.Log)
 	g.scheduler = placement.New(placement.Options{
@@ -114,11 +120,10 @@
 
 func (g *Gateway) start() error {
 	g.members = member.New(g.store, g.self(), member.Options{MaxBackoff: memberBackoff, Log: g.log})
-	listener, err := transport.Listen(g.node.LinkAddress(), g.linkOptions())
+	conn, err := transport.Bind(g.node.LinkAddress())
 	if err != nil {
 		return err
 	}
-	g.listener = listener
 	if err := g.servers.Serve(g.node.CallerAddress, g.opts.Callers(g)); err != nil {
 		return err
 	}
@@ -131,11 +136,17 @@
 	g.members.Start()
 	g.tomb.Go(func() error {
 		g.tomb.Go(g.routesLoop)
-		g.tomb.Go(g.peerLoop)
 		g.tomb.Go(g.tickLoop)
 		g.tomb.Go(g.gaugeLoop)
 		return nil
 	})
+	// The links of a large fleet's agents take a small instance's processor for a
+	// second; without routes they serve nobody.
+	g.awaitRoutes()
+	if g.listener, err = transport.ListenOn(conn, g.linkOptions()); err != nil {
+		return err
+	}
+	g.tomb.Go(g.peerLoop)
 	return nil
 }
 
@@ -146,12 +157,16 @@
 	}
 }
 
-// Find returns the route of a request and the version that selected it, or one of
+// Find waits for the first routes in the first moments of a process. It returns the
+// route of a request and the version that selected it, or one of
 // routing.ErrNoTable and routing.ErrNoRoute.
 func (g *Gateway) Find(host, path string) (routing.Route, uint64, error) {
 	table := g.routes.Load()
 	if table == nil {
-		return routing.Route{}, 0, routing.ErrNoTable
+		g.awaitRoutes()
+		if table = g.routes.Load(); table == nil {
+			return routing.Route{}, 0, routing.ErrNoTable
+		}
 	}
 	route, ok := table.Find(host, path)
 	if !ok {
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -32,6 +32,9 @@
 			return
 		}
 		if g.routes.CompareAndSwap(current, table) {
+			if current == nil {
+				close(g.configured)
+			}
 			break
 		}
 	}
@@ -39,6 +42,17 @@
 	g.log.Info("routes in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes()), zap.String("source", source))
 }
 
+// awaitRoutes waits for the first routes, until startWait after the process began.
+func (g *Gateway) awaitRoutes() {
+	limit := time.NewTimer(startWait - time.Since(g.created))
+	defer limit.Stop()
+	select {
+	case <-g.configured:
+	case <-limit.C:
+	case <-g.tomb.Dying():
+	}
+}
+
 // routesLoop keeps one watch pending on the routes' key. After a failure the key
 // is read before the next watch.
 func (g *Gateway) routesLoop() error {
--- a/gateway/routes_test.go
+++ b/gateway/routes_test.go
@@ -133,3 +133,40 @@
 		}
 	})
 }
+
+// Guards against jobs that are refused in the first moments of a process, although
+// the routes arrive before their callers' time is over; and against jobs that wait
+// for routes that do not come.
+func TestFirstJobsWaitForRoutes(t *testing.T) {
+	follow(t, func(t *testing.T, g *Gateway, store *lossyStore) {
+		found := make(chan error, 1)
+		find := func() {
+			_, _, err := g.Find("jobs.example", "/frames/1")
+			found <- err
+		}
+		go find()
+		time.Sleep(startWait / 2)
+		select {
+		case err := <-found:
+			t.Fatalf("answered before any routes: %v", err)
+		default:
+		}
+		write(t, store, "1")
+		if err := <-found; err != routing.ErrNoRoute {
+			t.Errorf("with routes: %v", err)
+		}
+	})
+	follow(t, func(t *testing.T, g *Gateway, _ *lossyStore) {
+		begun := time.Now()
+		if _, _, err := g.Find("jobs.example", "/frames/1"); err != routing.ErrNoTable {
+			t.Errorf("without routes: %v", err)
+		}
+		if waited := time.Since(begun); waited != startWait {
+			t.Errorf("waited %s for routes", waited)
+		}
+		begun = time.Now()
+		if _, _, err := g.Find("jobs.example", "/frames/1"); err != routing.ErrNoTable || time.Since(begun) > 0 {
+			t.Errorf("a later job: %v after %s", err, time.Since(begun))
+		}
+	})
+}
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -42,6 +42,10 @@
 	gaugeInterval = time.Second
 	// dialInterval is the pause between attempts to reach a peer.
 	dialInterval = 500 * time.Millisecond
+	// startWait is how long a process that has just started waits for its first
+	// routes before it takes links and refuses jobs. The store answers within some
+	// milliseconds; while it is down, routes come from peers over links.
+	startWait = 500 * time.Millisecond
 	// callTimeout bounds one call to the store by the routes loop.
 	callTimeout = time.Second
 	// retryLowest and retryLongest bound the pause after a failed call.
--- a/transport/connect.go
+++ b/transport/connect.go
@@ -23,17 +23,35 @@
 // Listener accepts links.
 type Listener struct {
 	opts     Options
+	conn     net.PacketConn
 	listener *quic.Listener
 	tomb     tomb.Tomb
 }
 
 // Listen serves links on a UDP address until Close.
 func Listen(address string, opts Options) (*Listener, error) {
-	q, err := quic.ListenAddr(address, opts.Credentials.TLS(protocolName), quicConfig(opts.Timing))
+	conn, err := Bind(address)
 	if err != nil {
+		return nil, err
+	}
+	return ListenOn(conn, opts)
+}
+
+// Bind opens a UDP address for ListenOn. What arrives until then waits in the
+// socket's buffer.
+func Bind(address string) (net.PacketConn, error) {
+	conn, err := net.ListenPacket("udp", address)
+	return conn, Error.Wrap(err)
+}
+
+// ListenOn serves links on a UDP socket and closes both with Close.
+func ListenOn(conn net.PacketConn, opts Options) (*Listener, error) {
+	q, err := quic.Listen(conn, opts.Credentials.TLS(protocolName), quicConfig(opts.Timing))
+	if err != nil {
+		_ = conn.Close()
 		return nil, Error.Wrap(err)
 	}
-	l := &Listener{opts: opts, listener: q}
+	l := &Listener{opts: opts, conn: conn, listener: q}
 	l.tomb.Go(l.acceptLoop)
 	return l, nil
 }
@@ -45,7 +63,9 @@
 func (l *Listener) Close() error {
 	l.tomb.Kill(nil)
 	_ = l.listener.Close()
-	return l.tomb.Wait()
+	err := l.tomb.Wait()
+	_ = l.conn.Close()
+	return err
 }
 
 func (l *Listener) acceptLoop() error {
