Keep a pause of the process until it was reported

An agent that stood still for seconds finds starts in its buffers that their entry has long given up. It refused them only if it looked before the detector of pauses had run again; which of the two goroutines is first is chance. Links without runs are given up later since they beat slower, which made such starts more frequent.

A pause is now kept until it was reported, and the agent looks under the lock that it handles messages under; the gateway handles nothing else while it ends its jobs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -232,8 +232,10 @@
 }
 
 // checkPause ends all jobs after a pause: the agents have stopped their runs, and
-// callers may have sent them to other entries.
+// callers may have sent them to other entries. Nothing else is handled meanwhile.
 func (g *Gateway) checkPause() {
+	g.pauseMu.Lock()
+	defer g.pauseMu.Unlock()
 	if !g.standstill.Paused() {
 		return
 	}
--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -15,19 +15,27 @@
 // Detector compares the time since it last ran with a limit. It reads the clock
 // that also counts while the machine is suspended.
 type Detector struct {
-	limit time.Duration
-	last  atomic.Int64
-	stop  chan struct{}
+	limit  time.Duration
+	clock  func() int64
+	last   atomic.Int64 // when this process was last seen to run
+	pauses atomic.Int64 // noticed so far
+	told   atomic.Int64 // of them, by Paused
+	stop   chan struct{}
 }
 
 // Start returns a detector of pauses longer than limit.
 func Start(limit time.Duration) *Detector {
-	d := &Detector{limit: limit, stop: make(chan struct{})}
-	d.last.Store(bootTime())
+	d := newDetector(limit, bootTime)
 	go d.run()
 	return d
 }
 
+func newDetector(limit time.Duration, clock func() int64) *Detector {
+	d := &Detector{limit: limit, clock: clock, stop: make(chan struct{})}
+	d.last.Store(clock())
+	return d
+}
+
 // Stop ends the detector.
 func (d *Detector) Stop() { close(d.stop) }
 
@@ -39,15 +47,25 @@
 		case <-d.stop:
 			return
 		case <-ticker.C:
-			d.last.Store(bootTime())
+			d.look()
 		}
 	}
 }
 
-// Paused reports whether the process stands in the first moments after a pause:
-// the detector itself has not run again yet.
+func (d *Detector) look() {
+	now := d.clock()
+	if time.Duration(now-d.last.Swap(now)) > d.limit {
+		d.pauses.Add(1)
+	}
+}
+
+// Paused reports whether the process has stood still since the last call. After a
+// pause it is not certain whether the detector or a message that waited all the
+// while is handled first, so that a pause is kept until it was reported.
 func (d *Detector) Paused() bool {
-	return time.Duration(bootTime()-d.last.Load()) > d.limit
+	d.look()
+	pauses := d.pauses.Load()
+	return d.told.Swap(pauses) != pauses
 }
 
 // bootTime is the time since the machine's start in nanoseconds, suspension
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -14,21 +14,20 @@
 
 // Handle takes in a message of an entry.
 func (s *Sidecar) Handle(l Link, m wire.Message) {
-	paused := s.opts.Paused()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.opts.Paused() {
+		s.distrustLinks()
+	}
 	state := s.links[l.Name()]
 	if state == nil || state.link != l {
 		return
 	}
-	if paused {
-		s.distrustLinks()
-	}
 	switch m := m.(type) {
 	case *wire.RunStart:
 		s.handleStart(state, m, time.Now())
 	case *wire.Backlog:
-		s.offers.SetBacklog(ownerOf(l), runs.Backlog{Tasks: int(m.Tasks), Key: time.Now().Add(m.Urgency), Least: m.Least})
+		s.setBacklog(state, m)
 		signal(s.room)
 	case *wire.RunStop:
 		for _, id := range m.Runs {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -79,8 +79,8 @@
 	Lease         time.Duration
 	Renew         time.Duration
 	OrderLimit    time.Duration
-	// Paused reports whether this process has stood still and may be handling
-	// messages that are long out of date.
+	// Paused reports whether this process has stood still since the last call and
+	// may be handling messages that are long out of date.
 	Paused func() bool
 	// Keep is told of each change of the target's report; nil keeps nothing.
 	Keep func(targets.Report)
@@ -212,6 +212,9 @@
 func (s *Sidecar) LinkUp(l Link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.opts.Paused() {
+		s.distrustLinks() // before the new link is one of them
+	}
 	if old := s.links[l.Name()]; old != nil {
 		s.dropLink(old, "replaced by a newer link")
 		_ = old.link.Close(nil)
