--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -327,6 +327,25 @@
 	})
 }
 
+// Guards against a link that is closed for a pause before it: only what came over
+// earlier links is out of date.
+func TestPauseClosesEarlierLinksOnly(t *testing.T) {
+	run(t, lasting(time.Second), func(b *bed) {
+		earlier := b.open("a")
+		b.paused = true
+		later := b.link("b")
+		b.paused = false
+		b.start(later, id(0, 1), 1000)
+		synctest.Wait()
+		if !earlier.closed || later.closed {
+			t.Errorf("closed: the earlier link %t, the later one %t", earlier.closed, later.closed)
+		}
+		if n := b.runner.Starts(firstTask); n != 1 {
+			t.Errorf("%d starts over the later link", n)
+		}
+	})
+}
+
 // Guards against new runs on a target that leaves.
 func TestDrainingTargetClosesAtOnce(t *testing.T) {
 	run(t, lasting(time.Second), func(b *bed) {
