--- a/command/node.go
+++ b/command/node.go
@@ -31,7 +31,10 @@
 	LogLevel  string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
-type gatewayArgs struct{ nodeArgs }
+type gatewayArgs struct {
+	nodeArgs
+	LinkListen string `arg:"--link-listen" help:"UDP ip:port that links are accepted on, behind a relay (default: the address that the settings announce)"`
+}
 
 // Description implements arg.Described.
 func (gatewayArgs) Description() string {
@@ -65,7 +68,7 @@
 			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
 			RoutesKey: platform.RoutesKey, Decode: platform.DecodeRoutes,
 			Callers:   func(g *gateway.Gateway) http.Handler { return platform.JobHandler(g) },
-			AdminPort: a.AdminPort,
+			AdminPort: a.AdminPort, LinkListen: a.LinkListen,
 		})
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,9 @@
 	Decode    func(document []byte) (*routing.Table, error) // reads the routes
 	Callers   func(*Gateway) http.Handler                   // serves the callers' address
 	AdminPort int                                           // TCP, for metrics; 0: none
+	// LinkListen is the UDP ip:port that links are accepted on, where it differs from
+	// the address that Node announces.
+	LinkListen string
 }
 
 // Gateway is a running entry.
@@ -120,7 +123,7 @@
 
 func (g *Gateway) start() error {
 	g.members = member.New(g.store, g.self(), member.Options{MaxBackoff: memberBackoff, Log: g.log})
-	conn, err := transport.Bind(g.node.LinkAddress())
+	conn, err := transport.Bind(g.linkListen())
 	if err != nil {
 		return err
 	}
@@ -150,6 +153,14 @@
 	return nil
 }
 
+// linkListen returns the address that links are accepted on.
+func (g *Gateway) linkListen() string {
+	if g.opts.LinkListen != "" {
+		return g.opts.LinkListen
+	}
+	return g.node.LinkAddress()
+}
+
 func (g *Gateway) self() wire.Peer {
 	return wire.Peer{
 		Name: g.node.Name, Address: g.node.LinkAddress(), FailureDomain: g.node.FailureDomain,
--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -98,6 +98,17 @@
 	return n
 }
 
+// ResetFlows resets every existing connection and returns their number. New ones
+// work.
+func (t *TCP) ResetFlows() int {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	for flow := range t.conns {
+		flow.close(true)
+	}
+	return len(t.conns)
+}
+
 // Close implements Relay.
 func (t *TCP) Close() {
 	t.listener.Close()
@@ -164,6 +175,8 @@
 	select {
 	case <-t.quit:
 		return
+	case <-flow.gone:
+		return
 	default:
 	}
 	var both sync.WaitGroup
--- a/internal/faultproxy/tcp_test.go
+++ b/internal/faultproxy/tcp_test.go
@@ -1,11 +1,13 @@
 package faultproxy
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -94,6 +96,25 @@
 	}
 }
 
+// Guards against a reset that leaves connections open or ends the relay.
+func TestTCPResetOfExistingConnections(t *testing.T) {
+	relay := startTCP(t)
+	old := dialTCP(t, relay)
+	send(t, old, "one")
+	receive(t, old)
+	if n := relay.ResetFlows(); n != 1 {
+		t.Fatalf("reset %d flows", n)
+	}
+	if _, err := old.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read on a connection that was reset: %v", err)
+	}
+	fresh := dialTCP(t, relay)
+	send(t, fresh, "two")
+	if got := receive(t, fresh); got != "two" {
+		t.Errorf("new connection received %q", got)
+	}
+}
+
 // Guards against an admin endpoint that accepts a misspelt fault or ignores a
 // valid one.
 func TestAdminChangesFaults(t *testing.T) {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -104,3 +104,16 @@
 	p.err = Err.New("no free loopback port between %d and %d", firstPort, lastPort)
 	return ""
 }
+
+// FreeTCP returns a free loopback ip:port that stays free between two processes
+// that use it.
+func FreeTCP() (string, error) {
+	var p portPicker
+	return p.tcp(), p.err
+}
+
+// FreeUDP is FreeTCP for UDP.
+func FreeUDP() (string, error) {
+	var p portPicker
+	return p.udp(), p.err
+}
--- a/internal/fleet/single.go
+++ b/internal/fleet/single.go
@@ -5,12 +5,12 @@
 	"syscall"
 )
 
-// Process is one process of the program that a test starts by itself, beside or
-// without a fleet.
+// Process is one process of the program that is started by itself, beside or without
+// a fleet.
 type Process struct{ p *process }
 
-// StartProcess starts the test binary as the program; its TestMain must call
-// RunChild. The output is appended to a log.
+// StartProcess starts this executable once more; the TestMain of a test binary must
+// call RunChild. The output is appended to a log.
 func StartProcess(name, logPath string, arguments ...string) (*Process, error) {
 	options, err := TestOptions()
 	if err != nil {
@@ -26,6 +26,12 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s os.Signal) error { return p.p.signal(s) }
 
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} {
+	_, exited, _ := p.p.state()
+	return exited
+}
+
 // Close ends the process at once, a frozen one too, and waits for its end.
 func (p *Process) Close() {
 	_ = p.Signal(syscall.SIGKILL) // an error means that it has ended
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -19,8 +21,24 @@
 	MaxHold time.Duration
 	// Work returns how long a task runs and whether it fails.
 	Work func(task, spec string) (time.Duration, bool)
+	// Observer is told of the target's runs; nil: nobody is.
+	Observer RunnerObserver
 }
 
+// RunnerObserver is told of a target's runs, in order and while the target is
+// locked: of the target, its methods may call LeaseEnd only.
+type RunnerObserver interface {
+	RunStarted(target, task, spec string)
+	// RunEnded is told how a run ended: "done", "failed", "stopped", "lapsed", or
+	// "broken" by the end of the target's process.
+	RunEnded(target, task, how string)
+}
+
+type nobody struct{}
+
+func (nobody) RunStarted(string, string, string) {}
+func (nobody) RunEnded(string, string, string)   {}
+
 // Runner is the stand-in of a target whose runs hold a lease, in memory. It takes
 // the time from package time, so that it works in virtual time.
 type Runner struct {
@@ -32,7 +50,7 @@
 	behind time.Duration // of the time of day
 	life   int
 	fence  uint64
-	lease  time.Time
+	lease  atomic.Pointer[time.Time]
 	timer  *time.Timer
 	runs   map[string]*standinRun
 	barred map[string]uint32 // highest attempt that ended or was stopped, by task
@@ -78,6 +96,9 @@
 	if o.Work == nil {
 		o.Work = func(string, string) (time.Duration, bool) { return 50 * time.Millisecond, false }
 	}
+	if o.Observer == nil {
+		o.Observer = nobody{}
+	}
 	r := &Runner{opts: o, starts: make(map[string]int)}
 	r.reset()
 	return r
@@ -91,6 +112,7 @@
 	r.runs = make(map[string]*standinRun)
 	r.barred = make(map[string]uint32)
 	r.ended = nil
+	r.lease.Store(nil)
 	r.change = make(chan struct{})
 }
 
@@ -98,8 +120,9 @@
 func (r *Runner) Restart() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, run := range r.runs {
+	for task, run := range r.runs {
 		run.timer.Stop()
+		r.opts.Observer.RunEnded(r.opts.ID, task, "broken")
 	}
 	close(r.change)
 	r.reset()
@@ -162,13 +185,26 @@
 	return a
 }
 
-// extend takes a lease, which never shortens.
+// LeaseEnd returns when the lease runs out; no run goes on after it. Observers may
+// call it.
+func (r *Runner) LeaseEnd() time.Time {
+	if end := r.lease.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
+// extend takes a lease that ends at a time on the target's clock.
 func (r *Runner) extend(deadlineMS int64) {
-	end := r.born.Add(min(time.Duration(deadlineMS)*time.Millisecond, time.Since(r.born)+r.opts.MaxHold))
-	if !end.After(r.lease) {
+	r.Renew(r.born.Add(min(time.Duration(deadlineMS)*time.Millisecond, time.Since(r.born)+r.opts.MaxHold)))
+}
+
+// Renew takes a lease, which never shortens.
+func (r *Runner) Renew(end time.Time) {
+	if !end.After(r.LeaseEnd()) {
 		return
 	}
-	r.lease = end
+	r.lease.Store(&end)
 	if r.timer != nil {
 		r.timer.Stop()
 	}
@@ -179,7 +215,14 @@
 func (r *Runner) lapse(life int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if life != r.life || time.Now().Before(r.lease) {
+	if life == r.life {
+		r.settle()
+	}
+}
+
+// settle ends the runs whose lease has run out.
+func (r *Runner) settle() {
+	if time.Now().Before(r.LeaseEnd()) {
 		return
 	}
 	for task := range r.runs {
@@ -193,7 +236,8 @@
 	delete(r.runs, task)
 	r.barred[task] = max(r.barred[task], run.attempt)
 	r.number++
-	r.ended = append(r.ended, endedRun{r.number, task, run.attempt, how})
+	r.ended = append(r.ended, endedRun{number: r.number, task: task, attempt: run.attempt, how: how})
+	r.opts.Observer.RunEnded(r.opts.ID, task, how)
 	close(r.change)
 	r.change = make(chan struct{})
 }
@@ -216,6 +260,7 @@
 	if int64(q.Deadline) < r.clock() {
 		return http.StatusConflict, r.answer(platform.ReasonLate)
 	}
+	r.settle()
 	r.extend(int64(q.Deadline))
 	if run := r.runs[q.Task]; run != nil && run.attempt == q.Run {
 		return http.StatusOK, r.answer("")
@@ -239,6 +284,7 @@
 	})
 	r.runs[q.Task] = run
 	r.starts[q.Task]++
+	r.opts.Observer.RunStarted(r.opts.ID, q.Task, q.Spec)
 	return http.StatusOK, r.answer("")
 }
 
@@ -261,6 +307,7 @@
 		defer r.mu.Unlock()
 		return http.StatusConflict, r.answer(platform.ReasonFence)
 	}
+	r.settle()
 	r.extend(int64(q.Deadline))
 	for len(r.ended) > 0 && r.ended[0].number <= q.Ack {
 		r.ended = r.ended[1:]
@@ -320,6 +367,24 @@
 	return true, r.faults.Late
 }
 
+// reportInterval is the time between two reports of a target.
+const reportInterval = 200 * time.Millisecond
+
+// Announce sends the target's reports to its agent until ctx ends.
+func (r *Runner) Announce(ctx context.Context, agent, service string) {
+	for n := uint64(1); ctx.Err() == nil; n++ {
+		body, _ := json.Marshal(r.Report(service, "ready", n)) // plain values always encode
+		// An error is an agent that is not there.
+		if resp, err := http.Post("http://"+agent+"/instances/"+r.id()+"/heartbeat", "application/json", bytes.NewReader(body)); err == nil {
+			resp.Body.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(reportInterval):
+		}
+	}
+}
+
 // Handler returns the target's HTTP side.
 func (r *Runner) Handler() http.Handler {
 	router := bunrouter.New().Compat()
