Add a report page with plots from the logs

catkinline report reads the structured logs of gateways and sidecars and writes one HTML page: jobs by result over time, for all and by route, quantiles of the time until done, the share in time, what waits and what is reached, and the changes that processes logged. Plots are drawn by gonum/plot as SVG inside the page, so that the page needs no network.

--- a/command/command.go
+++ b/command/command.go
@@ -39,6 +39,7 @@
 	{"load", "drive a fleet of real processes and measure it", runLoad},
 	{"scale", "measure what each role costs at several sizes", runScale},
 	{"soak", "play random faults against real processes and check the promises", runSoak},
+	{"report", "show logs as a page with plots", runReport},
 	{"standin store", "serve a stand-in of the platform's store", runStandinStore},
 	{"standin target", "serve a stand-in target", runStandinTarget},
 	{"ctl", "show and change the configuration and the state of a running system", runCtl},
--- /dev/null
+++ b/report/page.go
@@ -0,0 +1,116 @@
+package report
+
+import (
+	"embed"
+	"fmt"
+	"html/template"
+	"io"
+	"sort"
+	"time"
+
+	"gonum.org/v1/plot"
+)
+
+//go:embed page.html
+var pages embed.FS
+
+var pageTemplate = template.Must(template.ParseFS(pages, "page.html"))
+
+// maxChanges bounds the list of changes on the page; the logs have them all.
+const maxChanges = 400
+
+// row is one route's line in the page's table.
+type row struct {
+	Route    string
+	Jobs     int
+	Counts   []int // by Results
+	P50, P99 time.Duration
+}
+
+type change struct {
+	At, Message, Detail string
+}
+
+type page struct {
+	Title   string
+	Start   string
+	Results []Result
+	Rows    []row
+	Plots   []template.HTML
+	Changes []change
+	More    int // changes that are left out
+	Skipped int
+}
+
+// Write writes the page of a day whose jobs are counted in intervals of a width.
+func (d *Day) Write(w io.Writer, title string, width time.Duration) error {
+	if len(d.Jobs) == 0 {
+		return Error.New("the logs have no line of a job that ended")
+	}
+	plots, err := d.plots(width)
+	if err != nil {
+		return err
+	}
+	p := page{Title: title, Start: d.Start().UTC().Format(time.RFC3339), Results: Results, Plots: plots, Skipped: d.Skipped}
+	p.Rows = append(p.Rows, d.row("", "all"))
+	for _, route := range d.Routes() {
+		p.Rows = append(p.Rows, d.row(route, route))
+	}
+	p.Changes, p.More = d.changes()
+	return Error.Wrap(pageTemplate.Execute(w, p))
+}
+
+func (d *Day) plots(width time.Duration) ([]template.HTML, error) {
+	bins := d.Bins(width, "")
+	draws := []func() (*plot.Plot, error){
+		func() (*plot.Plot, error) { return resultsPlot("jobs by result", bins, width) },
+		func() (*plot.Plot, error) { return tookPlot(bins, width) },
+		func() (*plot.Plot, error) { return d.inTimePlot(width) },
+		func() (*plot.Plot, error) { return roomPlot(bins, width) },
+	}
+	for _, route := range d.Routes() {
+		draws = append(draws, func() (*plot.Plot, error) {
+			return resultsPlot("jobs by result, route "+route, d.Bins(width, route), width)
+		})
+	}
+	var out []template.HTML
+	for _, draw := range draws {
+		p, err := draw()
+		if err != nil {
+			return nil, err
+		}
+		element, err := svg(p)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, element)
+	}
+	return out, nil
+}
+
+// row sums up a route; an empty one stands for all.
+func (d *Day) row(route, name string) row {
+	// One interval that is longer than any day.
+	bins := d.Bins(365*24*time.Hour, route)
+	r := row{Route: name, Jobs: bins[0].Jobs(), P50: bins[0].Quantile(0.5), P99: bins[0].Quantile(0.99)}
+	for _, result := range Results {
+		r.Counts = append(r.Counts, bins[0].Counts[result])
+	}
+	return r
+}
+
+func (d *Day) changes() (list []change, more int) {
+	sorted := append([]Change(nil), d.Changes...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].At.Before(sorted[j].At) })
+	for i, c := range sorted {
+		if i == maxChanges {
+			return list, len(sorted) - maxChanges
+		}
+		at := fmt.Sprintf("%.2f", c.At.Sub(d.Start()).Seconds())
+		list = append(list, change{At: at, Message: c.Message, Detail: c.Detail})
+	}
+	return list, 0
+}
+
+// Milliseconds shows a time in the table.
+func (r row) Milliseconds(d time.Duration) int64 { return d.Milliseconds() }
