Choose placers only among entries that say what processor they have

An entry of an earlier version closes a link on which it gets a message that it does not know; it announces no processor, so that a rolling upgrade hands it no jobs. When tasks last waited is kept on the monotonic clock: the time of day may step back, and jobs would go to placers until it has caught up.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -40,7 +40,8 @@
 // agents end the runs of an entry that went silent; the caller's entry passes the
 // answer on.
 type forwarder struct {
-	contendedAt atomic.Int64 // Unix nanoseconds
+	created     time.Time
+	contendedAt atomic.Int64 // nanoseconds since created, whatever the time of day does
 
 	mu       sync.Mutex
 	number   uint64
@@ -61,7 +62,8 @@
 
 func newForwarder() *forwarder {
 	return &forwarder{
-		out: make(map[uint64]*forward), byID: make(map[string]*forward),
+		created: time.Now(),
+		out:     make(map[uint64]*forward), byID: make(map[string]*forward),
 		in:    make(map[*transport.Link]map[uint64]*placement.Ticket),
 		peers: make(map[*transport.Link]bool), declined: make(map[string]time.Time),
 	}
@@ -197,21 +199,25 @@
 }
 
 // setContended takes note that tasks wait here or at a placer.
-func (f *forwarder) setContended(now time.Time) { f.contendedAt.Store(now.UnixNano()) }
+func (f *forwarder) setContended(now time.Time) {
+	f.contendedAt.Store(max(1, int64(now.Sub(f.created))))
+}
 
 // contended reports whether tasks wait, or did just now.
 func (f *forwarder) contended(now time.Time) bool {
-	return now.Sub(time.Unix(0, f.contendedAt.Load())) < contendedFor
+	at := f.contendedAt.Load()
+	return at > 0 && now.Sub(f.created)-time.Duration(at) < contendedFor
 }
 
 // placers chooses the entries that place for all: those with the most processor, over
 // as many failure domains as possible. Entries that know the same peers choose alike.
+// One that does not say what processor it has may be of a version without placers.
 func placers(entries []wire.Peer) []string {
 	count := (len(entries) + entriesPerPlacer - 1) / entriesPerPlacer
 	inDomain := make(map[string]int)
-	left := slices.Clone(entries)
+	left := slices.DeleteFunc(slices.Clone(entries), func(p wire.Peer) bool { return p.CPU == 0 })
 	var out []string
-	for len(out) < count {
+	for len(out) < count && len(left) > 0 {
 		best := slices.MinFunc(left, func(a, b wire.Peer) int {
 			return cmp.Or(cmp.Compare(b.CPU, a.CPU), cmp.Compare(inDomain[a.FailureDomain], inDomain[b.FailureDomain]), strings.Compare(a.Name, b.Name))
 		})
@@ -233,7 +239,7 @@
 	}
 	direct := g.members.Snapshot().Direct
 	names := placers(append([]wire.Peer{g.self()}, direct...))
-	if slices.Contains(names, g.node.Name) {
+	if len(names) == 0 || slices.Contains(names, g.node.Name) {
 		return nil
 	}
 	return f.choose(names, now)
