--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -289,6 +289,7 @@
 		a = wire.JobAnswer{Outcome: uint8(placement.Cancelled), Reason: "the caller went away"}
 	}
 	if a.Declined {
+		g.log.Info("placer declined a job", zap.String("job", r.Job.ID), zap.String("peer", link.Name()))
 		return placement.Answer{}, false
 	}
 	answer := placement.Answer{Outcome: placement.Outcome(a.Outcome), Reason: a.Reason, RetryAfter: a.RetryAfter}
@@ -312,6 +313,8 @@
 func (g *Gateway) handleForward(l *transport.Link, m *wire.JobForward) {
 	now := time.Now()
 	if g.stopping.Load() || g.pressure.high() {
+		g.log.Info("job of a peer declined", zap.String("job", m.Job.ID), zap.String("peer", l.Name()),
+			zap.Bool("stopping", g.stopping.Load()), zap.Duration("lag", g.pressure.lag()))
 		// An error is a link that ends; the peer answers its caller then.
 		_ = l.Send(&wire.JobAnswer{Number: m.Number, Declined: true})
 		return
--- a/report/read.go
+++ b/report/read.go
@@ -107,7 +107,8 @@
 
 func (d *Day) add(l line) {
 	switch {
-	case l.Message == "job ended":
+	// A placer that died has no line on the jobs that it had.
+	case l.Message == "job ended", l.Message == "forwarded job ended" && l.Outcome == "expired":
 		d.Jobs = append(d.Jobs, Job{
 			At: l.At, Route: l.Route, Result: resultOf(l), Took: time.Duration(l.Took * float64(time.Second)),
 			Waiting: l.Queue, Targets: l.Targets,
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -14,6 +14,8 @@
 {"level":"info","ts":"2026-08-17T03:14:47.400Z","msg":"job ended","job":"a3","route":"quote <i>","outcome":"refused","in_time":false,"took":0,"targets":2,"queue":4}
 {"level":"info","ts":"2026-08-17T03:14:47.500Z","msg":"job ended","job":"a4","route":"preview","outcome":"expired","in_time":false,"took":2,"targets":2,"queue":4}
 {"level":"info","ts":"2026-08-17T03:14:47.600Z","msg":"job ended","job":"a5","route":"preview","outcome":"cancelled","in_time":false,"took":2,"targets":2,"queue":4}
+{"level":"info","ts":"2026-08-17T03:14:47.700Z","msg":"forwarded job ended","job":"a6","route":"preview","outcome":"done","took":2}
+{"level":"info","ts":"2026-08-17T03:14:47.700Z","msg":"forwarded job ended","job":"a7","route":"preview","outcome":"expired","took":2}
 {"level":"warn","ts":"2026-08-17T03:14:46.200Z","msg":"store lost","error":"refused"}
 {"level":"info","ts":"2026-08-17T03:14:46.150Z","msg":"target changed","agent":"side-a-1","change":"distrusted","detail":"failures"}
 {"level":"info","ts":"2026-08-17T03:14:46.150Z","msg":"peer linked","peer":"edge-a-2"}
@@ -34,10 +36,10 @@
 // against text between the lines that ends the reading.
 func TestReadCountsEveryJob(t *testing.T) {
 	d := readDay(t)
-	if len(d.Jobs) != 5 || d.Skipped != 2 || len(d.Changes) != 2 {
+	if len(d.Jobs) != 6 || d.Skipped != 2 || len(d.Changes) != 2 {
 		t.Fatalf("%d jobs, %d lines skipped, changes %v", len(d.Jobs), d.Skipped, d.Changes)
 	}
-	for i, want := range []Result{InTime, Late, Refused, Failed, Left} {
+	for i, want := range []Result{InTime, Late, Refused, Failed, Left, Failed} {
 		if d.Jobs[i].Result != want {
 			t.Errorf("job %d is %q, want %q", i, d.Jobs[i].Result, want)
 		}
@@ -51,7 +53,7 @@
 // lose jobs.
 func TestBins(t *testing.T) {
 	bins := readDay(t).Bins(time.Second, "")
-	if len(bins) != 2 || bins[0].Jobs() != 2 || bins[1].Jobs() != 3 {
+	if len(bins) != 2 || bins[0].Jobs() != 2 || bins[1].Jobs() != 4 {
 		t.Fatalf("%+v", bins)
 	}
 	if b := bins[0]; b.Quantile(0.5) != 60*time.Millisecond || b.Quantile(0.99) != 500*time.Millisecond || b.Waiting != 3 || b.Targets != 2 {
@@ -76,7 +78,7 @@
 	if n := strings.Count(page, "<svg"); n != 6 {
 		t.Errorf("%d plots, want 6: four of all jobs and one for each route", n)
 	}
-	for _, want := range []string{"<td>preview</td><td>4</td>", "quote &lt;i&gt;", "store lost", "2 lines of the files are no log lines"} {
+	for _, want := range []string{"<td>preview</td><td>5</td>", "quote &lt;i&gt;", "store lost", "2 lines of the files are no log lines"} {
 		if !strings.Contains(page, want) {
 			t.Errorf("the page lacks %q", want)
 		}
