Carry tokens and unsettled orders over a target's restart under its id

The header that names the incarnation is the same for both lives, so the new life carried out orders meant for the last one. The agent had cleared its table with the old life and reported the runs as stopped; their entry started the tasks elsewhere.

In the same log, 187 starts refused as 'fenced' in ten seconds: the new life had seen the token of the last one by those orders, the agent began again with the target's new clock, and no start was taken until that clock had caught up with the last life. An agent's next process would have been locked out in the same way.

Ruled out: late timers of the stand-in (the lease of the first run had 100 ms left), the placers (the jobs were not forwarded).

Now the token rises over the restart; runs that the old process had not confirmed before the birth stay in the table, are stopped, and end when the stop is acknowledged and a later listing lacks them; the same where nothing listens for a moment. A token that is too low is doubled until it is not, some fifty calls at most.

--- a/runs/runs.go
+++ b/runs/runs.go
@@ -180,7 +180,28 @@
 	return ended
 }
 
-// Clear removes and returns all runs: the target's process has ended.
+// Lose takes in that the target's process has ended, at a time or later, and that a
+// new one may have begun. It removes and returns the runs that the old process had
+// confirmed before. Orders that were not settled by then may reach the new one: their
+// runs stay, unsure. Those without a stop that is still to be acknowledged are returned
+// as well, as the old process may have acknowledged the one that they had.
+func (t *Table) Lose(ended time.Time, reason string) (over []Ended, unsure []*Run) {
+	for _, r := range t.Of(func(*Run) bool { return true }) {
+		if r.State == Running && r.Known.Before(ended) {
+			t.Remove(r.ID)
+			over = append(over, Ended{r, wire.EndStopped, reason})
+			continue
+		}
+		r.State = Unsure
+		if !r.Stopping || !r.Stopped.IsZero() {
+			r.Stopping, r.Stopped = false, time.Time{}
+			unsure = append(unsure, r)
+		}
+	}
+	return over, unsure
+}
+
+// Clear removes and returns all runs: the target's process has ended for good.
 func (t *Table) Clear(reason string) []Ended {
 	var ended []Ended
 	for _, r := range t.Of(func(*Run) bool { return true }) {
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -82,16 +82,15 @@
 	silent := time.Since(s.target.answered) > time.Duration(clockSlack*float64(s.opts.Lease))+2*s.opts.OrderLimit+s.opts.Renew
 	was := s.target.reachable
 	s.target.reachable = false
-	if gone || silent && !s.target.answered.IsZero() {
-		reason := "the target's process has ended"
-		if !gone {
-			reason = "the target was silent for longer than its lease"
-		}
-		for _, e := range s.table.Clear(reason) {
+	switch {
+	case silent && !s.target.answered.IsZero():
+		for _, e := range s.table.Clear("the target was silent for longer than its lease") {
 			s.finish(e)
 		}
-		s.target.synced = s.target.synced || gone
+	case gone:
+		s.loseRuns(time.Now(), "the target's process has ended")
 	}
+	s.target.synced = s.target.synced || gone
 	if was {
 		s.tellState()
 	}
@@ -112,15 +111,14 @@
 		return true // overtaken by the answer to a later inquiry
 	}
 	if l.Born != s.target.born && l.Born != 0 {
-		s.targetReborn(l)
+		s.targetReborn(asked, l)
 	}
 	s.target.clock, s.target.clockAt, s.target.answered = l.Clock, now, now
 	if s.target.fence == 0 || l.Fenced {
-		// The target's own clock rises within its life, whatever the time of day
-		// does, and a new life has seen no token, so that a later agent always has
-		// the higher one.
-		s.target.fence = max(uint64(l.Clock.Milliseconds()), s.target.fence) + 1
-		return !l.Fenced || q.Fence == 0 // at once for the first token only
+		if q.Fence == s.target.fence { // not raised since
+			s.target.raiseFence()
+		}
+		return true
 	}
 	s.target.reachable = true
 	orphans := s.applyListing(asked, l)
@@ -137,14 +135,44 @@
 	return len(orphans) == 0
 }
 
-func (s *Sidecar) targetReborn(l targets.Listing) {
+// raiseFence takes a token that is higher than the last one. The target's own clock
+// rises within its life, whatever the time of day does, so that a later agent usually
+// has the higher token at once. A life that has seen a token of the one before it, by
+// an order that was on its way, may have seen a much higher one: doubling finds it
+// within some fifty calls. Only the agent on the target's own instance orders runs, so
+// that nobody else raises the token against it.
+func (t *targetState) raiseFence() {
+	t.fence = max(uint64(t.clock.Milliseconds()), min(2*t.fence, maxFence)) + 1
+}
+
+// targetReborn takes in the first answer of the target's next life. Orders for the
+// last one that were on their way may be carried out in this one, which has seen no
+// token: the token rises over the life's end, and what was not settled before the
+// birth is stopped before its end is reported.
+func (s *Sidecar) targetReborn(asked time.Time, l targets.Listing) {
+	fence := s.target.fence
 	if s.target.born != 0 {
 		s.log.Info("target started again", zap.Int64("born", l.Born), zap.Int64("before", s.target.born))
-		for _, e := range s.table.Clear("the target started again") {
-			s.finish(e)
-		}
+		// The clock was read after the question was asked, in whole milliseconds.
+		age := time.Duration(clockSlack*float64(l.Clock)) + time.Millisecond
+		s.loseRuns(asked.Add(-age), "the target started again")
 	}
 	s.target = targetState{born: l.Born}
+	if fence != 0 {
+		s.target.fence = fence + 1
+	}
+}
+
+// loseRuns reports the runs that a process of the target had confirmed before its
+// end, and has those stopped that the next one may have begun.
+func (s *Sidecar) loseRuns(ended time.Time, reason string) {
+	over, unsure := s.table.Lose(ended, reason)
+	for _, e := range over {
+		s.finish(e)
+	}
+	for _, r := range unsure {
+		s.stop(r, reason)
+	}
 }
 
 // applyListing reports the ends that are listed and returns the runs that the
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -135,8 +135,10 @@
 	case targets.StartStale:
 		s.remove(r, wire.EndStale, "")
 	case targets.StartFenced:
-		s.target.fence = 0
-		signal(s.wake)
+		if o.Fence == s.target.fence {
+			s.target.raiseFence()
+			signal(s.wake)
+		}
 		s.remove(r, wire.EndNotRun, "fenced")
 	default:
 		s.target.pause = now.Add(refusalPause)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -45,6 +45,8 @@
 	silenceLimit = 400 * time.Millisecond
 	// clockSlack is by how much the target's clock may be slow.
 	clockSlack = 1.02
+	// maxFence bounds the token to what every JSON reader takes for a whole number.
+	maxFence = 1 << 52
 	// roomInterval is the shortest time between two messages about room to an
 	// entry, so that several ends cost one message.
 	roomInterval = time.Millisecond
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,7 +61,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{46, "a target started again under its id while orders were on their way: the new life carried them out, and took no orders from its agent for as long as the last life was"},
+}
 
 // Guards against the return of faults that a soak has found.
 func TestSoakRegressions(t *testing.T) {
