--- a/soak/callers.go
+++ b/soak/callers.go
@@ -39,18 +39,18 @@
 
 // callers hand jobs in at the gateways and check the answers.
 type callers struct {
-	b      *bed
+	b      *testbed
 	client *http.Client
 	jobs   sync.WaitGroup
 	number atomic.Uint64
 
 	mu       sync.Mutex
-	unserved []*errand // refused by every gateway that was asked
+	unserved []*callerJob // refused by every gateway that was asked
 
 	jobsSent, served, failed, refused, broken, left atomic.Int64
 }
 
-func newCallers(b *bed) *callers {
+func newCallers(b *testbed) *callers {
 	return &callers{b: b, client: &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 64,
 	}}}
@@ -71,8 +71,8 @@
 	}
 }
 
-// errand is a job and how its caller behaves.
-type errand struct {
+// callerJob is a job and how its caller behaves.
+type callerJob struct {
 	job      workload.Job
 	failures int           // of each task's first runs
 	leaves   time.Duration // the caller goes away; 0: it does not
@@ -90,9 +90,9 @@
 	started     bool // a task of the job had started by then
 }
 
-func (c *callers) draw(rnd *rand.Rand) *errand {
+func (c *callers) draw(rnd *rand.Rand) *callerJob {
 	kind := pick(rnd, kinds)
-	j := &errand{first: rnd.IntN(len(c.b.gateways))}
+	j := &callerJob{first: rnd.IntN(len(c.b.gateways))}
 	switch rnd.IntN(20) {
 	case 0:
 		j.failures = 1
@@ -110,7 +110,7 @@
 
 // submit sends a job until it has an answer, as the platform's callers do: once more
 // elsewhere after a broken connection or a refusal.
-func (c *callers) submit(j *errand) {
+func (c *callers) submit(j *callerJob) {
 	c.jobsSent.Add(1)
 	ctx, cancel := context.WithTimeout(c.b.ctx, callerWait)
 	defer cancel()
@@ -149,7 +149,7 @@
 }
 
 // judge checks a job's answers against what the targets saw.
-func (c *callers) judge(j *errand) {
+func (c *callers) judge(j *callerJob) {
 	last := j.sends[len(j.sends)-1]
 	for _, s := range j.sends {
 		c.checkLost(j, s)
@@ -188,7 +188,7 @@
 
 // checkLost checks that a request that a gateway has read gets a complete answer
 // when nothing but planned work was under way.
-func (c *callers) checkLost(j *errand, s send) {
+func (c *callers) checkLost(j *callerJob, s send) {
 	var dial *net.OpError
 	if s.err == nil || errors.Is(s.err, context.DeadlineExceeded) || errors.As(s.err, &dial) && dial.Op == "dial" {
 		return // the caller went away, or the request was never sent
@@ -202,7 +202,7 @@
 }
 
 // refusedAlways reports whether every answer said that the job has not run.
-func (j *errand) refusedAlways() bool {
+func (j *callerJob) refusedAlways() bool {
 	for _, s := range j.sends {
 		if s.err != nil || !s.answer.Refused() {
 			return false
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,42 +26,42 @@
 	apply   func() (end func())
 }
 
-// drawer draws faults from a seed. The same seed draws the same faults.
-type drawer struct {
-	b   *bed
+// generator draws faults from a seed. The same seed draws the same faults.
+type generator struct {
+	b   *testbed
 	rnd *rand.Rand
 }
 
-func newDrawer(b *bed, seed uint64) *drawer {
-	return &drawer{b: b, rnd: rand.New(rand.NewPCG(seed, 1))}
+func newGenerator(b *testbed, seed uint64) *generator {
+	return &generator{b: b, rnd: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // between returns a duration in a range of milliseconds.
-func (d *drawer) between(low, high int) time.Duration {
-	return time.Duration(low+d.rnd.IntN(high-low+1)) * time.Millisecond
+func (g *generator) between(low, high int) time.Duration {
+	return time.Duration(low+g.rnd.IntN(high-low+1)) * time.Millisecond
 }
 
 func pick[T any](rnd *rand.Rand, from []T) T { return from[rnd.IntN(len(from))] }
 
-func (d *drawer) gateway() *node { return pick(d.rnd, d.b.gateways) }
-func (d *drawer) sidecar() *node { return pick(d.rnd, d.b.sidecars) }
-func (d *drawer) any() *node     { return pick(d.rnd, d.b.nodes()) }
+func (g *generator) gateway() *node { return pick(g.rnd, g.b.gateways) }
+func (g *generator) sidecar() *node { return pick(g.rnd, g.b.sidecars) }
+func (g *generator) any() *node     { return pick(g.rnd, g.b.nodes()) }
 
-// planned draws planned work: stops, reloads and configurations. The stops follow
-// each other, and one of two processes of a role always stays.
-func (d *drawer) planned(phase time.Duration) []fault {
+// planned draws planned work: stops, reloads and configurations. Stops concern one
+// gateway and one sidecar only, so that others serve meanwhile.
+func (g *generator) planned(phase time.Duration) []fault {
 	var out []fault
-	for at := d.between(100, 400); at < phase; at += d.between(300, 900) {
+	for at := g.between(100, 400); at < phase; at += g.between(300, 900) {
 		var f fault
-		switch d.rnd.IntN(4) {
+		switch g.rnd.IntN(4) {
 		case 0:
-			f = d.stop(d.b.gateways[0])
+			f = g.stop(g.b.gateways[0])
 		case 1:
-			f = d.stop(d.b.sidecars[0])
+			f = g.stop(g.b.sidecars[0])
 		case 2:
-			f = d.reload(d.any())
+			f = g.reload(g.any())
 		default:
-			f = d.configuration()
+			f = g.configuration()
 		}
 		f.at, f.planned = at, true
 		out = append(out, f)
@@ -69,60 +69,60 @@
 	return out
 }
 
-// storm draws faults that overlap.
-func (d *drawer) storm(phase time.Duration) []fault {
+// overlapping draws unplanned and planned faults that may overlap.
+func (g *generator) overlapping(phase time.Duration) []fault {
 	draws := []func() fault{
-		func() fault { return d.kill(d.gateway()) },
-		func() fault { return d.kill(d.sidecar()) },
-		func() fault { return d.freeze(d.gateway()) },
-		func() fault { return d.freeze(d.sidecar()) },
-		func() fault { return d.stop(d.any()) },
-		func() fault { return d.reload(d.any()) },
-		d.power,
-		d.storeFault,
-		func() fault { return d.cutTCP("store of", d.any(), func(n *node) *faultproxy.TCP { return n.store }) },
+		func() fault { return g.kill(g.gateway()) },
+		func() fault { return g.kill(g.sidecar()) },
+		func() fault { return g.freeze(g.gateway()) },
+		func() fault { return g.freeze(g.sidecar()) },
+		func() fault { return g.stop(g.any()) },
+		func() fault { return g.reload(g.any()) },
+		g.power,
+		g.storeFault,
+		func() fault { return g.cutTCP("store of", g.any(), func(n *node) *faultproxy.TCP { return n.store }) },
 		func() fault {
-			return d.cutTCP("callers of", d.gateway(), func(n *node) *faultproxy.TCP { return n.inbound })
+			return g.cutTCP("callers of", g.gateway(), func(n *node) *faultproxy.TCP { return n.inbound })
 		},
 		func() fault {
-			return d.cutTCP("target of", d.sidecar(), func(n *node) *faultproxy.TCP { return n.inbound })
+			return g.cutTCP("target of", g.sidecar(), func(n *node) *faultproxy.TCP { return n.inbound })
 		},
-		d.cutLinks,
-		d.cutLinks,
-		d.targetFault,
-		d.configuration,
+		g.cutLinks,
+		g.cutLinks,
+		g.targetFault,
+		g.configuration,
 	}
 	var out []fault
-	for at := d.between(0, 300); at < phase; at += d.between(50, 700) {
-		f := pick(d.rnd, draws)()
+	for at := g.between(0, 300); at < phase; at += g.between(50, 700) {
+		f := pick(g.rnd, draws)()
 		f.at = at
 		out = append(out, f)
 	}
 	return out
 }
 
-func (d *drawer) kill(n *node) fault {
-	return fault{name: "kill " + n.name, place: n.name, lasts: d.between(100, 1500), apply: func() func() {
+func (g *generator) kill(n *node) fault {
+	return fault{name: "kill " + n.name, place: n.name, lasts: g.between(100, 1500), apply: func() func() {
 		p := n.signal(syscall.SIGKILL)
-		return func() { d.b.restart(n, p) }
+		return func() { g.b.restart(n, p) }
 	}}
 }
 
-func (d *drawer) stop(n *node) fault {
-	return fault{name: "stop " + n.name, place: n.name, lasts: d.between(0, 500), apply: func() func() {
+func (g *generator) stop(n *node) fault {
+	return fault{name: "stop " + n.name, place: n.name, lasts: g.between(0, 500), apply: func() func() {
 		p := n.signal(syscall.SIGTERM)
-		return func() { d.b.restart(n, p) }
+		return func() { g.b.restart(n, p) }
 	}}
 }
 
-func (d *drawer) freeze(n *node) fault {
-	return fault{name: "freeze " + n.name, place: n.name, lasts: d.between(50, 3000), apply: func() func() {
+func (g *generator) freeze(n *node) fault {
+	return fault{name: "freeze " + n.name, place: n.name, lasts: g.between(50, 3000), apply: func() func() {
 		n.signal(syscall.SIGSTOP)
 		return func() { n.signal(syscall.SIGCONT) }
 	}}
 }
 
-func (d *drawer) reload(n *node) fault {
+func (g *generator) reload(n *node) fault {
 	return fault{name: "reload " + n.name, place: n.name, planned: true, apply: func() func() {
 		n.signal(syscall.SIGHUP)
 		return func() {}
@@ -130,33 +130,33 @@
 }
 
 // power kills all gateways, all sidecars, or both at once.
-func (d *drawer) power() fault {
-	nodes := pick(d.rnd, [][]*node{d.b.gateways, d.b.sidecars, d.b.nodes()})
-	return fault{name: fmt.Sprintf("kill %d processes at once", len(nodes)), place: everywhere, lasts: d.between(100, 1500), apply: func() func() {
+func (g *generator) power() fault {
+	nodes := pick(g.rnd, [][]*node{g.b.gateways, g.b.sidecars, g.b.nodes()})
+	return fault{name: fmt.Sprintf("kill %d processes at once", len(nodes)), place: everywhere, lasts: g.between(100, 1500), apply: func() func() {
 		killed := make([]*fleet.Process, len(nodes))
 		for i, n := range nodes {
 			killed[i] = n.signal(syscall.SIGKILL)
 		}
 		return func() {
 			for i, n := range nodes {
-				d.b.restart(n, killed[i])
+				g.b.restart(n, killed[i])
 			}
 		}
 	}}
 }
 
-func (d *drawer) configuration() fault {
+func (g *generator) configuration() fault {
 	return fault{name: "configuration", planned: true, apply: func() func() {
 		// An error is the end of the soak.
-		_ = d.b.configure()
+		_ = g.b.configure()
 		return func() {}
 	}}
 }
 
 // storeFault turns one of the store's switches on.
-func (d *drawer) storeFault() fault {
+func (g *generator) storeFault() fault {
 	off, zero := false, 0
-	on, late, stale, lost := true, 20+d.rnd.IntN(300), 500+d.rnd.IntN(3000), 1+d.rnd.IntN(5)
+	on, late, stale, lost := true, 20+g.rnd.IntN(300), 500+g.rnd.IntN(3000), 1+g.rnd.IntN(5)
 	choices := []struct {
 		name    string
 		on, off standin.StoreFaultChange
@@ -167,24 +167,24 @@
 		{"stale", standin.StoreFaultChange{StaleReadsMS: &stale}, standin.StoreFaultChange{StaleReadsMS: &zero}},
 		{"loses answers", standin.StoreFaultChange{DropWriteAnswers: &lost}, standin.StoreFaultChange{DropWriteAnswers: &zero}},
 	}
-	c := pick(d.rnd, choices)
-	return fault{name: "store " + c.name, place: everywhere, lasts: d.between(300, 4000), apply: func() func() {
-		d.change(c.on)
-		return func() { d.change(c.off) }
+	c := pick(g.rnd, choices)
+	return fault{name: "store " + c.name, place: everywhere, lasts: g.between(300, 4000), apply: func() func() {
+		g.change(c.on)
+		return func() { g.change(c.off) }
 	}}
 }
 
-func (d *drawer) change(c standin.StoreFaultChange) {
-	if err := d.b.store.Change(c); err != nil {
-		d.b.ledger.violation("SOAK", "the store's switch: %v", err)
+func (g *generator) change(c standin.StoreFaultChange) {
+	if err := g.b.store.Change(c); err != nil {
+		g.b.ledger.violation("SOAK", "the store's switch: %v", err)
 	}
 }
 
 // cutTCP disturbs the connections through a relay of a node.
-func (d *drawer) cutTCP(what string, n *node, of func(*node) *faultproxy.TCP) fault {
+func (g *generator) cutTCP(what string, n *node, of func(*node) *faultproxy.TCP) fault {
 	relay := of(n)
-	f := fault{name: fmt.Sprintf("%s %s ", what, n.name), place: n.name, lasts: d.between(100, 2500)}
-	switch d.rnd.IntN(4) {
+	f := fault{name: fmt.Sprintf("%s %s ", what, n.name), place: n.name, lasts: g.between(100, 2500)}
+	switch g.rnd.IntN(4) {
 	case 0:
 		f.name += "reset"
 		f.apply = func() func() { relay.ResetFlows(); return func() {} }
@@ -194,41 +194,41 @@
 		f.apply = func() func() { relay.SilenceFlows(); return func() { relay.ResetFlows() } }
 	case 2:
 		f.name += "delayed"
-		f.apply = d.set(relay, faultproxy.Faults{Delay: d.between(5, 80)})
+		f.apply = g.set(relay, faultproxy.Faults{Delay: g.between(5, 80)})
 	default:
-		cut := pick(d.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
+		cut := pick(g.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
 		f.name += "cut " + string(cut)
-		f.apply = d.set(relay, faultproxy.Faults{Cut: cut})
+		f.apply = g.set(relay, faultproxy.Faults{Cut: cut})
 	}
 	return f
 }
 
 // cutLinks disturbs the links of a gateway to its sidecars and peers.
-func (d *drawer) cutLinks() fault {
-	n := d.gateway()
-	f := fault{name: "links of " + n.name + " ", place: everywhere, lasts: d.between(100, 3000)}
-	switch d.rnd.IntN(5) {
+func (g *generator) cutLinks() fault {
+	n := g.gateway()
+	f := fault{name: "links of " + n.name + " ", place: everywhere, lasts: g.between(100, 3000)}
+	switch g.rnd.IntN(5) {
 	case 0:
 		f.name += "silenced"
 		f.apply = func() func() { n.links.SilenceFlows(); return func() {} }
 	case 1:
 		f.name += "lossy"
-		f.apply = d.set(n.links, faultproxy.Faults{Loss: 0.5})
+		f.apply = g.set(n.links, faultproxy.Faults{Loss: 0.5})
 	case 2:
 		f.name += "delayed"
-		f.apply = d.set(n.links, faultproxy.Faults{Delay: d.between(5, 80), Duplicate: 0.2})
+		f.apply = g.set(n.links, faultproxy.Faults{Delay: g.between(5, 80), Duplicate: 0.2})
 	default:
-		cut := pick(d.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
+		cut := pick(g.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
 		f.name += "cut " + string(cut)
-		f.apply = d.set(n.links, faultproxy.Faults{Cut: cut})
+		f.apply = g.set(n.links, faultproxy.Faults{Cut: cut})
 	}
 	return f
 }
 
-func (d *drawer) set(relay faultproxy.Relay, f faultproxy.Faults) func() func() {
+func (g *generator) set(relay faultproxy.Relay, f faultproxy.Faults) func() func() {
 	return func() func() {
 		if err := relay.Set(f); err != nil {
-			d.b.ledger.violation("SOAK", "the relay's faults: %v", err)
+			g.b.ledger.violation("SOAK", "the relay's faults: %v", err)
 		}
 		return relay.Restore
 	}
@@ -236,21 +236,21 @@
 
 // targetFault disturbs a target: its process ends, or orders get no answer and are
 // carried out late.
-func (d *drawer) targetFault() fault {
-	n := d.sidecar()
+func (g *generator) targetFault() fault {
+	n := g.sidecar()
 	f := fault{place: n.name}
-	switch d.rnd.IntN(3) {
+	switch g.rnd.IntN(3) {
 	case 0:
 		f.name = "target of " + n.name + " starts again"
 		f.apply = func() func() { n.target.Restart(); return func() {} }
 	case 1:
-		behind := d.between(0, 30000)
+		behind := g.between(0, 30000)
 		f.name = "target of " + n.name + " is replaced, its clock behind"
-		f.apply = func() func() { d.b.replace(n, behind); return func() {} }
+		f.apply = func() func() { g.b.replace(n, behind); return func() {} }
 	default:
-		lost := standin.RunnerFaults{DropStarts: 1 + d.rnd.IntN(5), DropStops: d.rnd.IntN(3), DropHolds: d.rnd.IntN(5), Late: d.between(0, 2000)}
+		lost := standin.RunnerFaults{DropStarts: 1 + g.rnd.IntN(5), DropStops: g.rnd.IntN(3), DropHolds: g.rnd.IntN(5), Late: g.between(0, 2000)}
 		f.name = "target of " + n.name + " answers late"
-		f.lasts = d.between(100, 2000)
+		f.lasts = g.between(100, 2000)
 		f.apply = func() func() {
 			n.target.SetFaults(lost)
 			return func() { n.target.SetFaults(standin.RunnerFaults{}) }
@@ -260,7 +260,7 @@
 }
 
 // play plays faults that may overlap, and returns when all have ended.
-func (b *bed) play(ctx context.Context, faults []fault) {
+func (b *testbed) play(ctx context.Context, faults []fault) {
 	var all sync.WaitGroup
 	for _, f := range faults {
 		all.Go(func() {
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -80,9 +80,9 @@
 	want(t, l, "UNTRUE")
 	l.checkFailed(job.ID)
 	want(t, l, "UNTRUE", "UNTRUE")
-	c := &callers{b: &bed{ledger: l}}
+	c := &callers{b: &testbed{ledger: l}}
 	refused := send{answer: platform.JobAnswer{Status: 503}}
-	c.unserved = []*errand{{job: job, sends: []send{refused}}}
+	c.unserved = []*callerJob{{job: job, sends: []send{refused}}}
 	c.checkRefused()
 	want(t, l, "UNTRUE", "UNTRUE", "REFUSED")
 }
@@ -119,14 +119,14 @@
 // Guards against seeds that do not repeat.
 func TestSameSeedDrawsSameFaults(t *testing.T) {
 	names := func(seed uint64) string {
-		b := &bed{}
+		b := &testbed{}
 		for _, name := range []string{"edge-0", "edge-1"} {
 			b.gateways = append(b.gateways, &node{name: name})
 		}
 		b.sidecars = []*node{{name: "side-0"}, {name: "side-1"}}
-		d := newDrawer(b, seed)
+		d := newGenerator(b, seed)
 		var out []string
-		for _, f := range append(d.planned(5*time.Second), d.storm(8*time.Second)...) {
+		for _, f := range append(d.planned(5*time.Second), d.overlapping(8*time.Second)...) {
 			out = append(out, f.at.String(), f.name, f.lasts.String())
 		}
 		return strings.Join(out, "; ")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,13 +38,13 @@
 
 // Options describe a soak. Zero fields take the defaults.
 type Options struct {
-	Seed     uint64
-	Gateways int           // default 3
-	Targets  int           // default 5
-	Planned  time.Duration // planned work only; default 5 s
-	Storm    time.Duration // faults that overlap; default 8 s
-	Rate     float64       // jobs a second; default 15, half of what the targets can do
-	Dir      string        // takes the logs and settings files of the processes
+	Seed        uint64
+	Gateways    int           // default 3
+	Targets     int           // default 5
+	Planned     time.Duration // planned work only; default 5 s
+	Overlapping time.Duration // faults that overlap; default 8 s
+	Rate        float64       // jobs a second; default 15, half of what the targets can do
+	Dir         string        // takes the logs and settings files of the processes
 }
 
 // Report is what came of a soak.
@@ -62,7 +62,7 @@
 	options.Default(&o.Gateways, 3)
 	options.Default(&o.Targets, 5)
 	options.Default(&o.Planned, 5*time.Second)
-	options.Default(&o.Storm, 8*time.Second)
+	options.Default(&o.Overlapping, 8*time.Second)
 	options.Default(&o.Rate, 15)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -70,7 +70,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	b, err := newBed(ctx, o, log)
+	b, err := newTestbed(ctx, o, log)
 	defer b.close()
 	if err != nil {
 		return Report{}, Error.Wrap(err)
@@ -89,15 +89,15 @@
 
 type soak struct {
 	o       Options
-	b       *bed
+	b       *testbed
 	callers *callers
 }
 
 // play goes through the phases: planned work, faults, recovery, the end.
 func (s *soak) play(ctx context.Context) Report {
-	d := newDrawer(s.b, s.o.Seed)
-	planned, storm := d.planned(s.o.Planned), d.storm(s.o.Storm)
-	report := Report{Seed: s.o.Seed, Faults: len(planned) + len(storm)}
+	d := newGenerator(s.b, s.o.Seed)
+	planned, overlapping := d.planned(s.o.Planned), d.overlapping(s.o.Overlapping)
+	report := Report{Seed: s.o.Seed, Faults: len(planned) + len(overlapping)}
 	s.awaitServing(ctx)
 
 	load, end := context.WithCancel(ctx)
@@ -108,7 +108,7 @@
 		clients.Go(func() { p.run(load) })
 	}
 	s.b.play(ctx, planned)
-	s.b.play(ctx, storm)
+	s.b.play(ctx, overlapping)
 	report.RecoveryMS = s.awaitServing(ctx).Milliseconds()
 	sleep(ctx, contact+settledTime)
 	end()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,7 +54,7 @@
 // played by hand: catkinline soak --seeds 50.
 func TestShortSoak(t *testing.T) {
 	t.Parallel()
-	play(t, soak.Options{Seed: 7, Gateways: 2, Targets: 3, Planned: 2 * time.Second, Storm: 4 * time.Second, Rate: 8})
+	play(t, soak.Options{Seed: 7, Gateways: 2, Targets: 3, Planned: 2 * time.Second, Overlapping: 4 * time.Second, Rate: 8})
 }
 
 // regressions are seeds that have failed, with the cause.
--- a/soak/bed.go
+++ b/soak/testbed.go
@@ -61,8 +61,8 @@
 	replaced int
 }
 
-// bed is the whole path as processes, with stand-ins of the platform in this one.
-type bed struct {
+// testbed is the whole path as processes, with stand-ins of the platform in this one.
+type testbed struct {
 	ctx      context.Context
 	dir      string
 	log      *zap.Logger
@@ -80,8 +80,8 @@
 	acked   map[uint64]time.Time // when a version was written
 }
 
-func newBed(ctx context.Context, o Options, log *zap.Logger) (*bed, error) {
-	b := &bed{
+func newTestbed(ctx context.Context, o Options, log *zap.Logger) (*testbed, error) {
+	b := &testbed{
 		ctx: ctx, dir: o.Dir, log: log, ledger: newLedger(), timeline: &timeline{}, store: standin.NewStore(standin.StoreOptions{FirstRevision: 1}),
 		acked: make(map[uint64]time.Time),
 	}
@@ -108,10 +108,10 @@
 	return b, nil
 }
 
-func (b *bed) nodes() []*node { return append(append([]*node(nil), b.gateways...), b.sidecars...) }
+func (b *testbed) nodes() []*node { return append(append([]*node(nil), b.gateways...), b.sidecars...) }
 
 // close ends the processes, then what they use.
-func (b *bed) close() {
+func (b *testbed) close() {
 	for _, n := range b.nodes() {
 		n.mu.Lock()
 		n.asked = true
@@ -126,8 +126,8 @@
 	}
 }
 
-// relay starts a TCP relay that the bed closes.
-func (b *bed) relay(upstream string) (*faultproxy.TCP, error) {
+// relay starts a TCP relay that the testbed closes.
+func (b *testbed) relay(upstream string) (*faultproxy.TCP, error) {
 	r, err := faultproxy.NewTCP(faultproxy.TCPOptions{Listen: "127.0.0.1:0", Upstream: upstream})
 	if err == nil {
 		b.closers = append(b.closers, r.Close)
@@ -136,7 +136,7 @@
 }
 
 // common returns the settings that both roles have, with a relay to the store.
-func (b *bed) common(name string, place int) (settings.Node, *faultproxy.TCP, error) {
+func (b *testbed) common(name string, place int) (settings.Node, *faultproxy.TCP, error) {
 	store, err := b.relay(strings.TrimPrefix(b.server.URL, "http://"))
 	if err != nil {
 		return settings.Node{}, nil, err
@@ -147,7 +147,7 @@
 	}, store, nil
 }
 
-func (b *bed) addGateway(i int, seed uint64) error {
+func (b *testbed) addGateway(i int, seed uint64) error {
 	name := fmt.Sprint("edge-", i)
 	s, store, err := b.common(name, i)
 	if err != nil {
@@ -184,7 +184,7 @@
 	return b.write(n, s)
 }
 
-func (b *bed) addSidecar(i int) error {
+func (b *testbed) addSidecar(i int) error {
 	name := fmt.Sprint("side-", i)
 	s, store, err := b.common(name, i)
 	if err != nil {
@@ -208,14 +208,14 @@
 	return b.write(n, s)
 }
 
-func (b *bed) write(n *node, s settings.Node) error {
+func (b *testbed) write(n *node, s settings.Node) error {
 	n.settings, n.log = filepath.Join(b.dir, n.name+".json"), filepath.Join(b.dir, n.name+".log")
 	return platform.WriteNode(n.settings, s)
 }
 
 // start starts a process of a node and watches for an end that nobody asked for. It
 // must be called with the node's mu held, or before anybody else knows the node.
-func (b *bed) start(n *node) error {
+func (b *testbed) start(n *node) error {
 	arguments := []string{n.role, "--settings", n.settings, "--admin-port", "0"}
 	if n.listen != "" {
 		arguments = append(arguments, "--link-listen", n.listen)
@@ -257,7 +257,7 @@
 
 // restart starts a node's next process when the one before has ended. A process that
 // was asked to end and doesn't is killed after the grace.
-func (b *bed) restart(n *node, before *fleet.Process) {
+func (b *testbed) restart(n *node, before *fleet.Process) {
 	select {
 	case <-before.Exited():
 	case <-time.After(grace):
@@ -288,7 +288,7 @@
 const steadyPrefix = "/frames/"
 
 // configure writes the next version of the operators' routes.
-func (b *bed) configure() error {
+func (b *testbed) configure() error {
 	b.mu.Lock()
 	b.version++
 	version := b.version
@@ -319,7 +319,7 @@
 	return nil
 }
 
-func (b *bed) writeRoutes(store kv.Store, document []byte) error {
+func (b *testbed) writeRoutes(store kv.Store, document []byte) error {
 	ctx, cancel := context.WithTimeout(b.ctx, storeTimeout)
 	defer cancel()
 	var known uint64
@@ -331,21 +331,21 @@
 }
 
 // newest returns the newest version whose writing has begun.
-func (b *bed) newest() uint64 {
+func (b *testbed) newest() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.version
 }
 
 // written returns when a version had been written, or the zero time.
-func (b *bed) written(version uint64) time.Time {
+func (b *testbed) written(version uint64) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.acked[version]
 }
 
 // replace ends a node's target and starts another incarnation there.
-func (b *bed) replace(n *node, behind time.Duration) {
+func (b *testbed) replace(n *node, behind time.Duration) {
 	n.mu.Lock()
 	n.replaced++
 	id := fmt.Sprintf("%s-%d", strings.Replace(n.name, "side", "i", 1), n.replaced)
