--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -75,6 +75,8 @@
 	closers  []func()
 	watchers sync.WaitGroup
 
+	operator sync.Mutex // held while a version is written: versions are written in order
+
 	mu      sync.Mutex
 	version uint64
 	acked   map[uint64]time.Time // when a version was written
@@ -289,6 +291,8 @@
 
 // configure writes the next version of the operators' routes.
 func (b *testbed) configure() error {
+	b.operator.Lock()
+	defer b.operator.Unlock()
 	b.mu.Lock()
 	b.version++
 	version := b.version
