Let time pass between a stop's acknowledgement and the inquiry that decides

A run that was stopped ends when a listing that was asked for after the acknowledgement lacks it. Real time passes between two calls. They now wait 1 ms.

--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -44,8 +44,11 @@
 		Seen:   s.target.seen,
 		Wait:   s.opts.Renew,
 	}
-	if s.pendingStops() || q.Fence == 0 {
+	switch {
+	case q.Fence == 0:
 		q.Wait = 0
+	case s.pendingStops():
+		q.Wait = stopWait
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), q.Wait+s.opts.OrderLimit)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,6 +50,9 @@
 	// roomInterval is the shortest time between two messages about room to an
 	// entry, so that several ends cost one message.
 	roomInterval = time.Millisecond
+	// stopWait is how long an inquiry waits after a stop was acknowledged: only a
+	// listing that was asked for later decides, so that some time has to pass.
+	stopWait = time.Millisecond
 	// stopPause is the time between two orders to stop a run.
 	stopPause = 100 * time.Millisecond
 	// drainPoll is how often a planned stop looks whether runs are left: short
