--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -64,6 +64,12 @@
 	answer chan wire.JobAnswer // has room for one
 }
 
+// cancel tells the peer that the job's caller no longer waits.
+func (o *forward) cancel() {
+	// An error is a link that ends, and with it the job.
+	_ = o.link.Send(&wire.JobCancel{Number: o.number})
+}
+
 func newForwarder() *forwarder {
 	return &forwarder{
 		created: time.Now(),
@@ -95,7 +101,7 @@
 	return false
 }
 
-// send hands a job to a peer. A job that a peer has already goes to the same one.
+// send hands a job to a peer.
 func (f *forwarder) send(l *transport.Link, r placement.Request) (*forward, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -174,8 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, o := range f.out {
-		// An error is a link that ends, and with it the job.
-		_ = o.link.Send(&wire.JobCancel{Number: o.number})
+		o.cancel()
 	}
 	f.abandon(reason, func(*forward) bool { return true })
 }
@@ -188,18 +193,20 @@
 	if o == nil {
 		return false
 	}
-	// An error is a link that ends, and with it the job.
-	_ = o.link.Send(&wire.JobCancel{Number: o.number})
+	o.cancel()
 	f.forget(o)
 	o.answer <- wire.JobAnswer{Number: o.number, Outcome: uint8(placement.Cancelled), Reason: "cancelled by a request"}
 	return true
 }
 
-// has reports whether a peer has a job.
-func (f *forwarder) has(id string) bool {
+// holder returns the link to the peer that has a job already, or nil.
+func (f *forwarder) holder(id string) *transport.Link {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.byID[id] != nil
+	if o := f.byID[id]; o != nil {
+		return o.link
+	}
+	return nil
 }
 
 // setContended takes note that tasks wait here or at a placer.
@@ -278,7 +285,7 @@
 	f, begun := g.forwards, time.Now()
 	link := f.holder(r.Job.ID)
 	if link == nil {
-		if link = g.forwardTo(r.Job.ID, time.Now()); link == nil {
+		if link = g.forwardTo(r.Job.ID, begun); link == nil {
 			return placement.Answer{}, false
 		}
 	}
@@ -291,8 +298,7 @@
 	case a = <-o.answer:
 	case <-ctx.Done():
 		if f.end(o) {
-			// An error is a link that ends, and with it the job.
-			_ = link.Send(&wire.JobCancel{Number: o.number})
+			o.cancel()
 		}
 		a = wire.JobAnswer{Outcome: uint8(placement.Cancelled), Reason: "the caller went away"}
 	}
@@ -307,16 +313,6 @@
 	return answer, true
 }
 
-// holder returns the link to the peer that has a job already, or nil.
-func (f *forwarder) holder(id string) *transport.Link {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if o := f.byID[id]; o != nil {
-		return o.link
-	}
-	return nil
-}
-
 // handleForward takes a job from a peer, or declines it.
 func (g *Gateway) handleForward(l *transport.Link, m *wire.JobForward) {
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -230,7 +230,7 @@
 
 // State reports whether a job is here and whether a task of it has started.
 func (g *Gateway) State(id string) (known, started bool) {
-	if g.forwards.has(id) {
+	if g.forwards.holder(id) != nil {
 		return true, true // only the peer knows; it starts what it takes within milliseconds
 	}
 	return g.scheduler.Running(id)
--- a/internal/fleet/single.go
+++ b/internal/fleet/single.go
@@ -12,11 +12,11 @@
 // StartProcess starts this executable once more; the TestMain of a test binary must
 // call RunChild. The output is appended to a log.
 func StartProcess(name, logPath string, arguments ...string) (*Process, error) {
-	options, err := TestOptions()
+	executable, err := os.Executable()
 	if err != nil {
-		return nil, err
+		return nil, Err.Wrap(err)
 	}
-	p := &process{name: name, executable: options.Executable, arguments: arguments, logPath: logPath}
+	p := &process{name: name, executable: executable, arguments: arguments, logPath: logPath}
 	if err := p.start(); err != nil {
 		return nil, err
 	}
--- a/report/page.go
+++ b/report/page.go
@@ -65,7 +65,7 @@
 	draws := []func() (*plot.Plot, error){
 		func() (*plot.Plot, error) { return resultsPlot("jobs by result", bins, width) },
 		func() (*plot.Plot, error) { return tookPlot(bins, width) },
-		func() (*plot.Plot, error) { return d.inTimePlot(width) },
+		func() (*plot.Plot, error) { return d.inTimePlot(time.Duration(len(bins))*width, width) },
 		func() (*plot.Plot, error) { return roomPlot(bins, width) },
 	}
 	for _, route := range d.Routes() {
@@ -101,12 +101,13 @@
 
 func (d *Day) changes() (list []change, more int) {
 	sorted := append([]Change(nil), d.Changes...)
+	start := d.Start()
 	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].At.Before(sorted[j].At) })
 	for i, c := range sorted {
 		if i == maxChanges {
 			return list, len(sorted) - maxChanges
 		}
-		at := fmt.Sprintf("%.2f", c.At.Sub(d.Start()).Seconds())
+		at := fmt.Sprintf("%.2f", c.At.Sub(start).Seconds())
 		list = append(list, change{At: at, Message: c.Message, Detail: c.Detail})
 	}
 	return list, 0
--- a/report/plots.go
+++ b/report/plots.go
@@ -133,8 +133,9 @@
 	return linesPlot("time until done", "ms", time.Duration(len(bins))*width, []series{{"half of the jobs", at(0.5)}, {"99 of 100", at(0.99)}})
 }
 
-// inTimePlot shows the share of each route's jobs that were done in time.
-func (d *Day) inTimePlot(width time.Duration) (*plot.Plot, error) {
+// inTimePlot shows the share of each route's jobs that were done in time, until the
+// day's end.
+func (d *Day) inTimePlot(end, width time.Duration) (*plot.Plot, error) {
 	var lines []series
 	for _, route := range d.Routes() {
 		points := pointsOf(d.Bins(width, route), width, func(b *Bin) float64 {
@@ -145,7 +146,7 @@
 		})
 		lines = append(lines, series{route, points})
 	}
-	return linesPlot("share done in time, by route", "share", time.Duration(len(d.Bins(width, "")))*width, lines)
+	return linesPlot("share done in time, by route", "share", end, lines)
 }
 
 // roomPlot shows what waits for room, and the targets that a gateway can reach.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -73,11 +73,10 @@
 
 // callerJob is a job and how its caller behaves.
 type callerJob struct {
-	job      workload.Job
-	failures int           // of each task's first runs
-	leaves   time.Duration // the caller goes away; 0: it does not
-	first    int           // gateway
-	sends    []send
+	job    workload.Job
+	leaves time.Duration // the caller goes away; 0: it does not
+	first  int           // gateway
+	sends  []send
 }
 
 // send is one attempt to hand a job in.
@@ -93,15 +92,16 @@
 func (c *callers) draw(rnd *rand.Rand) *callerJob {
 	kind := pick(rnd, kinds)
 	j := &callerJob{first: rnd.IntN(len(c.b.gateways))}
+	failures := 0 // of each task's first runs
 	switch rnd.IntN(20) {
 	case 0:
-		j.failures = 1
+		failures = 1
 	case 1:
-		j.failures = Attempts
+		failures = Attempts
 	case 2:
 		j.leaves = time.Duration(20+rnd.IntN(600)) * time.Millisecond
 	}
-	j.job = newJob(c.nextID(), kind.tasks, taskSpec{cpu: taskCPU, work: kind.work, failures: j.failures})
+	j.job = newJob(c.nextID(), kind.tasks, taskSpec{cpu: taskCPU, work: kind.work, failures: failures})
 	return j
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -196,9 +196,7 @@
 		f.name += "delayed"
 		f.apply = g.set(relay, faultproxy.Faults{Delay: g.between(5, 80)})
 	default:
-		cut := pick(g.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
-		f.name += "cut " + string(cut)
-		f.apply = g.set(relay, faultproxy.Faults{Cut: cut})
+		g.cut(&f, relay)
 	}
 	return f
 }
@@ -218,13 +216,18 @@
 		f.name += "delayed"
 		f.apply = g.set(n.links, faultproxy.Faults{Delay: g.between(5, 80), Duplicate: 0.2})
 	default:
-		cut := pick(g.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
-		f.name += "cut " + string(cut)
-		f.apply = g.set(n.links, faultproxy.Faults{Cut: cut})
+		g.cut(&f, n.links)
 	}
 	return f
 }
 
+// cut makes a fault cut a relay, both ways or one.
+func (g *generator) cut(f *fault, relay faultproxy.Relay) {
+	cut := pick(g.rnd, []faultproxy.Cut{faultproxy.CutBoth, faultproxy.CutForward, faultproxy.CutBackward})
+	f.name += "cut " + string(cut)
+	f.apply = g.set(relay, faultproxy.Faults{Cut: cut})
+}
+
 func (g *generator) set(relay faultproxy.Relay, f faultproxy.Faults) func() func() {
 	return func() func() {
 		if err := relay.Set(f); err != nil {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -46,7 +46,6 @@
 	listen   string // UDP, of links; gateways only
 	forwards bool   // hands every job to a placer
 	callers  string // address for callers, through the relay; gateways only
-	direct   string // the same without the relay
 	log      string // path
 	store    *faultproxy.TCP
 	inbound  *faultproxy.TCP // callers of a gateway, orders of a sidecar
@@ -156,7 +155,7 @@
 		return err
 	}
 	n := &node{name: name, role: "gateway", store: store}
-	if n.direct, err = fleet.FreeTCP(); err != nil {
+	if s.CallerAddress, err = fleet.FreeTCP(); err != nil {
 		return err
 	}
 	if s.ReadyAddress, err = fleet.FreeTCP(); err != nil {
@@ -165,7 +164,7 @@
 	if n.listen, err = fleet.FreeUDP(); err != nil {
 		return err
 	}
-	if n.inbound, err = b.relay(n.direct); err != nil {
+	if n.inbound, err = b.relay(s.CallerAddress); err != nil {
 		return err
 	}
 	if n.links, err = faultproxy.NewUDP(faultproxy.UDPOptions{Listen: "127.0.0.1:0", Upstream: n.listen, Seed: seed + uint64(i)}); err != nil {
@@ -176,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	s.CallerAddress, s.LinkPort, s.CPU = n.direct, links.Port, largeGateway
+	s.LinkPort, s.CPU = links.Port, largeGateway
 	if i == 0 {
 		s.CPU = smallGateway
 		n.forwards = seed%2 == 1
