--- a/agent/links.go
+++ b/agent/links.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkinline/catkinline/topology"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -59,8 +60,8 @@
 		p.bootstrap(live)
 	}
 	staying := slices.DeleteFunc(slices.Clone(linked), func(name string) bool { return !p.subset.leavingSince[name].IsZero() })
-	chosen := subset(p.settings.Name, live, p.settings.EntryLinks)
-	open, end := nextMove(chosen, staying, p.settings.EntryLinks)
+	chosen := topology.Subset(p.settings.Name, live, p.settings.EntryLinks)
+	open, end := topology.NextMove(chosen, staying, p.settings.EntryLinks)
 	for _, peer := range open {
 		p.subset.keepLinked[peer.Address] = true
 	}
--- a/command/node.go
+++ b/command/node.go
@@ -17,6 +17,7 @@
 	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/sidecar"
+	"github.com/catkinline/catkinline/topology"
 )
 
 // storeWatchTimeout is the longest duration of one watch call to the platform's
@@ -29,12 +30,11 @@
 	Settings  string `arg:"--settings" help:"settings file of the platform (default: value of CATKINLINE_SETTINGS)"`
 	AdminPort int    `arg:"--admin-port" default:"9464" help:"TCP port for /metrics; 0: none"`
 	LogLevel  string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+	Placers   int    `arg:"--placers" help:"number of gateways that place the jobs of all, the same for every process; 0: by the number of gateways"`
 }
 
 type gatewayArgs struct {
 	nodeArgs
-	ForwardAlways bool `arg:"--forward-always" help:"always forward jobs to the gateways that place for all, also while targets have free slots and with fewer than six gateways"`
-
 	LinkListen string `arg:"--link-listen" help:"UDP ip:port on which links are accepted, if they come through a relay (default: the address in the settings)"`
 }
 
@@ -70,7 +70,7 @@
 			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
 			RoutesKey: platform.RoutesKey, DecodeRoutes: platform.DecodeRoutes,
 			CallerHandler: func(g *gateway.Gateway) http.Handler { return platform.JobHandler(g) },
-			AdminPort:     a.AdminPort, LinkListen: a.LinkListen, ForwardAlways: a.ForwardAlways,
+			AdminPort:     a.AdminPort, LinkListen: a.LinkListen, Topology: topology.Rules{PlacerCount: a.Placers},
 		})
 	})
 }
@@ -85,7 +85,7 @@
 			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
 			Target:        platform.NewTargetClient(n.node.TargetAddress),
 			ReportHandler: func(s *sidecar.Sidecar) http.Handler { return platform.ReportHandler(s, n.log) },
-			LinkSecret:    gateway.LinkSecret, Timing: gateway.LinkTiming, AdminPort: a.AdminPort,
+			LinkSecret:    gateway.LinkSecret, Timing: gateway.LinkTiming, AdminPort: a.AdminPort, Topology: topology.Rules{PlacerCount: a.Placers},
 		})
 	})
 }
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -10,7 +10,8 @@
 )
 
 // readyHandler serves the readiness check of the load balancer. The gateway is ready when
-// routes are known and a target can be reached; the store need not answer.
+// routes are known and a target, or a placer with targets, can be reached; the store need not
+// answer.
 func (g *Gateway) readyHandler() http.Handler {
 	r := bunrouter.New()
 	r.GET("/readyz", func(w http.ResponseWriter, _ bunrouter.Request) error {
@@ -30,8 +31,8 @@
 		return "a planned stop has begun"
 	case g.routes.Load() == nil:
 		return "no configuration is known yet"
-	case g.scheduler.Load().Targets == 0:
-		return "no target is reachable"
+	case !g.scheduler.HasTargets() && !g.forwarder.reachable(g.placers()):
+		return "no target and no placer is reachable"
 	}
 	return ""
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,65 +1,49 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/placement"
-	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
 
 const (
-	// entriesPerPlacer is the number of entries for which one entry places jobs while targets
-	// are full. With fewer placers, more jobs are ordered by priority against each other, but
-	// one placer with 0.8 cores is limited to about 900 jobs per second.
-	entriesPerPlacer = 5
-	// minEntriesForPlacers is the number of entries below which each entry places its own
-	// jobs. With few entries, the gain from a placer is smaller than the loss when it runs on
-	// an instance that becomes slow, which delays the jobs of all entries.
-	minEntriesForPlacers = 6
-	// contentionHold is how long jobs are still forwarded to placers after the last task
-	// waited, so that entries do not switch back to placing on their own in each short gap.
-	contentionHold = 500 * time.Millisecond
-	// declineBackoff is how long a peer is sent no jobs after it declined one: a few of its
-	// mean lags.
-	declineBackoff = 200 * time.Millisecond
+	// maxForwards is the number of placers that a job is offered to. Each offer that is declined
+	// costs a round trip.
+	maxForwards = 3
 	// peerRoundTrip is subtracted from the time left of a forwarded job for the way to the
 	// peer and back.
 	peerRoundTrip = 5 * time.Millisecond
+	// placerPollInterval is how often a job that waits for a placer looks for one.
+	placerPollInterval = 10 * time.Millisecond
 )
 
-// forwarder sends jobs to placers while targets are full, and tracks the jobs that peers sent
-// to this entry. Entries that place independently compete for the same free room and cannot
-// order each other's jobs by priority; a few placers that place for all can. A placer runs a
-// forwarded job as its own and ends it when the link to the sender ends, as agents do with the
-// runs of a lost entry. The sender returns the answer to the caller.
+// forwarder sends jobs to the placers, and tracks the jobs that peers sent to this entry. Many
+// entries that place independently compete for the same free room, cannot order each other's
+// jobs by priority, and need a link to every agent; a few placers that place for all do
+// better. A placer runs a forwarded job as its own and ends it when the link to the sender
+// ends, as agents do with the runs of a lost entry. The sender returns the answer to the
+// caller.
 type forwarder struct {
-	created     time.Time
-	contendedAt atomic.Int64 // monotonic nanoseconds since created; 0: never
-
 	mu         sync.Mutex
 	lastNumber uint64
-	sent       map[uint64]*forwardedJob                         // to peers, by number
-	byID       map[string]*forwardedJob                         // sent, by job ID
-	received   map[*transport.Link]map[uint64]*placement.Ticket // from peers, by number
-	peers      map[*transport.Link]bool
-	declined   map[string]time.Time // when a peer last declined a job, by name
+	sent       map[uint64]*forwardedJob                  // to peers, by number
+	byID       map[string]*forwardedJob                  // sent, by job ID
+	received   map[peerLink]map[uint64]*placement.Ticket // from peers, by number
+	placers    placerTable
 }
 
 // forwardedJob is a job that was sent to a peer.
 type forwardedJob struct {
 	number uint64
 	id     string
-	link   *transport.Link
+	link   peerLink
 	answer chan wire.JobAnswer // buffered, so that the sender never blocks
 }
 
@@ -71,29 +55,51 @@
 
 func newForwarder() *forwarder {
 	return &forwarder{
-		created: time.Now(),
-		sent:    make(map[uint64]*forwardedJob), byID: make(map[string]*forwardedJob),
-		received: make(map[*transport.Link]map[uint64]*placement.Ticket),
-		peers:    make(map[*transport.Link]bool), declined: make(map[string]time.Time),
+		sent: make(map[uint64]*forwardedJob), byID: make(map[string]*forwardedJob),
+		received: make(map[peerLink]map[uint64]*placement.Ticket),
+		placers:  newPlacerTable(),
 	}
 }
 
 // linkUp adds a link to a peer.
-func (f *forwarder) linkUp(l *transport.Link) {
+func (f *forwarder) linkUp(l peerLink) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[l] = true
+	f.placers.peers[l] = &peerState{}
 }
 
-// hasJobs reports whether jobs were sent over a link or received from it that have not ended.
-func (f *forwarder) hasJobs(l *transport.Link) bool {
+// handleState records what a peer says of itself.
+func (f *forwarder) handleState(l peerLink, m *wire.PlacerState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.received[l]) > 0 {
-		return true
+	if p := f.placers.peers[l]; p != nil {
+		p.PlacerState = *m
 	}
-	for _, j := range f.sent {
-		if j.link == l {
+}
+
+// links returns the open links to peers.
+func (f *forwarder) links() []peerLink {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var links []peerLink
+	for l := range f.placers.peers {
+		links = append(links, l)
+	}
+	return links
+}
+
+// hasJobs reports whether jobs were sent over a link or received from it that have not ended.
+func (f *forwarder) hasJobs(l peerLink) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.placers.peers[l]
+	return len(f.received[l]) > 0 || p != nil && p.jobs > 0
+}
+
+// hasJobsWith reports whether a link to a named peer has jobs.
+func (f *forwarder) hasJobsWith(peer string) bool {
+	for _, l := range f.links() {
+		if l.Name() == peer && f.hasJobs(l) {
 			return true
 		}
 	}
@@ -101,22 +107,31 @@
 }
 
 // send forwards a job to a peer.
-func (f *forwarder) send(l *transport.Link, r placement.Request) (*forwardedJob, error) {
+func (f *forwarder) send(l peerLink, r placement.Request, lastChoice bool, now time.Time) (*forwardedJob, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastNumber++
 	j := &forwardedJob{number: f.lastNumber, id: r.Job.ID, link: l, answer: make(chan wire.JobAnswer, 1)}
-	f.sent[j.number], f.byID[j.id] = j, j
-	left := time.Until(r.Deadline) - peerRoundTrip
-	err := l.Send(&wire.JobForward{RequestID: j.number, Job: r.Job, Route: r.Route, RoutesVersion: r.Version, TimeLeft: left})
-	if err != nil {
-		f.remove(j)
+	m := &wire.JobForward{
+		RequestID: j.number, Job: r.Job, Route: r.Route, RoutesVersion: r.Version,
+		TimeLeft: r.Deadline.Sub(now) - peerRoundTrip, LastChoice: lastChoice,
+	}
+	if !r.StopAt.IsZero() {
+		m.StopIn = max(1, r.StopAt.Sub(now)-peerRoundTrip)
 	}
-	return j, err
+	if err := l.Send(m); err != nil {
+		return nil, err
+	}
+	f.sent[j.number], f.byID[j.id] = j, j
+	f.placers.jobSent(l, now)
+	return j, nil
 }
 
 // remove removes a sent job. It must be called with mu held.
 func (f *forwarder) remove(j *forwardedJob) {
+	if f.sent[j.number] == j {
+		f.placers.jobEnded(j.link)
+	}
 	delete(f.sent, j.number)
 	if f.byID[j.id] == j {
 		delete(f.byID, j.id)
@@ -133,14 +148,14 @@
 }
 
 // handleAnswer passes the answer of a peer to the waiting caller.
-func (f *forwarder) handleAnswer(l *transport.Link, a *wire.JobAnswer, now time.Time) {
+func (f *forwarder) handleAnswer(l peerLink, a *wire.JobAnswer, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if a.Declined {
-		f.declined[l.Name()] = now
-	}
-	if a.Contended {
-		f.markContended(now)
+	if p := f.placers.peers[l]; p != nil {
+		p.WaitingCPU = a.WaitingCPU
+		if a.Declined {
+			p.declinedAt = now
+		}
 	}
 	if j := f.sent[a.RequestID]; j != nil && j.link == l {
 		f.remove(j)
@@ -150,11 +165,11 @@
 
 // linkDown removes a link to a peer and answers the jobs that were sent over it. It returns
 // the jobs that were received over it.
-func (f *forwarder) linkDown(l *transport.Link) []*placement.Ticket {
+func (f *forwarder) linkDown(l peerLink) []*placement.Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.peers, l)
 	f.abandon("the link to the peer that ran the job has ended", func(j *forwardedJob) bool { return j.link == l })
+	delete(f.placers.peers, l)
 	var tickets []*placement.Ticket
 	for _, t := range f.received[l] {
 		tickets = append(tickets, t)
@@ -199,7 +214,7 @@
 }
 
 // linkOf returns the link to the peer that a job was sent to, or nil.
-func (f *forwarder) linkOf(id string) *transport.Link {
+func (f *forwarder) linkOf(id string) peerLink {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if j := f.byID[id]; j != nil {
@@ -208,89 +223,57 @@
 	return nil
 }
 
-// markContended records that tasks wait here or at a placer.
-func (f *forwarder) markContended(now time.Time) {
-	f.contendedAt.Store(max(1, int64(now.Sub(f.created))))
-}
-
-// contended reports whether tasks wait or did so within contentionHold.
-func (f *forwarder) contended(now time.Time) bool {
-	at := f.contendedAt.Load()
-	return at > 0 && now.Sub(f.created)-time.Duration(at) < contentionHold
+// choose returns the link to the placer that a job should be offered to next, or nil.
+func (f *forwarder) choose(names []string, exclude []peerLink, now time.Time) peerLink {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.choose(names, exclude, now)
 }
 
-// selectPlacers selects the entries that place for all: those with the most CPU, spread over
-// as many failure domains as possible. Entries that know the same peers select the same
-// placers. An entry that does not announce its CPU is left out, because its version may not
-// support placers.
-func selectPlacers(entries []wire.Peer) []string {
-	count := (len(entries) + entriesPerPlacer - 1) / entriesPerPlacer
-	inDomain := make(map[string]int)
-	candidates := slices.DeleteFunc(slices.Clone(entries), func(p wire.Peer) bool { return p.CPU == 0 })
-	var names []string
-	for len(names) < count && len(candidates) > 0 {
-		best := slices.MinFunc(candidates, func(a, b wire.Peer) int {
-			return cmp.Or(cmp.Compare(b.CPU, a.CPU), cmp.Compare(inDomain[a.FailureDomain], inDomain[b.FailureDomain]), strings.Compare(a.Name, b.Name))
-		})
-		candidates = slices.DeleteFunc(candidates, func(p wire.Peer) bool { return p.Name == best.Name })
-		inDomain[best.FailureDomain]++
-		names = append(names, best.Name)
-	}
-	return names
+// reachable reports whether a named placer is linked and has targets.
+func (f *forwarder) reachable(names []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.reachable(names)
 }
 
-// choosePlacer returns the link to the placer that a job should be sent to, or nil if this
-// entry should place it.
-func (g *Gateway) choosePlacer(id string, now time.Time) *transport.Link {
-	f := g.forwarder
-	if g.stopping.Load() || !g.opts.ForwardAlways && !f.contended(now) {
-		return nil
-	}
-	direct := g.members.Snapshot().Direct
-	entries := append([]wire.Peer{g.self()}, direct...)
-	if len(entries) < minEntriesForPlacers && !g.opts.ForwardAlways {
-		return nil
+// submitToPlacer offers a job to placers and returns its answer, and whether one accepted it.
+func (g *Gateway) submitToPlacer(ctx context.Context, r placement.Request) (placement.Answer, bool) {
+	if link := g.forwarder.linkOf(r.Job.ID); link != nil {
+		return g.forwardTo(ctx, link, r, true)
 	}
-	names := selectPlacers(entries)
-	if len(names) == 0 || slices.Contains(names, g.node.Name) {
-		return nil
+	if g.placesItself(r.Job.ID) {
+		return placement.Answer{}, false
 	}
-	if known, _ := g.scheduler.Status(id); known {
-		return nil
+	var asked []peerLink
+	for len(asked) < maxForwards {
+		link := g.forwarder.choose(g.placers(), asked, time.Now())
+		if link == nil {
+			break
+		}
+		asked = append(asked, link)
+		last := len(asked) == maxForwards || g.forwarder.choose(g.placers(), asked, time.Now()) == nil
+		if a, accepted := g.forwardTo(ctx, link, r, last); accepted {
+			return a, true
+		}
 	}
-	return f.pickLink(names, now)
+	return placement.Answer{}, false
 }
 
-// pickLink returns the link to one of the named peers, chosen in rotation, or nil. Peers that
-// declined a job within declineBackoff are skipped.
-func (f *forwarder) pickLink(names []string, now time.Time) *transport.Link {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := range names {
-		name := names[(f.lastNumber+uint64(i))%uint64(len(names))]
-		if now.Sub(f.declined[name]) < declineBackoff {
-			continue
-		}
-		for l := range f.peers {
-			if l.Name() == name {
-				return l
-			}
-		}
+// placesItself reports whether this entry places a job: it is a placer with targets, or it
+// runs the job already.
+func (g *Gateway) placesItself(id string) bool {
+	if known, _ := g.scheduler.Status(id); known {
+		return true
 	}
-	return nil
+	return slices.Contains(g.placers(), g.node.Name) && g.scheduler.HasTargets()
 }
 
-// submitToPlacer forwards a job to a peer and returns its answer, and whether the peer
-// accepted the job.
-func (g *Gateway) submitToPlacer(ctx context.Context, r placement.Request) (placement.Answer, bool) {
+// forwardTo sends a job to a peer and returns its answer, and whether the peer accepted the
+// job.
+func (g *Gateway) forwardTo(ctx context.Context, link peerLink, r placement.Request, lastChoice bool) (placement.Answer, bool) {
 	f, started := g.forwarder, time.Now()
-	link := f.linkOf(r.Job.ID)
-	if link == nil {
-		if link = g.choosePlacer(r.Job.ID, started); link == nil {
-			return placement.Answer{}, false
-		}
-	}
-	j, err := f.send(link, r)
+	j, err := f.send(link, r, lastChoice, started)
 	if err != nil {
 		return placement.Answer{}, false
 	}
@@ -314,19 +297,42 @@
 	return answer, true
 }
 
-// handleForward accepts a job from a peer, or declines it when this entry is stopping or
-// overloaded.
-func (g *Gateway) handleForward(l *transport.Link, m *wire.JobForward) {
+// awaitPlacement waits until a placer or a target of this entry can be reached, and reports
+// whether there is one. It gives up when this entry counts as isolated, or with ctx.
+func (g *Gateway) awaitPlacement(ctx context.Context) bool {
+	for {
+		switch {
+		case g.scheduler.HasTargets() || g.forwarder.reachable(g.placers()):
+			return true
+		case g.isolated(time.Now()):
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-g.tomb.Dying():
+			return false
+		case <-time.After(placerPollInterval):
+		}
+	}
+}
+
+// handleForward accepts a job from a peer, or declines it when this entry is stopping, has no
+// targets or is overloaded.
+func (g *Gateway) handleForward(l peerLink, m *wire.JobForward) {
 	now := time.Now()
-	if g.stopping.Load() || g.loopLag.tooHigh() {
+	if reason := g.declineReason(m); reason != "" {
 		g.log.Info("job of a peer declined", zap.String("job", m.Job.ID), zap.String("peer", l.Name()),
-			zap.Bool("stopping", g.stopping.Load()), zap.Duration("lag", g.loopLag.meanLag()))
+			zap.String("reason", reason), zap.Duration("lag", g.loopLag.meanLag()))
 		// Sending fails only on a closed link; the peer answers its caller when it notices that.
-		_ = l.Send(&wire.JobAnswer{RequestID: m.RequestID, Declined: true})
+		_ = l.Send(&wire.JobAnswer{RequestID: m.RequestID, Declined: true, WaitingCPU: g.scheduler.WaitingCPU()})
 		return
 	}
 	g.requests.Add(1)
 	r := placement.Request{Job: m.Job, Route: m.Route, Version: m.RoutesVersion, Deadline: now.Add(m.TimeLeft)}
+	if m.StopIn > 0 {
+		r.StopAt = now.Add(m.StopIn)
+	}
 	ticket, refusal := g.scheduler.Submit(r, now)
 	if refusal != nil {
 		g.sendForwardAnswer(l, m.RequestID, *refusal)
@@ -341,11 +347,24 @@
 	})
 }
 
+// declineReason returns why a job of a peer is declined, or an empty string.
+func (g *Gateway) declineReason(m *wire.JobForward) string {
+	switch {
+	case g.stopping.Load():
+		return "a planned stop has begun"
+	case !g.scheduler.HasTargets():
+		return "no target is reachable"
+	case g.loopLag.tooHigh() && !m.LastChoice:
+		return "this process is overloaded"
+	}
+	return ""
+}
+
 // addReceived records a job that a peer sent. It reports false if the peer's link has ended.
-func (f *forwarder) addReceived(l *transport.Link, number uint64, t *placement.Ticket) bool {
+func (f *forwarder) addReceived(l peerLink, number uint64, t *placement.Ticket) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.peers[l] {
+	if f.placers.peers[l] == nil {
 		return false
 	}
 	if f.received[l] == nil {
@@ -356,7 +375,7 @@
 }
 
 // removeReceived removes a job that a peer sent and returns its ticket, or nil.
-func (f *forwarder) removeReceived(l *transport.Link, number uint64) *placement.Ticket {
+func (f *forwarder) removeReceived(l peerLink, number uint64) *placement.Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.received[l][number]
@@ -365,12 +384,12 @@
 }
 
 // sendForwardAnswer sends the answer of a job to the peer that forwarded it.
-func (g *Gateway) sendForwardAnswer(l *transport.Link, number uint64, a placement.Answer) {
+func (g *Gateway) sendForwardAnswer(l peerLink, number uint64, a placement.Answer) {
 	defer g.requests.Add(-1)
 	g.forwarder.removeReceived(l, number)
 	m := &wire.JobAnswer{
 		RequestID: number, Outcome: uint8(a.Outcome), Reason: a.Reason, RetryAfter: a.RetryAfter,
-		Contended: g.forwarder.contended(time.Now()),
+		WaitingCPU: g.scheduler.WaitingCPU(),
 	}
 	if err := l.Send(m); err != nil {
 		g.log.Info("cannot send the answer of a forwarded job: the link to the peer has ended", zap.String("peer", l.Name()), zap.Stringer("outcome", a.Outcome), zap.Error(err))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,7 @@
 // Package gateway implements the entry process for jobs whose tasks have resource needs. It
-// accepts jobs from callers, schedules their tasks on the targets whose agents are linked to
-// it, and applies the routes that operators configure. "Entry" is the role of a gateway
-// towards its peers and the agents.
+// accepts jobs from callers, hands them to the entries that place jobs or, as one of these,
+// schedules their tasks on the targets whose agents are linked to it, and applies the routes
+// that operators configure. "Entry" is the role of a gateway towards its peers and the agents.
 package gateway
 
 import (
@@ -24,6 +24,7 @@
 	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/routing"
 	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/topology"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -44,9 +45,8 @@
 	// LinkListen is the UDP ip:port on which links are accepted, if it differs from the
 	// address that Node announces.
 	LinkListen string
-	// ForwardAlways forwards every job to the placers, even while no tasks wait or there are
-	// few entries.
-	ForwardAlways bool
+	// Topology has the rules by which placers are chosen, the same for all processes.
+	Topology topology.Rules
 }
 
 // Gateway is a running entry. Its exported methods are safe for concurrent use.
@@ -68,17 +68,20 @@
 	configured chan struct{} // closed when the first routes are applied
 	created    time.Time
 
-	stopping atomic.Bool // a planned stop has begun
-	refusing atomic.Bool // new jobs are refused
+	stopping atomic.Bool               // a planned stop has begun
+	stopAt   atomic.Pointer[time.Time] // when the planned stop ends; nil: none
+	refusing atomic.Bool               // new jobs are refused
 	requests atomic.Int64
 	servers  *httpserve.Servers
 
 	mu     sync.Mutex
 	agents map[*transport.Link]bool
-	dials  map[string]bool // addresses of peers with a running dial loop
+	dials  map[string]context.CancelFunc // by address of peers with a running dial loop
 
-	loopLag   lagMeter
-	forwarder *forwarder
+	loopLag       lagMeter
+	forwarder     *forwarder
+	chosenPlacers atomic.Pointer[placerChoice]
+	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
 
 // New returns a gateway that does nothing until Run is called.
@@ -96,7 +99,7 @@
 		incarnation: wire.NewIncarnation(time.Now()),
 		credentials: credentials,
 		agents:      make(map[*transport.Link]bool),
-		dials:       make(map[string]bool),
+		dials:       make(map[string]context.CancelFunc),
 		configured:  make(chan struct{}),
 		forwarder:   newForwarder(),
 		created:     time.Now(),
@@ -107,7 +110,7 @@
 		Random:         rand.New(rand.NewPCG(uint64(g.incarnation), 1)),
 		Observer:       observer{log: o.Log, metrics: o.Metrics},
 		LostRunTimeout: LostRunTimeout,
-		Entries:        func() int { return len(g.members.Snapshot().Peers) + 1 },
+		Entries:        func() int { return o.Topology.LinksPerTarget(len(g.entries())) },
 	})
 	return g, nil
 }
@@ -149,6 +152,7 @@
 		g.tomb.Go(g.routesLoop)
 		g.tomb.Go(g.tickLoop)
 		g.tomb.Go(g.gaugeLoop)
+		g.tomb.Go(g.placerStateLoop)
 		return nil
 	})
 	// Accepting the links of a large fleet's agents occupies the CPU of a small instance for a
@@ -202,9 +206,17 @@
 		g.log.Info("job refused", zap.String("job", r.Job.ID), zap.String("route", r.Route.Name), zap.Uint64("version", r.Version), zap.String("reason", "the entry is stopping"))
 		return placement.Answer{Outcome: placement.Refused, Reason: "the entry is stopping", RetryAfter: time.Second}
 	}
-	if a, taken := g.submitToPlacer(ctx, r); taken {
+	if stopAt := g.stopAt.Load(); stopAt != nil {
+		r.StopAt = *stopAt
+	}
+	if a, accepted := g.submitToPlacer(ctx, r); accepted {
 		return a
 	}
+	if !g.scheduler.HasTargets() && g.awaitPlacement(ctx) {
+		if a, accepted := g.submitToPlacer(ctx, r); accepted {
+			return a
+		}
+	}
 	ticket, refusal := g.scheduler.Submit(r, time.Now())
 	if refusal != nil {
 		return *refusal
@@ -243,7 +255,7 @@
 // ShouldCloseConnection reports whether callers should close their connection after an answer
 // and open a new one, which leads them to another entry.
 func (g *Gateway) ShouldCloseConnection() bool {
-	return g.stopping.Load() || g.scheduler.Isolated(time.Now())
+	return g.stopping.Load() || g.isolated(time.Now())
 }
 
 // tickLoop drives the scheduler. After a pause of the process it first abandons the jobs,
@@ -260,9 +272,6 @@
 			now := time.Now()
 			g.loopLag.tick(now, placement.TickInterval)
 			g.scheduler.Tick(now)
-			if g.scheduler.HasWaitingTasks() {
-				g.forwarder.markContended(now)
-			}
 		}
 	}
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -87,16 +88,22 @@
 	}
 }
 
+// entries returns this entry and the peers that it knows from the store or a link.
+func (g *Gateway) entries() []wire.Peer {
+	return append([]wire.Peer{g.self()}, g.members.Snapshot().Direct...)
+}
+
 // peersMessage lists this entry and the peers that it knows from the store or a link; peers
 // that were only reported by others are left out.
 func (g *Gateway) peersMessage() *wire.Peers {
-	return &wire.Peers{Peers: append([]wire.Peer{g.self()}, g.members.Snapshot().Direct...)}
+	return &wire.Peers{Peers: g.entries()}
 }
 
 func (g *Gateway) peerUp(l *transport.Link) {
 	g.log.Info("peer linked", zap.String("peer", l.Name()))
 	g.forwarder.linkUp(l)
 	_ = l.Send(&wire.Heartbeat{Revision: g.version()})
+	_ = l.Send(g.placerState())
 }
 
 func (g *Gateway) peerDown(l *transport.Link, err error) {
@@ -119,6 +126,8 @@
 		}
 	case *wire.Document:
 		g.applyRoutes(m.Body, "peer "+l.Name())
+	case *wire.PlacerState:
+		g.forwarder.handleState(l, m)
 	case *wire.JobForward:
 		g.handleForward(l, m)
 	case *wire.JobAnswer:
@@ -130,8 +139,9 @@
 	}
 }
 
-// peerLoop sends the list of live entries to the agents and keeps a link to each peer. Of two
-// entries, the one whose name sorts first dials.
+// peerLoop sends the list of live entries to the agents and keeps a link between this entry
+// and each placer, or each entry if this one is a placer. Of two entries, the one whose name
+// sorts first dials.
 func (g *Gateway) peerLoop() error {
 	for {
 		snapshot := g.members.Snapshot()
@@ -141,34 +151,68 @@
 			_ = l.Send(message)
 		}
 		g.mu.Unlock()
-		for _, p := range snapshot.Direct {
-			if g.node.Name < p.Name {
-				g.dial(p)
+		g.updateDials(snapshot.Direct)
+		unchanged := true
+		for unchanged {
+			select {
+			case <-g.tomb.Dying():
+				return nil
+			case <-snapshot.Changed():
+				unchanged = false
+			case <-time.After(unneededLinkInterval):
+				g.endUnneededDials()
 			}
 		}
-		select {
-		case <-g.tomb.Dying():
-			return nil
-		case <-snapshot.Changed():
+	}
+}
+
+// updateDials starts the missing dial loops.
+func (g *Gateway) updateDials(peers []wire.Peer) {
+	for _, p := range peers {
+		if g.node.Name < p.Name && g.needsLink(p.Name) {
+			g.dial(p)
 		}
 	}
 }
 
+// needsLink reports whether this entry or a peer places jobs for the other.
+func (g *Gateway) needsLink(peer string) bool {
+	placers := g.placers()
+	return slices.Contains(placers, g.node.Name) || slices.Contains(placers, peer)
+}
+
+// endUnneededDials ends the dial loops, with their links, to listed peers that need no link
+// and have no jobs of this entry. A link to a peer that is not listed stays until it fails:
+// the peer may only be cut off from the store.
+func (g *Gateway) endUnneededDials() {
+	for _, p := range g.members.Snapshot().Direct {
+		if g.needsLink(p.Name) || g.forwarder.hasJobsWith(p.Name) {
+			continue
+		}
+		g.mu.Lock()
+		if end := g.dials[p.Address]; end != nil {
+			end()
+		}
+		g.mu.Unlock()
+	}
+}
+
 func (g *Gateway) dial(p wire.Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.dials[p.Address] {
+	if g.dials[p.Address] != nil {
 		return
 	}
-	g.dials[p.Address] = true
+	ctx, end := context.WithCancel(g.tomb.Context(context.Background()))
+	g.dials[p.Address] = end
 	g.tomb.Go(func() error {
-		ctx := g.tomb.Context(context.Background())
-		for g.tomb.Alive() && g.isListed(p.Address) {
+		defer end()
+		for ctx.Err() == nil && g.isListed(p.Address) {
 			if err := transport.Dial(ctx, p.Address, g.linkOptions()); err != nil {
 				g.log.Debug("no link to peer", zap.String("address", p.Address), zap.Error(err))
 			}
 			select {
-			case <-g.tomb.Dying():
+			case <-ctx.Done():
 			case <-time.After(dialInterval):
 			}
 		}
@@ -180,10 +224,5 @@
 }
 
 func (g *Gateway) isListed(address string) bool {
-	for _, p := range g.members.Snapshot().Direct {
-		if p.Address == address {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(g.members.Snapshot().Direct, func(p wire.Peer) bool { return p.Address == address })
 }
--- /dev/null
+++ b/gateway/placers.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+const (
+	// declineBackoff is how long a placer is sent no jobs after it declined one: a few of its
+	// mean lags.
+	declineBackoff = 200 * time.Millisecond
+	// quietAfter is the time without a message after which a placer with unfinished jobs is sent
+	// no more while another one is left. Its heartbeats come every 150 ms, and jobs that are sent
+	// to a placer that has died are lost.
+	quietAfter = 250 * time.Millisecond
+)
+
+// peerLink is a link to a peer entry. Send does not block and fails only on a closed link.
+type peerLink interface {
+	Name() string
+	Send(m wire.Message) error
+	SinceReceived() time.Duration // time since the last message from the peer
+}
+
+// peerState is what is known about a linked peer.
+type peerState struct {
+	wire.PlacerState
+	declinedAt time.Time
+	jobs       int       // sent and not answered
+	busySince  time.Time // when jobs last rose from 0
+}
+
+// placerTable tracks the linked peers and chooses the placer of a job. It is not safe for
+// concurrent use.
+type placerTable struct {
+	peers map[peerLink]*peerState
+	turn  int
+}
+
+func newPlacerTable() placerTable { return placerTable{peers: make(map[peerLink]*peerState)} }
+
+// jobSent records that a job was sent over a link.
+func (t *placerTable) jobSent(l peerLink, now time.Time) {
+	if p := t.peers[l]; p != nil {
+		if p.jobs == 0 {
+			p.busySince = now
+		}
+		p.jobs++
+	}
+}
+
+// jobEnded records that a job that was sent over a link was answered or given up.
+func (t *placerTable) jobEnded(l peerLink) {
+	if p := t.peers[l]; p != nil {
+		p.jobs--
+	}
+}
+
+// quiet reports whether a peer owes a message for so long that it may have died.
+func (p *peerState) quiet(l peerLink, now time.Time) bool {
+	return p.jobs > 0 && now.Sub(p.busySince) > quietAfter && l.SinceReceived() > quietAfter
+}
+
+// reachable reports whether a named peer is linked and has targets.
+func (t *placerTable) reachable(names []string) bool {
+	for l, p := range t.peers {
+		if p.Targets > 0 && slices.Contains(names, l.Name()) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the link to the named placer that should get the next job, or nil. Of two
+// placers, one in turn and one at random, it takes the one with less waiting work: the
+// numbers are as old as the last message, and if every entry sent its jobs to the placer with
+// the least, that one would be flooded. Quiet placers are taken only if no other is left;
+// excluded ones are not taken.
+func (t *placerTable) choose(names []string, exclude []peerLink, now time.Time) peerLink {
+	var sound, quiet []peerLink
+	for _, name := range names {
+		l, p := t.find(name)
+		switch {
+		case l == nil || p.Targets == 0 || slices.Contains(exclude, l) || now.Sub(p.declinedAt) < declineBackoff:
+		case p.quiet(l, now):
+			quiet = append(quiet, l)
+		default:
+			sound = append(sound, l)
+		}
+	}
+	if len(sound) == 0 {
+		sound = quiet
+	}
+	if len(sound) == 0 {
+		return nil
+	}
+	t.turn++
+	first := t.turn % len(sound)
+	if len(sound) == 1 {
+		return sound[first]
+	}
+	second := (first + 1 + rand.IntN(len(sound)-1)) % len(sound)
+	if t.peers[sound[second]].WaitingCPU < t.peers[sound[first]].WaitingCPU {
+		return sound[second]
+	}
+	return sound[first]
+}
+
+// find returns the link to a peer and its state, or nil.
+func (t *placerTable) find(name string) (peerLink, *peerState) {
+	for l, p := range t.peers {
+		if l.Name() == name {
+			return l, p
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/gateway/placers_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/wire"
+)
+
+// silentLink is a link to a peer that was last heard of at a set time.
+type silentLink struct {
+	name  string
+	quiet time.Duration
+}
+
+func (l *silentLink) Name() string                 { return l.name }
+func (l *silentLink) Send(wire.Message) error      { return nil }
+func (l *silentLink) SinceReceived() time.Duration { return l.quiet }
+
+// tableOf returns a table with a number of placers, p0 and so on, and their links.
+func tableOf(n int) (t placerTable, names []string, links []*silentLink) {
+	t = newPlacerTable()
+	for i := range n {
+		l := &silentLink{name: fmt.Sprint("p", i)}
+		t.peers[l] = &peerState{PlacerState: wire.PlacerState{Targets: 40}}
+		names, links = append(names, l.name), append(links, l)
+	}
+	return t, names, links
+}
+
+// chosen counts how often each placer is chosen for a number of jobs.
+func (t *placerTable) chosen(names []string, jobs int, now time.Time) map[string]int {
+	counts := make(map[string]int)
+	for range jobs {
+		if l := t.choose(names, nil, now); l != nil {
+			counts[l.Name()]++
+		}
+	}
+	return counts
+}
+
+// Guards against jobs that keep going to one placer although its tasks wait and the others
+// have none, and against sending all jobs to the one with the least waiting work.
+func TestJobsAvoidLoadedPlacers(t *testing.T) {
+	now := time.Unix(100, 0)
+	table, names, links := tableOf(7)
+	even := table.chosen(names, 7000, now)
+	for _, name := range names {
+		if n := even[name]; n < 900 || n > 1100 {
+			t.Errorf("no task waits: %s gets %d of 7000 jobs, want about 1000", name, n)
+		}
+	}
+	for i, l := range links {
+		table.peers[l].WaitingCPU = int64(i) * 10_000
+	}
+	loaded := table.chosen(names, 7000, now)
+	if loaded["p6"] > 200 || loaded["p0"] < 1200 || loaded["p0"] > 2300 {
+		t.Errorf("the placer with the most waiting work gets %d of 7000 jobs, the one without gets %d", loaded["p6"], loaded["p0"])
+	}
+}
+
+// Guards against jobs that are sent for half a second to a placer that has died: its link ends
+// only then, but it stops answering at once. A placer without jobs owes no message.
+func TestJobsAvoidQuietPlacer(t *testing.T) {
+	now := time.Unix(100, 0)
+	table, names, links := tableOf(2)
+	links[0].quiet = 700 * time.Millisecond // an idle link
+	if n := table.chosen(names, 10, now)["p0"]; n != 5 {
+		t.Errorf("an idle placer gets %d of 10 jobs, want 5", n)
+	}
+	table.jobSent(links[0], now)
+	if n := table.chosen(names, 10, now.Add(100*time.Millisecond))["p0"]; n != 5 {
+		t.Errorf("a placer with a job of 100 ms gets %d of 10 jobs, want 5", n)
+	}
+	later := now.Add(300 * time.Millisecond)
+	if n := table.chosen(names, 10, later)["p0"]; n != 0 {
+		t.Errorf("a placer that owes a message for 300 ms gets %d jobs, want none", n)
+	}
+	links[1].quiet = time.Second
+	table.jobSent(links[1], now)
+	if l := table.choose(names, nil, later); l == nil {
+		t.Error("no placer is chosen if all are quiet, want any")
+	}
+	links[0].quiet = 0
+	if n := table.chosen(names, 10, later)["p0"]; n != 10 {
+		t.Errorf("a placer that answers again gets %d of 10 jobs beside a quiet one, want 10", n)
+	}
+}
+
+// Guards against jobs that are sent to an entry without targets or to one that has just
+// declined, and against asking the same placer twice.
+func TestJobsAvoidPlacersThatDecline(t *testing.T) {
+	now := time.Unix(100, 0)
+	table, names, links := tableOf(3)
+	table.peers[links[0]].Targets = 0
+	table.peers[links[1]].declinedAt = now
+	if n := table.chosen(names, 10, now)["p2"]; n != 10 {
+		t.Errorf("the only placer that accepts gets %d of 10 jobs, want all", n)
+	}
+	if l := table.choose(names, []peerLink{links[2]}, now); l != nil {
+		t.Errorf("%s is chosen, want none", l.Name())
+	}
+	if l := table.choose(names, []peerLink{links[2]}, now.Add(declineBackoff)); l != links[1] {
+		t.Errorf("%v is chosen after its backoff, want p1", l)
+	}
+	if !table.reachable(names) || table.reachable(names[:1]) {
+		t.Error("reachable: want p1 and p2, not p0, which has no targets")
+	}
+}
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -41,6 +41,12 @@
 	// gaugeInterval is the interval at which gauges are updated; they are scraped every few
 	// seconds.
 	gaugeInterval = time.Second
+	// unneededLinkInterval is the interval at which links to peers that are no longer needed are
+	// closed. It is longer than most jobs.
+	unneededLinkInterval = time.Second
+	// placerStateInterval is the shortest interval between two messages about this entry's
+	// targets and waiting tasks to its peers.
+	placerStateInterval = 100 * time.Millisecond
 	// dialInterval is the delay between attempts to connect to a peer.
 	dialInterval = 500 * time.Millisecond
 	// initialRoutesTimeout is how long a process waits after its start for the first routes
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -59,7 +59,8 @@
 		reason := fmt.Sprintf("no target has the room or the label that step %d needs", step)
 		return &Answer{Outcome: Refused, Reason: reason, RetryAfter: maxRetryAfter}
 	}
-	if !s.stopDeadline.IsZero() && now.Add(stopSafetyFactor*j.criticalPath()+stopMargin).After(s.stopDeadline) {
+	end := now.Add(stopSafetyFactor*j.criticalPath() + stopMargin)
+	if !s.stopDeadline.IsZero() && end.After(s.stopDeadline) || !j.request.StopAt.IsZero() && end.After(j.request.StopAt) {
 		return &Answer{Outcome: Refused, Reason: "the entry is stopping", RetryAfter: minRetryAfter}
 	}
 	if !now.Before(j.request.Deadline) {
--- a/placement/job.go
+++ b/placement/job.go
@@ -99,6 +99,16 @@
 	return c
 }
 
+// waitingCPU returns the sum of the CPU needs of the job's waiting tasks, in thousandths of a
+// core.
+func (j *activeJob) waitingCPU() int64 {
+	sum := int64(0)
+	for step := range j.tasks {
+		sum += int64(j.waitingTasks(step)) * j.request.Job.Steps[step].Need.CPU
+	}
+	return sum
+}
+
 // started reports whether any task has run or may be running.
 func (j *activeJob) started() bool { return j.ran || j.inFlight > 0 }
 
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -178,9 +178,16 @@
 // share of a core, 1.7%, at about 30 us a message and 21 starts a second for each target
 // at the intended fleet size: 26 messages a start, of which the start and its end use four.
 func TestCapacityMessagesOfLargeFleet(t *testing.T) {
-	const entries, hosts, maxPerStart = 14, 76, 22
-	for _, c := range []struct{ load, wantTotal float64 }{{5, minNormalScore}, {11.7, minOverloadScore}} {
-		f := newFleet(1, entries, hosts)
+	const maxPerStart = 22
+	for _, c := range []struct {
+		entries, hosts, taskCPU int
+		load, wantTotal         float64
+	}{
+		{14, 76, 3100, 5, minNormalScore}, {14, 76, 3100, 11.7, minOverloadScore},
+		{35, 160, 5000, 9, minNormalScore}, {35, 160, 5000, 14.4, minOverloadScore},
+	} {
+		f := newFleet(1, c.entries, c.hosts)
+		f.taskCPU = float64(c.taskCPU)
 		f.load(4*time.Second, func(int, time.Duration) float64 { return c.load })
 		f.run(drainDuration)
 		starts := 0
@@ -189,28 +196,29 @@
 		}
 		perStart := float64(f.messages) / float64(starts)
 		m := f.computeScore()
-		t.Logf("load %.1f: %.1f capacity messages per start, %d starts; %s", c.load, perStart, starts, m)
+		t.Logf("%d entries, load %.1f: %.1f capacity messages per start, %d starts; %s", c.entries, c.load, perStart, starts, m)
 		if perStart > maxPerStart {
-			t.Errorf("load %.1f: %.1f capacity messages per start, want at most %d", c.load, perStart, maxPerStart)
+			t.Errorf("%d entries, load %.1f: %.1f capacity messages per start, want at most %d", c.entries, c.load, perStart, maxPerStart)
 		}
 		if m.total < c.wantTotal {
-			t.Errorf("load %.1f: total score %.3f, want at least %.2f", c.load, m.total, c.wantTotal)
+			t.Errorf("%d entries, load %.1f: total score %.3f, want at least %.2f", c.entries, c.load, m.total, c.wantTotal)
 		}
 	}
 }
 
 // Guards against many entries that compete for the same targets at peak load, each knowing
-// only its own jobs: 14 entries get 1,290 jobs a second, 1.1 times the throughput of 76
-// targets, for four seconds. While targets are full, three entries place jobs for all.
+// only its own jobs. For four seconds, 14 entries get 1.1 times the throughput of 76 targets,
+// and 35 entries 1.9 times the mean demand of 160 targets. A few entries place the jobs of
+// all, and each target is linked to two of these.
 func TestPeakLoadWithManyEntries(t *testing.T) {
-	const entries, hosts, load = 14, 76, 10.4
-	play := func(placers int) score {
-		f := newFleet(1, entries, hosts)
-		f.taskCPU, f.placers = 3600, placers
-		f.load(4*time.Second, func(int, time.Duration) float64 { return load })
+	for _, c := range []struct {
+		entries, hosts, taskCPU int
+		load                    float64
+	}{{14, 76, 3600, 10.4}, {35, 160, 5000, 17.1}} {
+		f := newFleet(1, c.entries, c.hosts)
+		f.taskCPU = float64(c.taskCPU)
+		f.load(4*time.Second, func(int, time.Duration) float64 { return c.load })
 		f.run(drainDuration)
-		return f.computeScore()
+		f.computeScore().check(t, minFaultScore)
 	}
-	t.Logf("without placers: %v", play(0))
-	play(3).check(t, minFaultScore)
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -179,6 +179,7 @@
 	s.checkOverdue(now)
 	s.demote(now)
 	s.schedule(now)
+	s.updateWaitingCPU()
 }
 
 func (s *Scheduler) expire(now time.Time) {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -61,6 +61,7 @@
 	ordered       []*target // sorted by name
 	estimates     estimates
 	starts        []pendingStart // of the current scheduling pass
+	waitingCPU    int64          // at the last Tick, see WaitingCPU
 	sentBacklog   backlog        // last sent to the agents
 	backlogSentAt time.Time
 	firstTick     time.Time // first call of Tick
@@ -90,6 +91,7 @@
 	Route    routing.Route
 	Version  uint64 // of the routing table that selected Route
 	Deadline time.Time
+	StopAt   time.Time // when the entry that received the job ends a planned stop; zero: no stop
 }
 
 // Submit accepts a job and returns a ticket, or returns the refusal of a job of which
@@ -199,6 +201,35 @@
 	return l
 }
 
+// UsableTargets returns the number of targets that may get runs.
+func (s *Scheduler) UsableTargets() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usableTargets()
+}
+
+// HasTargets reports whether a target is usable.
+func (s *Scheduler) HasTargets() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.ordered, (*target).usable)
+}
+
+// WaitingCPU returns the sum of the CPU needs of the waiting tasks at the last Tick, in
+// thousandths of a core.
+func (s *Scheduler) WaitingCPU() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waitingCPU
+}
+
+func (s *Scheduler) updateWaitingCPU() {
+	s.waitingCPU = 0
+	for _, j := range s.queue {
+		s.waitingCPU += j.waitingCPU()
+	}
+}
+
 // HasWaitingTasks reports whether tasks wait for free capacity.
 func (s *Scheduler) HasWaitingTasks() bool {
 	s.mu.Lock()
@@ -214,18 +245,19 @@
 	return s.isolated(now)
 }
 
-// isolationTimeout tolerates a short time without usable targets. startupGrace gives new
-// processes and agents the time to connect and to get the first report of their targets.
 const (
-	isolationTimeout = 700 * time.Millisecond
-	startupGrace     = 2500 * time.Millisecond
+	// IsolationTimeout is how long an entry may have no usable target before it refuses jobs.
+	IsolationTimeout = 700 * time.Millisecond
+	// startupGrace gives new processes and agents the time to connect and to get the first
+	// report of their targets.
+	startupGrace = 2500 * time.Millisecond
 )
 
 func (s *Scheduler) isolated(now time.Time) bool {
 	if s.usableTargets() > 0 || s.firstTick.IsZero() {
 		return false
 	}
-	return now.Sub(s.firstTick) > startupGrace && now.Sub(s.lastUsable) > isolationTimeout
+	return now.Sub(s.firstTick) > startupGrace && now.Sub(s.lastUsable) > IsolationTimeout
 }
 
 func (s *Scheduler) usableTargets() int {
--- a/placement/simfleet_test.go
+++ b/placement/simfleet_test.go
@@ -4,10 +4,12 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/topology"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -24,7 +26,7 @@
 	served  []served
 	kinds   []jobKind
 	taskCPU float64 // mean need of a task, in thousandths of a core
-	placers int     // entries that place all jobs while targets are full; 0: every entry places its own
+	placers []*simEntry
 	// messages counts the agents' reports of free capacity other than with ends of runs.
 	messages int
 }
@@ -74,10 +76,8 @@
 	s       *placement.Scheduler
 	n       int
 	pending map[string]pending
-	// contended is when tasks last waited here, or at the entry that a job was
-	// forwarded to.
-	contended time.Time
-	forwarded int // jobs forwarded to placers
+	waiting map[*simEntry]int64 // waiting work of the placers, as their last answers said
+	turn    int                 // jobs forwarded to placers
 }
 
 // simHost is an agent with its target.
@@ -134,24 +134,29 @@
 }
 
 func newFleet(seed uint64, entries, hosts int) *simFleet {
+	rules := topology.Rules{}
 	f := &simFleet{now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), kinds: userKinds(), taskCPU: meanTaskCPU}
 	for i := range entries {
-		e := &simEntry{f: f, n: i, pending: make(map[string]pending)}
+		e := &simEntry{f: f, n: i, pending: make(map[string]pending), waiting: make(map[*simEntry]int64)}
 		e.s = placement.New(placement.Options{
 			FailureDomain: fmt.Sprint("d", i%3),
 			Random:        rand.New(rand.NewPCG(seed, uint64(i))),
-			Entries:       func() int { return entries },
+			Entries:       func() int { return rules.LinksPerTarget(entries) },
 			Observer:      e,
 		})
 		f.entries = append(f.entries, e)
 	}
+	placers := rules.Placers(f.peers())
+	for _, p := range placers {
+		f.placers = append(f.placers, f.entryOf(p))
+	}
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range hosts {
 		h := &simHost{f: f, name: fmt.Sprint("agent-", i), incarnation: 1, table: runs.New(), speed: speeds[f.random.IntN(3)], slow: 1, running: map[workload.RunID]*simRun{}}
 		h.table.SetCapacity(workload.Resources{CPU: hostCPU, Memory: 131072})
 		f.hosts = append(f.hosts, h)
-		for _, e := range f.entries {
-			h.link(e)
+		for _, p := range topology.Subset(h.name, placers, rules.LinksPerTarget(entries)) {
+			h.link(f.entryOf(p))
 		}
 	}
 	for _, e := range f.entries {
@@ -160,11 +165,25 @@
 	return f
 }
 
+// peers returns the entries as their processes list each other.
+func (f *simFleet) peers() []wire.Peer {
+	var peers []wire.Peer
+	for _, e := range f.entries {
+		peers = append(peers, wire.Peer{Name: fmt.Sprintf("%03d", e.n), FailureDomain: fmt.Sprint("d", e.n%3), CPU: 800})
+	}
+	return peers
+}
+
+func (f *simFleet) entryOf(p wire.Peer) *simEntry {
+	n, err := strconv.Atoi(p.Name)
+	if err != nil {
+		panic(err)
+	}
+	return f.entries[n]
+}
+
 func (f *simFleet) tick(e *simEntry) {
 	e.s.Tick(f.now)
-	if e.s.HasWaitingTasks() {
-		e.contended = f.now
-	}
 	f.after(placement.TickInterval, func() { f.tick(e) })
 }
 
--- a/placement/simload_test.go
+++ b/placement/simload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -110,16 +111,23 @@
 	e.submit(placement.Request{Job: job, Route: route, Version: 1, Deadline: f.now.Add(wait)})
 }
 
-// submit places a job, or forwards it to one of the fleet's placers while targets are
-// full, as gateways do.
+// submit places a job, or forwards it to a placer as gateways do: to the one with less waiting
+// work of two.
 func (e *simEntry) submit(r placement.Request) {
 	f := e.f
-	if f.placers == 0 || e.n < f.placers || f.now.Sub(e.contended) > contendedFor {
+	if slices.Contains(f.placers, e) {
 		e.s.Submit(r, f.now)
 		return
 	}
-	e.forwarded++
-	to := f.entries[(e.forwarded+e.n)%f.placers]
+	e.turn++
+	first := (e.turn + e.n) % len(f.placers)
+	to := f.placers[first]
+	if len(f.placers) > 1 {
+		other := f.placers[(first+1+f.random.IntN(len(f.placers)-1))%len(f.placers)]
+		if e.waiting[other] < e.waiting[to] {
+			to = other
+		}
+	}
 	p := e.pending[r.Job.ID]
 	delete(e.pending, r.Job.ID)
 	p.origin = e
@@ -127,12 +135,8 @@
 	f.after(hopDelay, func() { to.s.Submit(r, f.now) })
 }
 
-const (
-	// contendedFor is how long jobs are still forwarded to placers after the last task waited.
-	contendedFor = 500 * time.Millisecond
-	// hopDelay is the delay of a job or an answer between two entries.
-	hopDelay = 2 * time.Millisecond
-)
+// hopDelay is the delay of a job or an answer between two entries.
+const hopDelay = 2 * time.Millisecond
 
 // pending is a job that has not been answered.
 type pending struct {
@@ -151,9 +155,7 @@
 	delete(e.pending, r.ID)
 	if p.origin != nil {
 		r.Took = e.f.now.Add(hopDelay).Sub(p.arrived)
-		if e.contended.After(p.origin.contended) {
-			p.origin.contended = e.contended
-		}
+		e.f.after(hopDelay, func() { p.origin.waiting[e] = e.s.WaitingCPU() })
 	}
 	p.out.answer, p.out.took = r.Answer.Outcome, r.Took
 	p.out.inTime = p.out.answer == placement.Done && r.Took <= p.objective
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -13,10 +13,10 @@
 	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/internal/pausedetect"
 	"github.com/catkinline/catkinline/kv"
-	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/targets"
+	"github.com/catkinline/catkinline/topology"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -42,11 +42,16 @@
 	// gaugeInterval is the interval at which gauges are updated; they are scraped every few
 	// seconds.
 	gaugeInterval = time.Second
-	// unlistedEntryTimeout is how long an entry is still dialled after it was last listed.
-	unlistedEntryTimeout = 30 * time.Second
+	// linksInterval is the interval at which the links are compared with those that are needed.
+	linksInterval = 250 * time.Millisecond
+	// listSettleInterval is the delay between the first reads of the store, which end when two
+	// lists are equal: while a fleet starts, links to the entries that registered first would
+	// have to move within a second. listSettleTimeout bounds the delay.
+	listSettleInterval = 300 * time.Millisecond
+	listSettleTimeout  = 1500 * time.Millisecond
 )
 
-// ProcessOptions configures an agent process. All fields but AdminPort are required.
+// ProcessOptions configures an agent process. All fields but the last two are required.
 type ProcessOptions struct {
 	Node          settings.Node
 	Log           *zap.Logger
@@ -56,7 +61,8 @@
 	ReportHandler func(*Sidecar) http.Handler // serves the target's reports
 	LinkSecret    string
 	Timing        transport.Timing
-	AdminPort     int // TCP port for metrics; 0 disables it
+	AdminPort     int            // TCP port for metrics; 0 disables it
+	Topology      topology.Rules // which entries to link to, the same for all processes
 }
 
 // Process is an agent with its links to entries and its listening addresses.
@@ -71,10 +77,13 @@
 	tomb          tomb.Tomb
 	servers       *httpserve.Servers
 
-	mu      sync.Mutex
-	entries map[string]time.Time // by address, when the entry was last listed
-	dials   map[string]bool      // addresses with a running dialLoop
-	links   int
+	created time.Time
+
+	mu    sync.Mutex
+	plan  *topology.Links
+	open  map[string]*transport.Link // by name of the entry
+	keep  map[string]wire.Peer       // entries to link to, by name
+	dials map[string]bool            // names of entries with a running dialLoop
 }
 
 // NewProcess returns a process that does nothing until Run is called.
@@ -90,7 +99,10 @@
 		log:         o.Log,
 		incarnation: wire.NewIncarnation(time.Now()),
 		credentials: credentials,
-		entries:     make(map[string]time.Time),
+		created:     time.Now(),
+		plan:        topology.NewLinks(o.Node.Name, o.Topology),
+		open:        make(map[string]*transport.Link),
+		keep:        make(map[string]wire.Peer),
 		dials:       make(map[string]bool),
 	}
 	p.servers = httpserve.New(&p.tomb, o.Log)
@@ -121,6 +133,7 @@
 	p.sidecar.Start()
 	p.tomb.Go(func() error {
 		p.tomb.Go(p.lookupLoop)
+		p.tomb.Go(p.linksLoop)
 		p.tomb.Go(p.gaugeLoop)
 		p.tomb.Go(func() error {
 			reports.Run(p.tomb.Context(context.Background()), p.sidecar.RestoreReport)
@@ -169,79 +182,6 @@
 	return err
 }
 
-// lookupLoop looks entries up in the store while none is linked.
-func (p *Process) lookupLoop() error {
-	for p.tomb.Alive() {
-		if p.linkCount() == 0 {
-			p.listEntries()
-		}
-		p.sleepJittered(lookupInterval)
-	}
-	return nil
-}
-
-func (p *Process) listEntries() {
-	ctx, cancel := context.WithTimeout(p.tomb.Context(context.Background()), lookupTimeout)
-	defer cancel()
-	peers, err := member.List(ctx, p.opts.Store)
-	if err != nil {
-		p.log.Warn("cannot list entries from the store", zap.Error(err))
-		return
-	}
-	p.addEntries(peers)
-}
-
-func (p *Process) linkCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.links
-}
-
-// addEntries records the listed entries and starts a dialLoop for each new one.
-func (p *Process) addEntries(peers []wire.Peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, peer := range peers {
-		if _, known := p.entries[peer.Address]; !known {
-			p.log.Info("entry discovered", zap.String("entry", peer.Name), zap.String("address", peer.Address))
-		}
-		p.entries[peer.Address] = time.Now()
-		if !p.dials[peer.Address] && p.tomb.Alive() {
-			p.dials[peer.Address] = true
-			p.tomb.Go(func() error {
-				p.dialLoop(peer.Address)
-				return nil
-			})
-		}
-	}
-}
-
-// dialLoop keeps a link to an entry until the entry has not been listed for
-// unlistedEntryTimeout.
-func (p *Process) dialLoop(address string) {
-	ctx := p.tomb.Context(context.Background())
-	wait := dialInterval
-	for p.tomb.Alive() && p.recentlyListed(address) {
-		started := time.Now()
-		err := transport.Dial(ctx, address, p.linkOptions())
-		p.log.Debug("no link to entry", zap.String("address", address), zap.Error(err))
-		wait = min(2*wait, maxDialInterval)
-		if time.Since(started) > maxDialInterval {
-			wait = dialInterval
-		}
-		p.sleepJittered(wait)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.dials, address)
-}
-
-func (p *Process) recentlyListed(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Since(p.entries[address]) < unlistedEntryTimeout
-}
-
 // sleepJittered waits for a random time between 0.5 and 1.5 times d, or until the process stops.
 func (p *Process) sleepJittered(d time.Duration) {
 	select {
@@ -263,34 +203,6 @@
 	}
 }
 
-// linkHandler passes link events to the sidecar.
-type linkHandler struct{ p *Process }
-
-// LinkUp implements transport.Handler.
-func (h linkHandler) LinkUp(l *transport.Link) {
-	h.p.mu.Lock()
-	h.p.links++
-	h.p.mu.Unlock()
-	h.p.sidecar.LinkUp(l)
-}
-
-// LinkDown implements transport.Handler.
-func (h linkHandler) LinkDown(l *transport.Link, err error) {
-	h.p.mu.Lock()
-	h.p.links--
-	h.p.mu.Unlock()
-	h.p.sidecar.LinkDown(l, err)
-}
-
-// Handle implements transport.Handler.
-func (h linkHandler) Handle(l *transport.Link, m wire.Message) {
-	if peers, ok := m.(*wire.Peers); ok {
-		h.p.addEntries(peers.Peers)
-		return
-	}
-	h.p.sidecar.Handle(l, m)
-}
-
 // gaugeLoop updates the gauges.
 func (p *Process) gaugeLoop() error {
 	ticker := time.NewTicker(gaugeInterval)
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -54,6 +54,9 @@
 }
 
 func (s *Sidecar) setBacklog(state *linkState, m *wire.Backlog) {
+	if state.retiring {
+		return // the entry sends no more starts
+	}
 	s.offers.SetBacklog(ownerOf(state.link), runs.Backlog{Tasks: int(m.Tasks), Key: time.Now().Add(m.Urgency), MinNeed: m.MinNeed})
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -99,6 +99,7 @@
 	startsReceived uint64
 	advertised     wire.Room
 	stale          bool // start requests on it may be out of date
+	retiring       bool // the entry was told to send no more starts
 }
 
 // Sidecar is a running agent. All methods are safe for concurrent use. One mutex guards its
@@ -265,6 +266,23 @@
 
 func ownerOf(l Link) runs.Owner { return runs.Owner{Name: l.Name(), Incarnation: l.Incarnation()} }
 
+// Retire tells an entry that no more starts are accepted from it, before its link is closed.
+// Starts that it has sent already are processed.
+func (s *Sidecar) Retire(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.links[entry]
+	if state == nil || state.retiring {
+		return
+	}
+	state.retiring = true
+	s.offers.Remove(ownerOf(state.link))
+	s.log.Info("link retired", zap.String("entry", entry))
+	if s.ready() {
+		s.sendState(state)
+	}
+}
+
 // Idle reports whether the entry of a link has no run here. Nothing has to be stopped when
 // such a link is lost, so its loss may be detected later.
 func (s *Sidecar) Idle(l Link) bool {
@@ -300,7 +318,7 @@
 		Labels:        s.report.Labels,
 		Capacity:      s.report.Capacity,
 		Room:          state.advertised,
-		Closed:        !s.acceptsRuns(),
+		Closed:        !s.acceptsRuns() || state.retiring,
 	})
 }
 
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -44,7 +44,6 @@
 	role          string
 	settingsPath  string
 	listen        string // UDP address for links; gateways only
-	forwards      bool   // forwards every job to a placer
 	callerAddress string // address of the relay for callers; gateways only
 	logPath       string
 	store         *faultproxy.TCP
@@ -69,6 +68,7 @@
 	store      *standin.Store
 	server     *httptest.Server
 	gateways   []*node
+	onePlacer  bool // one gateway places the jobs of all
 	sidecars   []*node
 	cleanups   []func()
 	watchers   sync.WaitGroup
@@ -83,7 +83,7 @@
 func newTestbed(ctx context.Context, o Options, log *zap.Logger) (*testbed, error) {
 	b := &testbed{
 		ctx: ctx, dir: o.Dir, log: log, runChecker: newRunChecker(), timeline: &timeline{}, store: standin.NewStore(standin.StoreOptions{FirstRevision: 1}),
-		writtenAt: make(map[uint64]time.Time),
+		writtenAt: make(map[uint64]time.Time), onePlacer: o.Seed%2 == 1,
 	}
 	b.server = httptest.NewServer(b.store.Handler())
 	b.cleanups = append(b.cleanups, b.server.Close)
@@ -177,7 +177,6 @@
 	s.LinkPort, s.CPU = links.Port, largeGatewayCPU
 	if i == 0 {
 		s.CPU = smallGatewayCPU
-		n.forwards = seed%2 == 1
 	}
 	n.callerAddress = n.inbound.Address()
 	b.gateways = append(b.gateways, n)
@@ -220,8 +219,8 @@
 	if n.listen != "" {
 		arguments = append(arguments, "--link-listen", n.listen)
 	}
-	if n.forwards {
-		arguments = append(arguments, "--forward-always")
+	if b.onePlacer {
+		arguments = append(arguments, "--placers", "1")
 	}
 	p, err := fleet.StartProcess(n.name, n.logPath, arguments...)
 	if err != nil {
--- a/agent/subset.go
+++ b/topology/subset.go
@@ -1,4 +1,4 @@
-package agent
+package topology
 
 import (
 	"cmp"
@@ -8,11 +8,11 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// subset returns the n live entries that an agent links to, in order of descending
+// Subset returns the n live entries that an agent links to, in order of descending
 // score, or all for n = 0. Rendezvous hashing by the agent's name distributes the
 // agents evenly over the entries without coordination, and moves only the links
 // affected when an entry joins or leaves.
-func subset(agent string, live []wire.Peer, n int) []wire.Peer {
+func Subset(agent string, live []wire.Peer, n int) []wire.Peer {
 	ranked := slices.Clone(live)
 	slices.SortFunc(ranked, func(a, b wire.Peer) int {
 		return cmp.Or(cmp.Compare(score(agent, b.Name), score(agent, a.Name)), cmp.Compare(a.Name, b.Name))
@@ -39,9 +39,9 @@
 	return x ^ x>>33
 }
 
-// nextMove returns the entries to link to and the entry to leave next. One link moves
+// NextMove returns the entries to link to and the entry to leave next. One link moves
 // at a time: the new link is up before the old one is closed.
-func nextMove(chosen []wire.Peer, linked []string, n int) (open []wire.Peer, end string) {
+func NextMove(chosen []wire.Peer, linked []string, n int) (open []wire.Peer, end string) {
 	extra := slices.Clone(linked)
 	for _, p := range chosen {
 		if i := slices.Index(extra, p.Name); i >= 0 {
--- a/transport/link.go
+++ b/transport/link.go
@@ -139,6 +139,9 @@
 // Incarnation returns the peer's incarnation, as it stated in the handshake.
 func (l *Link) Incarnation() wire.Incarnation { return l.incarnation }
 
+// SinceReceived returns the time since the last message from the peer.
+func (l *Link) SinceReceived() time.Duration { return l.age() - time.Duration(l.lastReceived.Load()) }
+
 // Traffic counts the QUIC packets of a link, including acknowledgements and
 // retransmissions, and their bytes without the headers of UDP and IP.
 type Traffic struct {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -68,6 +68,7 @@
 	TypeJobForward:      func() Message { return &JobForward{} },
 	TypeJobAnswer:       func() Message { return &JobAnswer{} },
 	TypeJobCancel:       func() Message { return &JobCancel{} },
+	TypePlacerState:     func() Message { return &PlacerState{} },
 }
 
 func (*Hello) Type() Type           { return TypeHello }
@@ -98,6 +99,7 @@
 func (*JobForward) Type() Type      { return TypeJobForward }
 func (*JobAnswer) Type() Type       { return TypeJobAnswer }
 func (*JobCancel) Type() Type       { return TypeJobCancel }
+func (*PlacerState) Type() Type     { return TypePlacerState }
 
 // Encode returns the frame of a message: the body's length in four bytes, the
 // type in one, then the body in CBOR.
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -16,6 +16,12 @@
 	Route         routing.Route `cbor:"3,keyasint"` // in the sender's routing table
 	RoutesVersion uint64        `cbor:"4,keyasint"` // of the sender's routing table
 	TimeLeft      time.Duration `cbor:"5,keyasint"`
+	// StopIn is the time until the sender ends a planned stop, 0 without one. A job that
+	// will probably take longer is refused.
+	StopIn time.Duration `cbor:"6,keyasint,omitempty"`
+	// LastChoice says that no other entry is left to ask, so that an overloaded receiver
+	// should not decline.
+	LastChoice bool `cbor:"7,keyasint,omitempty"`
 }
 
 // JobAnswer is the response to a JobForward. Declined says that the receiver has not
@@ -26,9 +32,18 @@
 	Outcome    uint8         `cbor:"3,keyasint,omitempty"` // a placement.Outcome
 	Reason     string        `cbor:"4,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
-	// Contended says that tasks at the receiver wait for free capacity, or did until
-	// just now.
-	Contended bool `cbor:"6,keyasint,omitempty"`
+	// Number 6 is not used again.
+
+	// WaitingCPU is the sum of the CPU needs of the tasks that wait at the receiver, in
+	// thousandths of a core.
+	WaitingCPU int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// PlacerState tells a peer whether this entry places jobs, and how many tasks wait. It is
+// the first message on a link between entries and is sent again when it changes much.
+type PlacerState struct {
+	Targets    uint32 `cbor:"1,keyasint,omitempty"` // usable targets; 0: forwarded jobs are declined
+	WaitingCPU int64  `cbor:"2,keyasint,omitempty"` // as in JobAnswer
 }
 
 // JobCancel asks the receiver of a JobForward to cancel the job because its caller has
--- a/wire/message.go
+++ b/wire/message.go
@@ -40,6 +40,7 @@
 	TypeJobForward
 	TypeJobAnswer
 	TypeJobCancel
+	TypePlacerState
 )
 
 // typeNames holds the names of message types in metrics and logs.
@@ -51,6 +52,7 @@
 	TypePeerState: "peer_state", TypeDocument: "document", TypeDocumentRequest: "document_request",
 	TypeTargetState: "target_state", TypeRoom: "room", TypeRunStart: "run_start", TypeRunEnd: "run_end", TypeRunStop: "run_stop",
 	TypeBacklog: "backlog", TypeJobForward: "job_forward", TypeJobAnswer: "job_answer", TypeJobCancel: "job_cancel",
+	TypePlacerState: "placer_state",
 }
 
 // String returns the type's name in metrics and logs.
