Renew no lease of a silent target, and tell entries when a restored target opens

A target whose responses are lost still receives its agent's polls. They went on renewing the lease, while the agent reported the runs as stopped 0.96 s after the last response, so that entries started the tasks elsewhere while they ran (TestRunsOfSilentTargetEndBefore- TheyAreReported). Polls now renew nothing once the target has been silent for 400 ms, and runs are reported when the latest lease end that was sent has passed on the target's clock: 1.07 s after the last response.

A start request without a response was given up with the lease. These runs now stay in the table until the target responds, as they already did when nothing listened there.

The refusal has no start time of the target; it was taken for that of another process and discarded the saved report. A second way to the same result, a response that opens the target but is itself out of date, left the entries untold. Both are covered by TestRestoredTargetOpensWithOutdatedResponse.

--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -39,7 +39,7 @@
 	sentAt := time.Now()
 	request := targets.PollRequest{
 		Target:       s.report.Target,
-		LeaseEnd:     s.leaseEnd(sentAt),
+		LeaseEnd:     s.renewedLease(sentAt),
 		FencingToken: s.target.fencingToken,
 		AckedEnd:     s.target.ackedEnd,
 		MaxWait:      s.opts.RenewInterval,
@@ -69,8 +69,29 @@
 	return len(s.table.Select(func(r *runs.Run) bool { return !r.StopAckedAt.IsZero() })) > 0
 }
 
-// handlePollFailure records that a poll got no response. Once no renewal can have reached the
-// target for longer than a lease, nothing runs there any more.
+// renewedLease returns the lease end to send with a poll, or 0 to renew nothing. A target that
+// has been silent for unresponsiveAfter may still receive the polls; with renewals, its runs
+// would continue for as long as it is silent.
+func (s *Sidecar) renewedLease(now time.Time) time.Duration {
+	if !s.target.answeredAt.IsZero() && now.Sub(s.target.answeredAt) > unresponsiveAfter {
+		return 0
+	}
+	return s.leaseEnd(now)
+}
+
+// leaseExpired reports whether every lease that was sent to the target has ended on its clock.
+func (s *Sidecar) leaseExpired(now time.Time) bool {
+	if s.target.clockAt.IsZero() {
+		return false
+	}
+	left := time.Duration(clockDriftFactor * float64(s.target.leaseSent-s.target.clock))
+	return now.Sub(s.target.clockAt) > left+leaseMargin
+}
+
+// handlePollFailure records that a poll got no response. Once the lease has expired, no run
+// continues whose start the target had confirmed. A start request without a response may still
+// be in transit, and a target that restarts under its id would execute it; these runs stay in
+// the table until the target responds.
 func (s *Sidecar) handlePollFailure(err error) {
 	notListening := errors.Is(err, targets.ErrNotListening)
 	if !notListening {
@@ -82,14 +103,11 @@
 	if s.target.reachable {
 		s.log.Warn("target does not answer", zap.String("target", s.report.Target), zap.Error(err))
 	}
-	leaseExpired := time.Since(s.target.answeredAt) > time.Duration(clockDriftFactor*float64(s.opts.Lease))+2*s.opts.RequestTimeout+s.opts.RenewInterval
 	wasReachable := s.target.reachable
 	s.target.reachable = false
 	switch {
-	case leaseExpired && !s.target.answeredAt.IsZero():
-		for _, e := range s.table.Clear("the target was unreachable for longer than its lease") {
-			s.finish(e)
-		}
+	case s.leaseExpired(time.Now()):
+		s.endLostRuns(time.Now(), "the target was unreachable for longer than its lease")
 	case notListening:
 		s.endLostRuns(time.Now(), "the target's process has ended")
 	}
@@ -102,7 +120,20 @@
 // handlePollResponse processes the response to a poll that was sent at sentAt, and reports
 // whether the next poll may follow at once.
 func (s *Sidecar) handlePollResponse(request targets.PollRequest, sentAt time.Time, response targets.PollResponse) bool {
-	now, wasAccepting := time.Now(), s.acceptsRuns()
+	wasAccepting := s.acceptsRuns()
+	again := s.updateFromPoll(request, sentAt, response)
+	if wasAccepting != s.acceptsRuns() {
+		if s.acceptsRuns() {
+			s.log.Info("target accepts runs", zap.String("target", s.report.Target), zap.Int64("born", s.target.born), zap.Uint64("fence", s.target.fencingToken))
+		}
+		s.broadcastState()
+	}
+	return again
+}
+
+// updateFromPoll updates the state of the target and its runs, as handlePollResponse.
+func (s *Sidecar) updateFromPoll(request targets.PollRequest, sentAt time.Time, response targets.PollResponse) bool {
+	now := time.Now()
 	if s.restored && !s.reportUsable && request.Target == s.report.Target && !s.confirmRestored(response) {
 		return true
 	}
@@ -129,12 +160,6 @@
 	if len(orphans) > 0 {
 		s.stopOrphans(s.report.Target, orphans, s.target.fencingToken)
 	}
-	if wasAccepting != s.acceptsRuns() {
-		if s.acceptsRuns() {
-			s.log.Info("target accepts runs", zap.String("target", s.report.Target), zap.Int64("born", s.target.born), zap.Uint64("fence", s.target.fencingToken))
-		}
-		s.broadcastState()
-	}
 	return len(orphans) == 0
 }
 
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -98,13 +98,15 @@
 	}
 }
 
-// leaseEnd returns the time on the target's clock at which a lease that begins now ends, or 0
+// leaseEnd returns the time on the target's clock at which a lease that is sent now ends, or 0
 // while that clock is not known.
 func (s *Sidecar) leaseEnd(now time.Time) time.Duration {
 	if s.target.clockAt.IsZero() {
 		return 0
 	}
-	return s.target.clock + now.Sub(s.target.clockAt) + s.opts.Lease
+	end := s.target.clock + now.Sub(s.target.clockAt) + s.opts.Lease
+	s.target.leaseSent = max(s.target.leaseSent, end)
+	return end
 }
 
 // refusalBackoff is the delay before the next start after the target refused one for which the
--- a/sidecar/restore.go
+++ b/sidecar/restore.go
@@ -31,9 +31,13 @@
 }
 
 // confirmRestored compares the restored report with the response to a poll for its
-// incarnation, and reports whether it may be used. A target may have restarted under the same
-// id.
+// incarnation, and reports whether it may still be used. A target may have restarted under the
+// same id. A target that refuses the fencing token does not say since when it runs, which
+// confirms nothing.
 func (s *Sidecar) confirmRestored(response targets.PollResponse) bool {
+	if response.Born == 0 && !response.Replaced {
+		return true
+	}
 	if response.Replaced || response.Born != s.report.Born {
 		s.log.Info("the recalled report is out of date", zap.String("target", s.report.Target), zap.Int64("born", s.report.Born), zap.Int64("answered", response.Born))
 		s.report, s.restored = targets.Report{}, false
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -146,3 +146,47 @@
 		}
 	})
 }
+
+// scriptedPolls answers polls with responses that a test computes from the requests.
+type scriptedPolls struct {
+	targets.Client
+	respond func(targets.PollRequest, targets.PollResponse) targets.PollResponse
+}
+
+func (c *scriptedPolls) Poll(ctx context.Context, q targets.PollRequest) (targets.PollResponse, error) {
+	response, err := c.Client.Poll(ctx, q)
+	return c.respond(q, response), err
+}
+
+// Guards against a target that opens without its entries being told: the response that
+// confirms the restored report may itself be out of date, or refuse the fencing token.
+func TestRestoredTargetOpensWithOutdatedResponse(t *testing.T) {
+	for name, change := range map[string]func(*targets.PollResponse){
+		"overtaken": func(r *targets.PollResponse) { r.Clock -= time.Second },
+		"fenced":    func(r *targets.PollResponse) { r.Fenced, r.Born = true, 0 },
+	} {
+		runFixture(t, withRunTime(time.Second), func(b *fixture) {
+			if err := b.sidecar.Kill(); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(2 * time.Second)
+			confirmed := false
+			client := &scriptedPolls{Client: b.client, respond: func(q targets.PollRequest, r targets.PollResponse) targets.PollResponse {
+				if q.Target != "" && !confirmed {
+					confirmed = true
+					change(&r)
+				}
+				return r
+			}}
+			b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
+			b.sidecar.Start()
+			l := b.link("a")
+			time.Sleep(300 * time.Millisecond)
+			b.sidecar.RestoreReport(b.savedReport("i-standin"))
+			time.Sleep(time.Second)
+			if !acceptsRuns(l) {
+				t.Errorf("%s: no runs accepted 1 s after the restored report", name)
+			}
+		})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -44,6 +44,9 @@
 	unresponsiveAfter = 400 * time.Millisecond
 	// clockDriftFactor allows for a target clock that runs up to 2% slow.
 	clockDriftFactor = 1.02
+	// leaseMargin is added to the time after which a lease counts as expired. It allows for the
+	// target's timers.
+	leaseMargin = 50 * time.Millisecond
 	// maxFencingToken bounds the fencing token to integers that every JSON decoder
 	// represents exactly.
 	maxFencingToken = 1 << 52
@@ -132,6 +135,7 @@
 	fencingToken uint64
 	clock        time.Duration // the target's clock at clockAt
 	clockAt      time.Time
+	leaseSent    time.Duration // the latest lease end that was sent, on the target's clock
 	ackedEnd     uint64 // number of the last processed end
 	synced       bool   // the table holds every run that may be on the target
 	reachable    bool
