Link targets to a substitute when a placer begins its planned stop

Cause: a placer that drains declines jobs for two seconds or more, while its agents count it as linked. A target whose two placers are restarted in turn is then used by one or none.

Change: a stopping gateway sends its agents Leave and its peers its state at once; the agent links to the next placer immediately and keeps the old link for the runs that it has. TestLinksOfStoppingPlacer fails without it (two links instead of three).

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -53,6 +53,9 @@
 	g.agents[l] = true
 	g.mu.Unlock()
 	_ = l.Send(g.peersMessage())
+	if g.stopping.Load() {
+		_ = l.Send(leaveMessage())
+	}
 }
 
 // LinkDown implements transport.Handler.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/wire"
 )
 
 // drain runs the first phase of a planned stop. The readiness check fails from its
@@ -18,6 +20,7 @@
 	stopAt := started.Add(timeout)
 	g.stopAt.Store(&stopAt)
 	g.scheduler.SetStopDeadline(stopAt)
+	g.announceStop()
 	limit := time.NewTimer(timeout)
 	defer limit.Stop()
 	ticker := time.NewTicker(drainIdleTime / 10)
@@ -44,6 +47,21 @@
 	}
 }
 
+// announceStop tells the agents to link to other entries, and the peers to send no more jobs.
+func (g *Gateway) announceStop() {
+	g.mu.Lock()
+	for l := range g.agents {
+		// Sending fails only on a closed link.
+		_ = l.Send(leaveMessage())
+	}
+	g.mu.Unlock()
+	for _, l := range g.forwarder.links() {
+		_ = l.Send(g.placerState())
+	}
+}
+
+func leaveMessage() *wire.Leave { return &wire.Leave{Reason: "the entry stops"} }
+
 // drainTimeout returns how long a planned stop may serve jobs.
 func (g *Gateway) drainTimeout() time.Duration {
 	grace := g.node.GracePeriod
--- a/sidecar/process_links.go
+++ b/sidecar/process_links.go
@@ -64,6 +64,17 @@
 	p.updateLinks()
 }
 
+// entryLeaves links to another entry in place of one that has begun a planned stop.
+func (p *Process) entryLeaves(l *transport.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.Info("entry begins a planned stop", zap.String("entry", l.Name()))
+	if p.open[l.Name()] == l {
+		p.plan.Leaving(l.Name())
+		p.updateLinks()
+	}
+}
+
 // linksLoop keeps the links to the entries that the plan selects.
 func (p *Process) linksLoop() error {
 	ticker := time.NewTicker(linksInterval)
@@ -166,9 +177,12 @@
 
 // Handle implements transport.Handler.
 func (h linkHandler) Handle(l *transport.Link, m wire.Message) {
-	if peers, ok := m.(*wire.Peers); ok {
-		h.p.setList(l.Name(), peers.Peers)
-		return
+	switch m := m.(type) {
+	case *wire.Peers:
+		h.p.setList(l.Name(), m.Peers)
+	case *wire.Leave:
+		h.p.entryLeaves(l)
+	default:
+		h.p.sidecar.Handle(l, m)
 	}
-	h.p.sidecar.Handle(l, m)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -136,8 +136,8 @@
 	clock        time.Duration // the target's clock at clockAt
 	clockAt      time.Time
 	leaseSent    time.Duration // the latest lease end that was sent, on the target's clock
-	ackedEnd     uint64 // number of the last processed end
-	synced       bool   // the table holds every run that may be on the target
+	ackedEnd     uint64        // number of the last processed end
+	synced       bool          // the table holds every run that may be on the target
 	reachable    bool
 	replaced     bool // the target answered that it is another incarnation
 	answeredAt   time.Time
--- a/topology/links.go
+++ b/topology/links.go
@@ -46,6 +46,7 @@
 
 	wasLinked bool                 // an entry was linked at some time
 	retired   map[string]time.Time // by name of a linked entry, since when its link is retiring
+	leaving   map[string]bool      // names of linked entries that have begun a planned stop
 }
 
 // NewLinks returns the Links of an agent.
@@ -53,7 +54,7 @@
 	return &Links{
 		rules: rules, agent: agent,
 		lists: make(map[string][]wire.Peer), linked: make(map[string]time.Time),
-		missing: make(map[string]time.Time), retired: make(map[string]time.Time),
+		missing: make(map[string]time.Time), retired: make(map[string]time.Time), leaving: make(map[string]bool),
 	}
 }
 
@@ -71,6 +72,7 @@
 	l.linked[entry], l.wasLinked = now, true
 	delete(l.retired, entry)
 	delete(l.missing, entry)
+	delete(l.leaving, entry)
 }
 
 // LinkDown records that an entry is no longer linked. Its list is kept while no other entry
@@ -78,6 +80,15 @@
 func (l *Links) LinkDown(entry string) {
 	delete(l.linked, entry)
 	delete(l.retired, entry)
+	delete(l.leaving, entry)
+}
+
+// Leaving records that a linked entry has begun a planned stop. Its link stays open for the
+// runs that it has, but another entry is linked at once.
+func (l *Links) Leaving(entry string) {
+	if _, linked := l.linked[entry]; linked {
+		l.leaving[entry] = true
+	}
 }
 
 // Moves are the changes to make to an agent's links.
@@ -126,7 +137,7 @@
 			continue
 		}
 		missing[p.Name] = l.missingSince(p, now)
-		if now.Sub(missing[p.Name]) >= l.substituteDelay() {
+		if l.leaving[p.Name] || now.Sub(missing[p.Name]) >= l.substituteDelay() {
 			needed++
 		}
 	}
@@ -172,7 +183,7 @@
 func (l *Links) isLinkedTo(name string) bool {
 	_, linked := l.linked[name]
 	_, retiring := l.retired[name]
-	return linked && !retiring
+	return linked && !retiring && !l.leaving[name]
 }
 
 // missingSince returns since when an entry has been wanted and not linked.
@@ -219,15 +230,14 @@
 		return
 	}
 	for _, p := range chosen {
-		since, linked := l.linked[p.Name]
-		if !linked || now.Sub(since) < settleTime {
+		if since := l.linked[p.Name]; !l.isLinked(p) || now.Sub(since) < settleTime {
 			return
 		}
 	}
 	surplus := ""
 	for name, since := range l.linked {
 		kept := slices.ContainsFunc(keep, func(p wire.Peer) bool { return p.Name == name })
-		if !kept && (surplus == "" || cmp.Or(since.Compare(l.linked[surplus]), strings.Compare(name, surplus)) < 0) {
+		if !kept && !l.leaving[name] && (surplus == "" || cmp.Or(since.Compare(l.linked[surplus]), strings.Compare(name, surplus)) < 0) {
 			surplus = name
 		}
 	}
--- a/topology/links_test.go
+++ b/topology/links_test.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// Guards against a target that one placer less can use for the whole planned stop of another:
+// the agent links to a substitute at once, and keeps the link over which runs continue.
+func TestLinksOfStoppingPlacer(t *testing.T) {
+	live := entriesIn(5, 3, 4)
+	a := started(live)
+	chosen := chosenBy("agent-1", live)
+	a.Leaving(chosen[0])
+	a.run(2 * step)
+	if len(a.linked) != 3 || !a.linked[chosen[0]] {
+		t.Errorf("linked to %v right after %s began to stop, want it, %s and a substitute", a.links(), chosen[0], chosen[1])
+	}
+	a.down[chosen[0]] = true
+	a.run(2 * time.Second)
+	delete(a.down, chosen[0])
+	a.run(6 * time.Second)
+	if !slices.Equal(a.links(), chosen) {
+		t.Errorf("after its return linked to %v, want %v", a.links(), chosen)
+	}
+}
+
 // Guards against an agent that waits for placers that are all unreachable, one after the
 // other: each substitute may be unreachable as well.
 func TestLinksPastUnreachablePlacers(t *testing.T) {
