Decline malformed jobs of peers, and survive an unknown outcome

Cause: a job that a peer forwards was not checked as callers' jobs are. One with a step after a step that does not exist, or with a negative or huge number of tasks, panicked in the scheduler and took the gateway down with the jobs of all its callers; so did an answer with an outcome that does not exist, when its name was logged.

TestMalformedMessagesOfPeer panics without the check.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -290,13 +291,23 @@
 		g.log.Info("placer declined a job", zap.String("job", r.Job.ID), zap.String("peer", link.Name()))
 		return placement.Answer{}, false
 	}
-	answer := placement.Answer{Outcome: placement.Outcome(a.Outcome), Reason: a.Reason, RetryAfter: a.RetryAfter}
+	answer := answerOf(a)
 	g.opts.Metrics.Add(metrics.JobsForwarded, 1, metrics.TagOutcome, answer.Outcome.String())
 	g.log.Info("forwarded job ended", zap.String("job", r.Job.ID), zap.String("route", r.Route.Name), zap.Uint64("version", r.Version),
 		zap.String("peer", link.Name()), zap.Duration("took", time.Since(started)), zap.Stringer("outcome", answer.Outcome), zap.String("reason", answer.Reason))
 	return answer, true
 }
 
+// answerOf returns the answer in a peer's message. The outcome of a job is unknown if the
+// message names none that exists.
+func answerOf(a wire.JobAnswer) placement.Answer {
+	answer := placement.Answer{Outcome: placement.Outcome(a.Outcome), Reason: a.Reason, RetryAfter: a.RetryAfter}
+	if !answer.Outcome.Valid() {
+		return placement.Answer{Outcome: placement.Expired, Reason: fmt.Sprintf("the peer answered with the unknown outcome %d", a.Outcome)}
+	}
+	return answer
+}
+
 // awaitPlacement waits until a placer or a target of this entry can be reached, and reports
 // whether there is one. It gives up when this entry counts as isolated, or with ctx.
 func (g *Gateway) awaitPlacement(ctx context.Context) bool {
@@ -349,6 +360,9 @@
 
 // declineReason returns why a job of a peer is declined, or an empty string.
 func (g *Gateway) declineReason(m *wire.JobForward) string {
+	if err := m.Job.Validate(); err != nil {
+		return "malformed: " + err.Error()
+	}
 	switch {
 	case g.stopping.Load():
 		return "a planned stop has begun"
--- /dev/null
+++ b/gateway/forward_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// recordingLink is a link to a peer that records the messages sent to it.
+type recordingLink struct {
+	silentLink
+	sent []wire.Message
+}
+
+func (l *recordingLink) Send(m wire.Message) error {
+	l.sent = append(l.sent, m)
+	return nil
+}
+
+// discardLink is an agent's link that drops all messages.
+type discardLink struct{}
+
+func (discardLink) Send(wire.Message) error { return nil }
+
+// newPlacer returns a gateway, without its loops, that has one usable target.
+func newPlacer(t *testing.T) *Gateway {
+	t.Helper()
+	g, err := New(Options{Log: zap.NewNop(), Metrics: metrics.New(nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	link := discardLink{}
+	g.scheduler.LinkUp("agent", 1, link)
+	state := &wire.TargetState{Target: "i-1", Capacity: workload.Resources{CPU: 32000}, Room: wire.Room{Free: workload.Resources{CPU: 32000}}}
+	g.scheduler.HandleState("agent", link, state, time.Now())
+	return g
+}
+
+// Guards against one malformed message of a peer that takes the whole process down: a job that
+// the scheduler cannot index, and an answer with an outcome that does not exist.
+func TestMalformedMessagesOfPeer(t *testing.T) {
+	g := newPlacer(t)
+	l := &recordingLink{silentLink: silentLink{name: "peer"}}
+	g.forwarder.linkUp(l)
+	for i, steps := range [][]workload.Step{
+		nil, {{Tasks: -1}}, {{Tasks: 1 << 40}}, {{Tasks: 1, After: []int{7}}},
+	} {
+		number := uint64(i + 1)
+		g.handleForward(l, &wire.JobForward{RequestID: number, Job: workload.Job{ID: "1", Steps: steps}, TimeLeft: time.Second})
+		a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer)
+		if !ok || a.RequestID != number || !a.Declined {
+			t.Errorf("answer to a job with steps %+v: %+v, want declined", steps, l.sent[len(l.sent)-1])
+		}
+	}
+	if a := answerOf(wire.JobAnswer{Outcome: 77}); a.Outcome != placement.Expired {
+		t.Errorf("an answer with outcome 77 is %v, want expired", a.Outcome)
+	}
+	if name := placement.Outcome(200).String(); name != "invalid" {
+		t.Errorf("outcome 200 is named %q", name)
+	}
+}
--- a/placement/job.go
+++ b/placement/job.go
@@ -20,9 +20,16 @@
 
 var outcomeNames = [...]string{"invalid", "done", "failed", "refused", "expired", "cancelled"}
 
-// String returns the outcome's name as used in metrics and logs. It panics for a value
-// that is no outcome.
-func (o Outcome) String() string { return outcomeNames[o] }
+// String returns the outcome's name as used in metrics and logs.
+func (o Outcome) String() string {
+	if !o.Valid() {
+		return outcomeNames[0]
+	}
+	return outcomeNames[o]
+}
+
+// Valid reports whether o is one of the outcomes.
+func (o Outcome) Valid() bool { return o >= Done && o <= Cancelled }
 
 // Answer is the final answer to a job; each caller of the job gets exactly one.
 // Reason is sent to the caller; RetryAfter is set if the caller may submit the job again.
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 )
@@ -83,6 +84,34 @@
 	Unsupported string `cbor:"4,keyasint,omitempty"`
 }
 
+// Bounds of a job. The largest jobs in use have 160 tasks.
+const (
+	MaxSteps = 64
+	MaxTasks = 4096
+)
+
+// Validate returns an error if a job is outside the bounds, has negative needs, or has a step
+// that depends on one that does not precede it.
+func (j *Job) Validate() error {
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("a job has 1 to %d steps, this one has %d", MaxSteps, len(j.Steps))
+	}
+	for i, s := range j.Steps {
+		if s.Tasks < 1 || s.Tasks > MaxTasks || s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 {
+			return fmt.Errorf("step %d: invalid number of tasks (%d) or resources (cpu %d)", i, s.Tasks, s.Need.CPU)
+		}
+		for _, dependency := range s.After {
+			if dependency < 0 || dependency >= i {
+				return fmt.Errorf("step %d depends on step %d, which does not precede it", i, dependency)
+			}
+		}
+	}
+	if j.Tasks() > MaxTasks {
+		return fmt.Errorf("a job has at most %d tasks, this one has %d", MaxTasks, j.Tasks())
+	}
+	return nil
+}
+
 // Tasks returns the number of tasks in all steps.
 func (j *Job) Tasks() int {
 	n := 0
