Let entries dial the placers, and close links to a placer's earlier process

Cause: of two gateways the one whose name sorts first dialled, every 500 ms. A gateway that restarts waited until placers with earlier names had lost the link to its former process, 0.5 to 1.1 s, and had dialled again; without a link to a placer it serves no jobs. A placer that had restarted was listed with two links until the old one timed out, and jobs went over either.

Change: entries dial the placers, and of two placers the first by name dials, every 100 ms; a new process's link closes those of earlier ones, and of two links the one that was heard of last is used. TestWhoDials, TestLinkToEarlierProcessIsClosed. Also: an agent refuses a start with a negative need, which would have added room (TestStartWithNegativeNeedIsRefused).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -62,10 +62,14 @@
 	}
 }
 
-// linkUp adds a link to a peer.
+// linkUp adds a link to a peer. Links to earlier processes of the peer are closed at once: they
+// would time out only later, and jobs that are sent over them are lost.
 func (f *forwarder) linkUp(l peerLink) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, old := range f.placers.replaced(l) {
+		_ = old.Close(nil) // never fails
+	}
 	f.placers.peers[l] = &peerState{}
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -143,8 +143,7 @@
 }
 
 // peerLoop sends the list of live entries to the agents and keeps a link between this entry
-// and each placer, or each entry if this one is a placer. Of two entries, the one whose name
-// sorts first dials.
+// and each placer, or each entry if this one is a placer.
 func (g *Gateway) peerLoop() error {
 	for {
 		snapshot := g.members.Snapshot()
@@ -172,24 +171,28 @@
 // updateDials starts the missing dial loops.
 func (g *Gateway) updateDials(peers []wire.Peer) {
 	for _, p := range peers {
-		if g.node.Name < p.Name && g.needsLink(p.Name) {
+		if dialsPeer(g.placers(), g.node.Name, p.Name) {
 			g.dial(p)
 		}
 	}
 }
 
-// needsLink reports whether this entry or a peer places jobs for the other.
-func (g *Gateway) needsLink(peer string) bool {
-	placers := g.placers()
-	return slices.Contains(placers, g.node.Name) || slices.Contains(placers, peer)
+// dialsPeer reports whether an entry dials a peer: it dials placers, and of two placers the one
+// whose name sorts first does. An entry that restarts so reaches the placers at once, and does
+// not wait until they have lost the link to its earlier process.
+func dialsPeer(placers []string, self, peer string) bool {
+	if !slices.Contains(placers, peer) {
+		return false
+	}
+	return !slices.Contains(placers, self) || self < peer
 }
 
-// endUnneededDials ends the dial loops, with their links, to listed peers that need no link
-// and have no jobs of this entry. A link to a peer that is not listed stays until it fails:
+// endUnneededDials ends the dial loops, with their links, to listed peers that need not be
+// dialled any more and have no jobs of this entry. A link to a peer that is not listed stays until it fails:
 // the peer may only be cut off from the store.
 func (g *Gateway) endUnneededDials() {
 	for _, p := range g.members.Snapshot().Direct {
-		if g.needsLink(p.Name) || g.forwarder.hasJobsWith(p.Name) {
+		if dialsPeer(g.placers(), g.node.Name, p.Name) || g.forwarder.hasJobsWith(p.Name) {
 			continue
 		}
 		g.mu.Lock()
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -21,7 +21,9 @@
 // peerLink is a link to a peer entry. Send does not block and fails only on a closed link.
 type peerLink interface {
 	Name() string
+	Incarnation() wire.Incarnation
 	Send(m wire.Message) error
+	Close(err error) error
 	SinceReceived() time.Duration // time since the last message from the peer
 }
 
@@ -109,12 +111,24 @@
 	return sound[first]
 }
 
-// find returns the link to a peer and its state, or nil.
-func (t *placerTable) find(name string) (peerLink, *peerState) {
+// find returns the link to a peer and its state, or nil. Of two links, which both sides may
+// have dialled, it is the one that was heard of last.
+func (t *placerTable) find(name string) (link peerLink, state *peerState) {
 	for l, p := range t.peers {
-		if l.Name() == name {
-			return l, p
+		if l.Name() == name && (link == nil || l.SinceReceived() < link.SinceReceived()) {
+			link, state = l, p
 		}
 	}
-	return nil, nil
+	return link, state
+}
+
+// replaced returns the links to earlier processes of a peer that has opened a new one.
+func (t *placerTable) replaced(by peerLink) []peerLink {
+	var old []peerLink
+	for l := range t.peers {
+		if l.Name() == by.Name() && l.Incarnation() < by.Incarnation() {
+			old = append(old, l)
+		}
+	}
+	return old
 }
--- a/gateway/placers_test.go
+++ b/gateway/placers_test.go
@@ -10,13 +10,17 @@
 
 // silentLink is a link to a peer that was last heard of at a set time.
 type silentLink struct {
-	name  string
-	quiet time.Duration
+	name        string
+	incarnation wire.Incarnation
+	quiet       time.Duration
+	closed      bool
 }
 
-func (l *silentLink) Name() string                 { return l.name }
-func (l *silentLink) Send(wire.Message) error      { return nil }
-func (l *silentLink) SinceReceived() time.Duration { return l.quiet }
+func (l *silentLink) Name() string                  { return l.name }
+func (l *silentLink) Incarnation() wire.Incarnation { return l.incarnation }
+func (l *silentLink) Send(wire.Message) error       { return nil }
+func (l *silentLink) Close(error) error             { l.closed = true; return nil }
+func (l *silentLink) SinceReceived() time.Duration  { return l.quiet }
 
 // tableOf returns a table with a number of placers, p0 and so on, and their links.
 func tableOf(n int) (t placerTable, names []string, links []*silentLink) {
@@ -108,3 +112,38 @@
 		t.Error("reachable: want p1 and p2, not p0, which has no targets")
 	}
 }
+
+// Guards against jobs that are sent over the link to an earlier process of a placer, which has
+// not timed out yet, and against closing the second of two links that both sides dialled.
+func TestLinkToEarlierProcessIsClosed(t *testing.T) {
+	f := newForwarder()
+	earlier := &silentLink{name: "p", incarnation: 1, quiet: 400 * time.Millisecond}
+	next, second := &silentLink{name: "p", incarnation: 2}, &silentLink{name: "p", incarnation: 2, quiet: time.Second}
+	for _, l := range []*silentLink{earlier, next, second} {
+		f.linkUp(l)
+		f.handleState(l, &wire.PlacerState{Targets: 1})
+	}
+	if !earlier.closed || next.closed || second.closed {
+		t.Errorf("closed: the earlier link %t, the next two %t and %t; want only the earlier one", earlier.closed, next.closed, second.closed)
+	}
+	if l := f.choose([]string{"p"}, nil, time.Now()); l != next {
+		t.Errorf("chosen link %+v, want the one that was heard of last", l)
+	}
+}
+
+// Guards against a restarted entry that waits for placers to dial it, and against two entries
+// of which each waits for the other.
+func TestWhoDials(t *testing.T) {
+	placers := []string{"b", "d"}
+	for _, c := range []struct {
+		self, peer string
+		want       bool
+	}{
+		{"a", "b", true}, {"e", "b", true}, {"b", "a", false}, {"b", "e", false},
+		{"b", "d", true}, {"d", "b", false}, {"a", "e", false},
+	} {
+		if got := dialsPeer(placers, c.self, c.peer); got != c.want {
+			t.Errorf("%s dials %s: %t, want %t", c.self, c.peer, got, c.want)
+		}
+	}
+}
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -47,8 +47,9 @@
 	// placerStateInterval is the shortest interval between two messages about this entry's
 	// targets and waiting tasks to its peers.
 	placerStateInterval = 100 * time.Millisecond
-	// dialInterval is the delay between attempts to connect to a peer.
-	dialInterval = 500 * time.Millisecond
+	// dialInterval is the delay between attempts to connect to a peer. It is short because an
+	// entry without a link to a placer serves no jobs.
+	dialInterval = 100 * time.Millisecond
 	// initialRoutesTimeout is how long a process waits after its start for the first routes
 	// before it accepts links and refuses jobs. The store answers within a few milliseconds;
 	// while it is unavailable, routes come from peers over links.
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -83,6 +83,8 @@
 	switch {
 	case state.stale:
 		return wire.EndNotRun, "the agent process was paused"
+	case m.Need.Negative():
+		return wire.EndNotRun, "malformed: negative resource need"
 	case !s.acceptsRuns():
 		return wire.EndNotRun, "the target does not accept runs"
 	case m.Target != s.report.Target:
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -214,6 +214,18 @@
 	})
 }
 
+// Guards against a malformed start that adds room which the target does not have.
+func TestStartWithNegativeNeedIsRefused(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), -64000)
+		synctest.Wait()
+		if ends := l.ends(); len(ends) != 1 || ends[0].Status != wire.EndNotRun || ends[0].Room.Free.CPU != 32000 {
+			t.Errorf("run ends received: %+v, want one run that was not started and 32000 free CPU", ends)
+		}
+	})
+}
+
 // Guards against a second run of a task whose start request got no response and is executed
 // late: the end is reported only when the run cannot start any more.
 func TestDelayedStartRequestDoesNotRun(t *testing.T) {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -42,6 +42,9 @@
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.Accelerators <= free.Accelerators
 }
 
+// Negative reports whether any resource is below zero.
+func (r Resources) Negative() bool { return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0 }
+
 // TaskID identifies one task of a job.
 type TaskID struct {
 	Job   string `cbor:"1,keyasint"`
@@ -97,7 +100,7 @@
 		return fmt.Errorf("a job has 1 to %d steps, this one has %d", MaxSteps, len(j.Steps))
 	}
 	for i, s := range j.Steps {
-		if s.Tasks < 1 || s.Tasks > MaxTasks || s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 {
+		if s.Tasks < 1 || s.Tasks > MaxTasks || s.Need.Negative() {
 			return fmt.Errorf("step %d: invalid number of tasks (%d) or resources (cpu %d)", i, s.Tasks, s.Need.CPU)
 		}
 		for _, dependency := range s.After {
