Watch the routes from the store's revision, not from the key's

Cause: after the store has discarded its history, a watch from the revision of the last change of the routes fails at once, and the loop read the key and tried again every 100 ms until the routes changed.

Change: the key is read by a list, whose response has the revision of the store.

--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/metrics"
 )
 
@@ -103,16 +102,19 @@
 	}
 }
 
+// readRoutes reads the key and returns the revision of the store from which to watch it. The
+// revision of the key itself may be older than the history that the store keeps.
 func (g *Gateway) readRoutes(ctx context.Context) (revision uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	e, err := g.store.Get(ctx, g.opts.RoutesKey)
-	if errors.Is(err, kv.ErrNotFound) {
-		return 0, nil
-	}
+	entries, revision, err := g.store.List(ctx, g.opts.RoutesKey)
 	if err != nil {
 		return 0, err
 	}
-	g.applyRoutes(e.Value, "read")
-	return e.Version, nil
+	for _, e := range entries {
+		if e.Key == g.opts.RoutesKey {
+			g.applyRoutes(e.Value, "read")
+		}
+	}
+	return revision, nil
 }
--- a/gateway/routes_test.go
+++ b/gateway/routes_test.go
@@ -26,8 +26,22 @@
 // then ends after watchWait with ErrCompacted.
 type lossyStore struct {
 	kv.Store
-	mu    sync.Mutex
-	lossy bool
+	mu      sync.Mutex
+	lossy   bool
+	floor   uint64 // watches from an earlier revision fail at once with ErrCompacted
+	watches int
+}
+
+// discardHistory makes the store forget all changes so far.
+func (s *lossyStore) discardHistory(t *testing.T) {
+	t.Helper()
+	_, revision, err := s.Store.List(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor, s.watches = revision, 0
 }
 
 func (s *lossyStore) setLossy(lossy bool) {
@@ -39,8 +53,12 @@
 // Watch implements kv.Store.
 func (s *lossyStore) Watch(ctx context.Context, prefix string, after uint64) ([]kv.Change, uint64, error) {
 	s.mu.Lock()
-	lossy := s.lossy
+	lossy, discarded := s.lossy, after < s.floor
+	s.watches++
 	s.mu.Unlock()
+	if discarded {
+		return nil, after, kv.ErrCompacted
+	}
 	if !lossy {
 		return s.Store.Watch(ctx, prefix, after)
 	}
@@ -114,6 +132,31 @@
 	})
 }
 
+// Guards against an entry that reads the routes ten times a second for as long as they do not
+// change: the store has discarded the history since their last change, and a watch from there
+// fails at once.
+func TestWatchAfterDiscardedHistory(t *testing.T) {
+	const minute = 60
+	runRoutesLoop(t, func(t *testing.T, g *Gateway, s *lossyStore) {
+		writeRoutes(t, s, "1")
+		for i := range 10 {
+			if _, err := s.CompareAndSwap(t.Context(), "other", uint64(0), []byte{byte(i)}, 0); i == 0 && err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		s.discardHistory(t)
+		s.setLossy(true) // the pending watches end after watchWait
+		time.Sleep(minute * time.Second)
+		s.mu.Lock()
+		watches := s.watches
+		s.mu.Unlock()
+		if most := 2 * minute / int(watchWait.Seconds()); watches > most {
+			t.Errorf("%d watches in a minute without a change of the routes, want at most %d", watches, most)
+		}
+	})
+}
+
 // Guards against older routes that replace newer ones, and against a malformed document that
 // replaces a valid one.
 func TestOlderRoutesAreIgnored(t *testing.T) {
