Send peers and agents fewer messages about entries

A placer told its peers of its waiting work whenever that appeared, disappeared, doubled or halved, up to ten times a second to 34 links, although each answer of a job says it too. Each change of the list of entries went to every agent at once, two of them for each gateway that is restarted.

Change: placers tell peers when they begin or cease to have targets; the waiting work in their answers counts for 500 ms, so that a placer that was avoided is tried again (TestJobsAvoidLoadedPlacers). Agents get at most one list a second, and work out their links anew only if it differs in more than incarnations.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -74,11 +74,11 @@
 }
 
 // handleState records what a peer says of itself.
-func (f *forwarder) handleState(l peerLink, m *wire.PlacerState) {
+func (f *forwarder) handleState(l peerLink, m *wire.PlacerState, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p := f.placers.peers[l]; p != nil {
-		p.PlacerState = *m
+		p.PlacerState, p.waitingAt = *m, now
 	}
 }
 
@@ -157,7 +157,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p := f.placers.peers[l]; p != nil {
-		p.WaitingCPU = a.WaitingCPU
+		p.WaitingCPU, p.waitingAt = a.WaitingCPU, now
 		if a.Declined {
 			p.declinedAt = now
 		}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
@@ -130,7 +131,7 @@
 	case *wire.Document:
 		g.applyRoutes(m.Body, "peer "+l.Name())
 	case *wire.PlacerState:
-		g.forwarder.handleState(l, m)
+		g.forwarder.handleState(l, m, time.Now())
 	case *wire.JobForward:
 		g.handleForward(l, m)
 	case *wire.JobAnswer:
@@ -143,31 +144,40 @@
 }
 
 // peerLoop sends the list of live entries to the agents and keeps a link between this entry
-// and each placer, or each entry if this one is a placer.
+// and each placer, or each entry if this one is a placer. While entries come and go, the agents
+// get one list in agentListInterval: a list of a large fleet takes three packets to each agent.
 func (g *Gateway) peerLoop() error {
+	ticker := time.NewTicker(agentListInterval)
+	defer ticker.Stop()
+	var listed *member.Snapshot
 	for {
 		snapshot := g.members.Snapshot()
-		message := g.peersMessage()
-		g.mu.Lock()
-		for l := range g.agents {
-			_ = l.Send(message)
-		}
-		g.mu.Unlock()
 		g.updateDials(snapshot.Direct)
-		unchanged := true
-		for unchanged {
-			select {
-			case <-g.tomb.Dying():
-				return nil
-			case <-snapshot.Changed():
-				unchanged = false
-			case <-time.After(unneededLinkInterval):
-				g.endUnneededDials()
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case <-snapshot.Changed():
+		case <-ticker.C:
+			if listed != snapshot {
+				listed = snapshot
+				g.listEntries()
 			}
+			g.endUnneededDials()
 		}
 	}
 }
 
+// listEntries sends the list of live entries to the agents.
+func (g *Gateway) listEntries() {
+	message := g.peersMessage()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for l := range g.agents {
+		// Sending fails only on a closed link.
+		_ = l.Send(message)
+	}
+}
+
 // updateDials starts the missing dial loops.
 func (g *Gateway) updateDials(peers []wire.Peer) {
 	for _, p := range peers {
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -16,6 +16,10 @@
 	// no more while another one is left. Its heartbeats come every 150 ms, and jobs that are sent
 	// to a placer that has died are lost.
 	quietAfter = 250 * time.Millisecond
+	// waitingTTL is how long a placer's waiting work is taken into account. A placer that is
+	// avoided sends no answers that would say that its tasks have started; at a peak, an entry
+	// gets several answers from each placer in this time.
+	waitingTTL = 500 * time.Millisecond
 )
 
 // peerLink is a link to a peer entry. Send does not block and fails only on a closed link.
@@ -30,6 +34,7 @@
 // peerState is what is known about a linked peer.
 type peerState struct {
 	wire.PlacerState
+	waitingAt  time.Time // when WaitingCPU was received
 	declinedAt time.Time
 	jobs       int       // sent and not answered
 	busySince  time.Time // when jobs last rose from 0
@@ -66,6 +71,14 @@
 	return p.jobs > 0 && now.Sub(p.busySince) > quietAfter && l.SinceReceived() > quietAfter
 }
 
+// waiting returns the peer's waiting work, or 0 if that is not known any more.
+func (p *peerState) waiting(now time.Time) int64 {
+	if now.Sub(p.waitingAt) > waitingTTL {
+		return 0
+	}
+	return p.WaitingCPU
+}
+
 // reachable reports whether a named peer is linked and has targets.
 func (t *placerTable) reachable(names []string) bool {
 	for l, p := range t.peers {
@@ -105,7 +118,7 @@
 		return sound[first]
 	}
 	second := (first + 1 + rand.IntN(len(sound)-1)) % len(sound)
-	if t.peers[sound[second]].WaitingCPU < t.peers[sound[first]].WaitingCPU {
+	if t.peers[sound[second]].waiting(now) < t.peers[sound[first]].waiting(now) {
 		return sound[second]
 	}
 	return sound[first]
--- a/gateway/placers_test.go
+++ b/gateway/placers_test.go
@@ -56,12 +56,17 @@
 		}
 	}
 	for i, l := range links {
-		table.peers[l].WaitingCPU = int64(i) * 10_000
+		table.peers[l].WaitingCPU, table.peers[l].waitingAt = int64(i)*10_000, now
 	}
 	loaded := table.chosen(names, 7000, now)
 	if loaded["p6"] > 200 || loaded["p0"] < 1200 || loaded["p0"] > 2300 {
 		t.Errorf("the placer with the most waiting work gets %d of 7000 jobs, the one without gets %d", loaded["p6"], loaded["p0"])
 	}
+	// A placer that is avoided sends no answers that would show that nothing waits any more.
+	later := table.chosen(names, 7000, now.Add(2*waitingTTL))
+	if later["p6"] < 900 {
+		t.Errorf("the placer that had the most waiting work a second ago gets %d of 7000 jobs, want about 1000", later["p6"])
+	}
 }
 
 // Guards against jobs that are sent for half a second to a placer that has died: its link ends
@@ -121,7 +126,7 @@
 	next, second := &silentLink{name: "p", incarnation: 2}, &silentLink{name: "p", incarnation: 2, quiet: time.Second}
 	for _, l := range []*silentLink{earlier, next, second} {
 		f.linkUp(l)
-		f.handleState(l, &wire.PlacerState{Targets: 1})
+		f.handleState(l, &wire.PlacerState{Targets: 1}, time.Now())
 	}
 	if !earlier.closed || next.closed || second.closed {
 		t.Errorf("closed: the earlier link %t, the next two %t and %t; want only the earlier one", earlier.closed, next.closed, second.closed)
--- a/gateway/placerstate.go
+++ b/gateway/placerstate.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/catkinline/catkinline/member"
@@ -50,38 +49,30 @@
 	return state
 }
 
-// placerStateLoop tells the peers when this entry begins or ceases to have targets, and when
-// its waiting work changes much. Answers of forwarded jobs carry the waiting work too.
+// placerStateLoop tells the peers when this entry begins or ceases to have targets. The answers
+// of forwarded jobs carry its waiting work.
 func (g *Gateway) placerStateLoop() error {
 	ticker := time.NewTicker(placerStateInterval)
 	defer ticker.Stop()
-	var sent wire.PlacerState
+	hadTargets := false
 	for {
 		select {
 		case <-g.tomb.Dying():
 			return nil
 		case <-ticker.C:
 		}
-		if !slices.Contains(g.placers(), g.node.Name) && sent.Targets == 0 && !g.scheduler.HasTargets() {
-			continue
-		}
-		state := *g.placerState()
-		if !stateChanged(sent, state) {
-			continue
-		}
-		sent = state
-		for _, l := range g.forwarder.links() {
-			// Sending fails only on a closed link.
-			_ = l.Send(&state)
+		state := g.placerState()
+		if hasTargets := state.Targets > 0; hasTargets != hadTargets {
+			hadTargets = hasTargets
+			g.sendToPeers(state)
 		}
 	}
 }
 
-// stateChanged reports whether peers should hear of a new state: targets or waiting tasks
-// appeared or disappeared, or the waiting work has doubled or halved.
-func stateChanged(before, now wire.PlacerState) bool {
-	if (before.Targets == 0) != (now.Targets == 0) || (before.WaitingCPU == 0) != (now.WaitingCPU == 0) {
-		return true
+// sendToPeers sends a message to all linked peers.
+func (g *Gateway) sendToPeers(m wire.Message) {
+	for _, l := range g.forwarder.links() {
+		// Sending fails only on a closed link.
+		_ = l.Send(m)
 	}
-	return now.WaitingCPU > 2*before.WaitingCPU || before.WaitingCPU > 2*now.WaitingCPU
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -55,9 +55,7 @@
 		_ = l.Send(leaveMessage())
 	}
 	g.mu.Unlock()
-	for _, l := range g.forwarder.links() {
-		_ = l.Send(g.placerState())
-	}
+	g.sendToPeers(g.placerState())
 }
 
 func leaveMessage() *wire.Leave { return &wire.Leave{Reason: "the entry stops"} }
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -41,11 +41,12 @@
 	// gaugeInterval is the interval at which gauges are updated; they are scraped every few
 	// seconds.
 	gaugeInterval = time.Second
-	// unneededLinkInterval is the interval at which links to peers that are no longer needed are
-	// closed. It is longer than most jobs.
-	unneededLinkInterval = time.Second
-	// placerStateInterval is the shortest interval between two messages about this entry's
-	// targets and waiting tasks to its peers.
+	// agentListInterval is the shortest interval between two lists of entries to the agents, and
+	// the one at which links to peers that are no longer needed are closed. Agents reach their
+	// other placer meanwhile.
+	agentListInterval = time.Second
+	// placerStateInterval is the interval at which this entry checks whether it has targets, and
+	// tells its peers of a change.
 	placerStateInterval = 100 * time.Millisecond
 	// dialInterval is the delay between attempts to connect to a peer. It is short because an
 	// entry without a link to a placer serves no jobs.
--- a/topology/links.go
+++ b/topology/links.go
@@ -33,24 +33,22 @@
 
 // Links decides which entries an agent keeps links to: the first of the placers in the order
 // of Subset, and the next ones in place of those that cannot be reached; if no placer can be
-// reached, other entries, which then place jobs themselves. A link that is no
-// longer needed is retired after the link that replaces it is up: the entry is told to send
-// no more starts, and the link is closed when no run of the entry is left. It is not safe for
-// concurrent use.
+// reached, other entries, which then place jobs themselves. A link that is no longer needed is
+// retired after the link that replaces it is up: the entry is told to send no more starts, and
+// the link is closed when no run of the entry is left. It is not safe for concurrent use.
 type Links struct {
 	rules   Rules
 	agent   string
 	lists   map[string][]wire.Peer // by source: a linked entry, or StoreList
 	linked  map[string]time.Time   // by entry name, since when
 	missing map[string]time.Time   // by name of an entry to be linked, since when it has had no link
+	retired map[string]time.Time   // by name of a linked entry, since when its link is retiring
+	leaving map[string]bool        // names of linked entries that have begun a planned stop
 
-	wasLinked bool // an entry was linked at some time
-
-	changed bool                 // the lists, or the linked entries whose lists count, have changed
-	chosen  []wire.Peer          // placers to be linked to
-	others  []wire.Peer          // all other entries, in the order in which they are substitutes
-	retired map[string]time.Time // by name of a linked entry, since when its link is retiring
-	leaving map[string]bool      // names of linked entries that have begun a planned stop
+	wasLinked bool        // an entry was linked at some time
+	changed   bool        // the lists, or the linked entries whose lists count, have changed
+	chosen    []wire.Peer // placers to be linked to
+	others    []wire.Peer // all other entries, in the order in which they are substitutes
 }
 
 // NewLinks returns the Links of an agent.
@@ -68,7 +66,16 @@
 	if source == StoreList && len(l.linked) == 0 {
 		clear(l.lists)
 	}
-	l.lists[source], l.changed = slices.Clone(peers), true
+	before, known := l.lists[source]
+	l.lists[source] = slices.Clone(peers)
+	l.changed = l.changed || !known || !slices.EqualFunc(before, peers, sameEntry)
+}
+
+// sameEntry reports whether two listed peers are the same but for their incarnation, which does
+// not influence the links.
+func sameEntry(a, b wire.Peer) bool {
+	a.Incarnation = b.Incarnation
+	return a == b
 }
 
 // LinkUp records an open link to an entry.
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -39,8 +39,8 @@
 	WaitingCPU int64 `cbor:"7,keyasint,omitempty"`
 }
 
-// PlacerState tells a peer whether this entry places jobs, and how many tasks wait. It is
-// the first message on a link between entries and is sent again when it changes much.
+// PlacerState tells a peer whether this entry places jobs, and how much work waits. It is
+// sent at the start of a link between entries, and when targets appear or disappear.
 type PlacerState struct {
 	Targets    uint32 `cbor:"1,keyasint,omitempty"` // usable targets; 0: forwarded jobs are declined
 	WaitingCPU int64  `cbor:"2,keyasint,omitempty"` // as in JobAnswer
