--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -230,13 +230,6 @@
 	}
 }
 
-// HasWaitingTasks reports whether tasks wait for free capacity.
-func (s *Scheduler) HasWaitingTasks() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.queue) > 0
-}
-
 // Isolated reports whether the entry has had no usable target for so long that callers
 // should use another entry.
 func (s *Scheduler) Isolated(now time.Time) bool {
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// leaseEnd returns the time on the target's clock at which a lease that is sent now ends, or 0
-// while that clock is not known.
+// leaseEnd returns the time on the target's clock at which a lease that is sent now ends, and
+// records it for leaseExpired. It returns 0 while that clock is not known.
 func (s *Sidecar) leaseEnd(now time.Time) time.Duration {
 	if s.target.clockAt.IsZero() {
 		return 0
