Take one turn of the placers for each job

Cause: to tell a placer that it is the last choice, the gateway chose a second time, which took another turn. With an even number of placers, its jobs went in turn to every second one only, unless waiting work differed; the standing deployments have 3 and 7, where all get their turn. The choice was also made twice for each job.

Change: the candidates are found apart from the choice. TestEveryPlacerGetsItsTurn fails with two turns a job.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -228,11 +228,13 @@
 	return nil
 }
 
-// choose returns the link to the placer that a job should be offered to next, or nil.
-func (f *forwarder) choose(names []string, exclude []peerLink, now time.Time) peerLink {
+// choose returns the link to the placer that a job should be offered to next, or nil, and
+// whether there are more that it could be offered to.
+func (f *forwarder) choose(names []string, exclude []peerLink, now time.Time) (link peerLink, more bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placers.choose(names, exclude, now)
+	sound, quiet := f.placers.candidates(names, exclude, now)
+	return f.placers.choose(names, exclude, now), len(sound)+len(quiet) > 1
 }
 
 // reachable reports whether a named placer is linked and has targets.
@@ -252,13 +254,12 @@
 	}
 	var asked []peerLink
 	for len(asked) < maxForwards {
-		link := g.forwarder.choose(g.placers(), asked, time.Now())
+		link, more := g.forwarder.choose(g.placers(), asked, time.Now())
 		if link == nil {
 			break
 		}
 		asked = append(asked, link)
-		last := len(asked) == maxForwards || g.forwarder.choose(g.placers(), asked, time.Now()) == nil
-		if a, accepted := g.forwardTo(ctx, link, r, last); accepted {
+		if a, accepted := g.forwardTo(ctx, link, r, !more || len(asked) == maxForwards); accepted {
 			return a, true
 		}
 	}
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -95,17 +95,7 @@
 // the least, that one would be flooded. Quiet placers are taken only if no other is left;
 // excluded ones are not taken.
 func (t *placerTable) choose(names []string, exclude []peerLink, now time.Time) peerLink {
-	var sound, quiet []peerLink
-	for _, name := range names {
-		l, p := t.find(name)
-		switch {
-		case l == nil || p.Targets == 0 || slices.Contains(exclude, l) || now.Sub(p.declinedAt) < declineBackoff:
-		case p.quiet(l, now):
-			quiet = append(quiet, l)
-		default:
-			sound = append(sound, l)
-		}
-	}
+	sound, quiet := t.candidates(names, exclude, now)
 	if len(sound) == 0 {
 		sound = quiet
 	}
@@ -124,6 +114,21 @@
 	return sound[first]
 }
 
+// candidates returns the links to the named placers that may get a job, quiet ones apart.
+func (t *placerTable) candidates(names []string, exclude []peerLink, now time.Time) (sound, quiet []peerLink) {
+	for _, name := range names {
+		l, p := t.find(name)
+		switch {
+		case l == nil || p.Targets == 0 || slices.Contains(exclude, l) || now.Sub(p.declinedAt) < declineBackoff:
+		case p.quiet(l, now):
+			quiet = append(quiet, l)
+		default:
+			sound = append(sound, l)
+		}
+	}
+	return sound, quiet
+}
+
 // find returns the link to a peer and its state, or nil. Of two links, which both sides may
 // have dialled, it is the one that was heard of last.
 func (t *placerTable) find(name string) (link peerLink, state *peerState) {
--- a/gateway/placers_test.go
+++ b/gateway/placers_test.go
@@ -131,7 +131,7 @@
 	if !earlier.closed || next.closed || second.closed {
 		t.Errorf("closed: the earlier link %t, the next two %t and %t; want only the earlier one", earlier.closed, next.closed, second.closed)
 	}
-	if l := f.choose([]string{"p"}, nil, time.Now()); l != next {
+	if l, _ := f.choose([]string{"p"}, nil, time.Now()); l != next {
 		t.Errorf("chosen link %+v, want the one that was heard of last", l)
 	}
 }
@@ -152,3 +152,29 @@
 		}
 	}
 }
+
+// Guards against a rotation that skips every second placer: asking whether another placer is
+// left must not take a turn.
+func TestEveryPlacerGetsItsTurn(t *testing.T) {
+	now := time.Now()
+	f := newForwarder()
+	var names []string
+	f.placers, names, _ = tableOf(4)
+	counts := make(map[string]int)
+	for range 400 {
+		l, _ := f.choose(names, nil, now)
+		counts[l.Name()]++
+	}
+	for _, name := range names {
+		if counts[name] != 100 {
+			t.Errorf("%s gets %d of 400 jobs, want 100", name, counts[name])
+		}
+	}
+	last, more := f.choose(names[:1], nil, now)
+	if last == nil || more {
+		t.Errorf("of one placer %v is chosen, another left: %t; want it and none", last, more)
+	}
+	if _, more = f.choose(names[:2], nil, now); !more {
+		t.Error("of two placers, no other is left after the choice of one")
+	}
+}
