Tell crashes of targets apart from stopped runs, in logs, metrics and messages

An agent now sends a CrashReport with all runs that were on the target before it reports their ends, and logs and counts it; lost runs end as 'crashed'. A target that was silent for longer than the lease and then answers with another process has crashed under the runs that were given up meanwhile. Decisions are unchanged.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -89,6 +89,8 @@
 		g.scheduler.HandleRoom(l.Name(), l, m, now)
 	case *wire.RunEnd:
 		g.scheduler.HandleRunEnd(l.Name(), l, m, now)
+	case *wire.CrashReport:
+		g.scheduler.HandleCrash(m.Record(now), now)
 	}
 }
 
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -26,7 +26,7 @@
 		zap.String("outcome", outcome), zap.String("reason", r.Answer.Reason), zap.Duration("retry_after", r.Answer.RetryAfter),
 		zap.Bool("in_time", r.InTime), zap.Duration("took", r.Took), zap.Duration("first_run", r.FirstRun), zap.Duration("left", r.TimeLeft),
 		zap.Int("tasks", r.Tasks), zap.Int("runs", r.Runs), zap.Int("no_room", r.NoRoom),
-		zap.Int("targets", r.Targets), zap.Int("queue", r.QueueLength))
+		zap.Int("targets", r.Targets), zap.Int("queue", r.QueueLength), zap.Int("crashes", r.Crashes))
 }
 
 // RunEnded implements placement.Observer.
@@ -48,3 +48,10 @@
 func (o observer) TargetChanged(c placement.TargetChange) {
 	o.log.Info("target changed", zap.String("agent", c.Agent), zap.String("target", c.Target), zap.String("change", c.Change), zap.String("detail", c.Detail))
 }
+
+// TargetCrashed implements placement.Observer.
+func (o observer) TargetCrashed(c placement.CrashReport) {
+	o.metrics.Add(metrics.TargetCrashes, 1)
+	o.log.Warn("target crashed", zap.String("target", c.Target), zap.Int64("born", c.Born), zap.Int("runs", c.Suspects),
+		zap.Bool("partial", c.Partial), zap.Duration("age", c.Age), zap.Stringer("most_crashes_task", c.MostCrashesTask), zap.Int("most_crashes", c.MostCrashes))
+}
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -34,6 +34,7 @@
 	TargetEjections    = "target_ejections"  // targets ejected for failures or slowness
 	TargetsEjected     = "targets_ejected"   // gauge: targets currently ejected or on probation
 	RequestsUnanswered = "orders_unanswered" // requests to a target without a response, by type
+	TargetCrashes      = "target_crashes"    // crashes of targets with runs on them, as the agent saw them (agent) or as reported (entry)
 	EntriesLinked      = "entries_linked"    // gauge: entries with an open link to this process
 	FreeCPU            = "free_cpu"          // gauge: CPU that no run uses, in thousandths of a core
 	AgentsLinked       = "agents_linked"     // gauge: agents with an open link to this process
--- /dev/null
+++ b/placement/crash.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/crash"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// CrashReport describes the crash of a target for logs and metrics.
+type CrashReport struct {
+	Target          string
+	Born            int64 // start of the crashed process, Unix milliseconds
+	Suspects        int   // runs that were on it
+	Partial         bool  // there may have been more
+	Age             time.Duration
+	MostCrashesTask workload.TaskID // the suspect with the most crashes
+	MostCrashes     int
+}
+
+// HandleCrash handles the record of a crash of a target, from its agent or from another entry,
+// and reports whether it was new.
+func (s *Scheduler) HandleCrash(r crash.Record, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.crashes.Add(r, now) {
+		return false
+	}
+	s.reportCrash(r, now)
+	return true
+}
+
+func (s *Scheduler) reportCrash(r crash.Record, now time.Time) {
+	if s.opts.Observer == nil {
+		return
+	}
+	report := CrashReport{Target: r.Target, Born: r.Born, Suspects: len(r.Suspects), Partial: r.Partial, Age: now.Sub(r.At)}
+	for _, k := range r.Suspects {
+		if n := s.crashes.Crashes(k.Task); n > report.MostCrashes {
+			report.MostCrashesTask, report.MostCrashes = k.Task, n
+		}
+	}
+	s.opts.Observer.TargetCrashed(report)
+}
+
+// mostCrashes returns the number of targets that crashed under one of a job's tasks, the
+// highest of all tasks.
+func (s *Scheduler) mostCrashes(j *activeJob) int {
+	most := 0
+	for step := range j.tasks {
+		for index := range j.tasks[step] {
+			most = max(most, s.crashes.Crashes(j.taskID(step, index)))
+		}
+	}
+	return most
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -98,7 +98,7 @@
 			s.endJob(j, Answer{Outcome: Failed, Reason: "a task failed as often as the route allows"}, now)
 			return
 		}
-	case wire.EndStopped:
+	case wire.EndStopped, wire.EndCrashed:
 		j.ran = true
 		k.avoid = t
 	case wire.EndNotRun:
--- a/placement/place.go
+++ b/placement/place.go
@@ -248,6 +248,7 @@
 		Need:     r.need,
 		TimeLeft: j.request.Deadline.Sub(now),
 		Target:   t.state.Target,
+		Route:    j.request.Route.Name,
 	}})
 }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/catkinline/catkinline/crash"
 	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/routing"
 	"github.com/catkinline/catkinline/wire"
@@ -30,6 +31,7 @@
 	JobEnded(r JobReport)
 	RunEnded(r RunReport)
 	TargetChanged(c TargetChange)
+	TargetCrashed(c CrashReport)
 }
 
 // Options configures a Scheduler. Zero durations mean the defaults.
@@ -60,6 +62,7 @@
 	targets       map[string]*target
 	ordered       []*target // sorted by name
 	estimates     estimates
+	crashes       *crash.History
 	starts        []pendingStart // of the current scheduling pass
 	waitingCPU    int64          // at the last Tick, see WaitingCPU
 	sentBacklog   backlog        // last sent to the agents
@@ -82,6 +85,7 @@
 		byID:      make(map[string]*activeJob),
 		targets:   make(map[string]*target),
 		estimates: newEstimates(),
+		crashes:   crash.NewHistory(),
 	}
 }
 
--- a/placement/simload_test.go
+++ b/placement/simload_test.go
@@ -169,6 +169,9 @@
 // TargetChanged implements placement.Observer.
 func (e *simEntry) TargetChanged(placement.TargetChange) {}
 
+// TargetCrashed implements placement.Observer.
+func (e *simEntry) TargetCrashed(placement.CrashReport) {}
+
 // score summarizes how a load was served, as the users value it.
 type score struct {
 	total         float64   // value earned over the value of all jobs
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -37,6 +37,7 @@
 	ID            workload.RunID
 	Owner         Owner
 	Need          workload.Resources
+	Route         string // of the run's job
 	State         State
 	SentAt        time.Time // when the start request was sent
 	ConfirmedAt   time.Time // when the target's confirmation arrived
@@ -187,16 +188,16 @@
 }
 
 // TargetRestarted handles the end of the target's process at endedAt or later; a new
-// process may have started. It removes and returns as ended the runs that the old process
+// process may have started. It removes and returns, with the given end, the runs that the old process
 // confirmed before endedAt. Start requests that were unanswered then may reach the new
 // process, so their runs stay as Unconfirmed. Of these, it returns the runs without a
 // pending stop, which the caller has to stop: a stop that was acknowledged may have
 // reached the old process only.
-func (t *Table) TargetRestarted(endedAt time.Time, reason string) (ended []EndedRun, unconfirmed []*Run) {
+func (t *Table) TargetRestarted(endedAt time.Time, end wire.EndStatus, reason string) (ended []EndedRun, unconfirmed []*Run) {
 	for _, r := range t.Select(func(*Run) bool { return true }) {
 		if r.State == Running && r.ConfirmedAt.Before(endedAt) {
 			t.Remove(r.ID)
-			ended = append(ended, EndedRun{r, wire.EndStopped, reason})
+			ended = append(ended, EndedRun{r, end, reason})
 			continue
 		}
 		r.State = Unconfirmed
--- /dev/null
+++ b/sidecar/crash.go
@@ -0,0 +1,54 @@
+package sidecar
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/crash"
+	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// suspects returns the runs that may have been on the target when it crashed: all that the table
+// has, and those that were given up while the target was silent.
+func (s *Sidecar) suspects(now time.Time) []crash.Suspect {
+	suspects := s.target.silentRuns
+	known := func(r *runs.Run) bool {
+		return slices.ContainsFunc(suspects, func(k crash.Suspect) bool { return k.Task == r.ID.Task })
+	}
+	for _, r := range s.table.Select(func(r *runs.Run) bool { return !known(r) }) {
+		suspects = append(suspects, crash.Suspect{Task: r.ID.Task, Route: r.Route, RunTime: now.Sub(r.SentAt)})
+	}
+	return suspects
+}
+
+// recordCrash records that the current process of the target has crashed and tells the entries.
+// The planned end of a target is no crash, and without runs there is no suspect.
+func (s *Sidecar) recordCrash(now time.Time) {
+	suspects := s.suspects(now)
+	s.target.silentRuns = nil
+	if len(suspects) == 0 || s.target.born == 0 || s.report.Draining || s.report.Left {
+		return
+	}
+	r := crash.Record{Target: s.report.Target, Born: s.target.born, At: now, Suspects: suspects}
+	if !s.crashes.Add(r, now) {
+		return
+	}
+	s.opts.Metrics.TargetCrashed()
+	youngest := suspects[0]
+	jobs := make(map[string]bool)
+	for _, k := range suspects {
+		jobs[k.Task.Job] = true
+		if k.RunTime < youngest.RunTime {
+			youngest = k
+		}
+	}
+	s.log.Warn("target crashed", zap.String("target", r.Target), zap.Int64("born", r.Born), zap.Int("runs", len(suspects)),
+		zap.Int("jobs", len(jobs)), zap.Stringer("youngest", youngest.Task), zap.Duration("youngest_age", youngest.RunTime),
+		zap.Duration("listing_age", now.Sub(s.target.answeredAt)))
+	for _, state := range s.links {
+		s.send(state, wire.NewCrashReport(r, now))
+	}
+}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinline/catkinline/runs"
 	"github.com/catkinline/catkinline/targets"
+	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
 
@@ -105,11 +106,14 @@
 	}
 	wasReachable := s.target.reachable
 	s.target.reachable = false
+	now := time.Now()
 	switch {
-	case s.leaseExpired(time.Now()):
-		s.endLostRuns(time.Now(), "the target was unreachable for longer than its lease")
 	case notListening:
-		s.endLostRuns(time.Now(), "the target's process has ended")
+		s.recordCrash(now)
+		s.endLostRuns(now, wire.EndCrashed, "the target's process has ended")
+	case s.leaseExpired(now):
+		s.target.silentRuns = s.suspects(now)
+		s.endLostRuns(now, wire.EndStopped, "the target was unreachable for longer than its lease")
 	}
 	s.target.synced = s.target.synced || notListening
 	if wasReachable {
@@ -155,6 +159,7 @@
 		return true
 	}
 	s.target.reachable = true
+	s.target.silentRuns = nil // they were stopped, or go on without a lease
 	orphans := s.applyPollResponse(sentAt, response)
 	s.target.synced = s.target.synced || len(orphans) == 0
 	if len(orphans) > 0 {
@@ -182,7 +187,8 @@
 		s.log.Info("target started again", zap.Int64("born", response.Born), zap.Int64("before", s.target.born))
 		// The target read its clock, in whole milliseconds, after the poll was sent.
 		age := time.Duration(clockDriftFactor*float64(response.Clock)) + time.Millisecond
-		s.endLostRuns(sentAt.Add(-age), "the target started again")
+		s.recordCrash(time.Now())
+		s.endLostRuns(sentAt.Add(-age), wire.EndCrashed, "the target started again")
 	}
 	s.target = targetState{born: response.Born}
 	if oldToken != 0 {
@@ -192,8 +198,8 @@
 
 // endLostRuns reports the end of the runs that the target's previous process had confirmed, and
 // stops those that its next process may have started.
-func (s *Sidecar) endLostRuns(ended time.Time, reason string) {
-	lost, unconfirmed := s.table.TargetRestarted(ended, reason)
+func (s *Sidecar) endLostRuns(ended time.Time, end wire.EndStatus, reason string) {
+	lost, unconfirmed := s.table.TargetRestarted(ended, end, reason)
 	for _, e := range lost {
 		s.finish(e)
 	}
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -234,6 +234,9 @@
 	}
 }
 
+// TargetCrashed implements Metrics.
+func (r recorder) TargetCrashed() { r.metrics.Add(metrics.TargetCrashes, 1) }
+
 // RequestUnanswered implements Metrics.
 func (r recorder) RequestUnanswered(kind string) {
 	r.metrics.Add(metrics.RequestsUnanswered, 1, metrics.TagType, kind)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/crash"
 	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/runs"
 	"github.com/catkinline/catkinline/targets"
@@ -77,6 +78,7 @@
 	RunStarted()
 	RunEnded(end wire.EndStatus, took time.Duration)
 	RequestUnanswered(kind string)
+	TargetCrashed()
 }
 
 // Options configures a Sidecar. Durations that are zero take the defaults.
@@ -121,6 +123,7 @@
 	// lastNeed is the resource need of the last task that was started.
 	lastNeed     workload.Resources
 	links        map[string]*linkState
+	crashes      *crash.History // of the target's processes
 	report       targets.Report
 	reportUsable bool // report is from the target itself, or was confirmed by a poll
 	restored     bool // the report is from an earlier process
@@ -142,6 +145,9 @@
 	replaced     bool // the target answered that it is another incarnation
 	answeredAt   time.Time
 	backoffUntil time.Time // no start is sent before this time
+	// silentRuns are the runs that were given up because the target was silent for longer than
+	// their lease. If another process of it responds next, it has crashed under them.
+	silentRuns []crash.Suspect
 }
 
 // New returns a sidecar that runs nothing until Start is called.
@@ -162,6 +168,7 @@
 		pollNow:     make(chan struct{}, 1),
 		table:       runs.New(),
 		links:       make(map[string]*linkState),
+		crashes:     crash.NewHistory(),
 	}
 }
 
@@ -235,6 +242,10 @@
 	state := &linkState{link: l}
 	s.links[l.Name()] = state
 	s.log.Info("entry linked", zap.String("entry", l.Name()), zap.Uint64("incarnation", uint64(l.Incarnation())))
+	now := time.Now()
+	for _, r := range s.crashes.Records(now) {
+		s.send(state, wire.NewCrashReport(r, now))
+	}
 	if s.ready() {
 		s.sendState(state)
 	}
@@ -323,6 +334,7 @@
 		Capacity:      s.report.Capacity,
 		Room:          state.advertised,
 		Closed:        !s.acceptsRuns() || state.retiring,
+		Born:          s.target.born,
 	})
 }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -69,6 +69,7 @@
 	TypeJobAnswer:       func() Message { return &JobAnswer{} },
 	TypeJobCancel:       func() Message { return &JobCancel{} },
 	TypePlacerState:     func() Message { return &PlacerState{} },
+	TypeCrashReport:     func() Message { return &CrashReport{} },
 }
 
 func (*Hello) Type() Type           { return TypeHello }
@@ -100,6 +101,7 @@
 func (*JobAnswer) Type() Type       { return TypeJobAnswer }
 func (*JobCancel) Type() Type       { return TypeJobCancel }
 func (*PlacerState) Type() Type     { return TypePlacerState }
+func (*CrashReport) Type() Type     { return TypeCrashReport }
 
 // Encode returns the frame of a message: the body's length in four bytes, the
 // type in one, then the body in CBOR.
--- a/wire/message.go
+++ b/wire/message.go
@@ -41,6 +41,7 @@
 	TypeJobAnswer
 	TypeJobCancel
 	TypePlacerState
+	TypeCrashReport
 )
 
 // typeNames holds the names of message types in metrics and logs.
@@ -52,7 +53,7 @@
 	TypePeerState: "peer_state", TypeDocument: "document", TypeDocumentRequest: "document_request",
 	TypeTargetState: "target_state", TypeRoom: "room", TypeRunStart: "run_start", TypeRunEnd: "run_end", TypeRunStop: "run_stop",
 	TypeBacklog: "backlog", TypeJobForward: "job_forward", TypeJobAnswer: "job_answer", TypeJobCancel: "job_cancel",
-	TypePlacerState: "placer_state",
+	TypePlacerState: "placer_state", TypeCrashReport: "crash_report",
 }
 
 // String returns the type's name in metrics and logs.
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkinline/catkinline/crash"
 	"github.com/catkinline/catkinline/workload"
 )
 
@@ -21,6 +22,8 @@
 	// Closed says that the target accepts no new run: it is draining, its agent is
 	// stopping, or it refuses runs.
 	Closed bool `cbor:"7,keyasint,omitempty"`
+	// Born is the start of the target's process as it says itself, in Unix milliseconds; 0: unknown.
+	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Room is a target's free capacity. StartsReceived is the number of RunStarts that
@@ -42,6 +45,7 @@
 	Target   string             `cbor:"5,keyasint"` // the incarnation of the target that the run is meant for
 
 	Backlog *Backlog `cbor:"6,keyasint,omitempty"`
+	Route   string   `cbor:"7,keyasint,omitempty"` // of the run's job
 }
 
 // EndStatus is how a run ended.
@@ -63,9 +67,11 @@
 	// EndStale is a run that was not started because the target has seen the same
 	// or a later attempt of the task.
 	EndStale
+	// EndCrashed is a run whose target crashed under it.
+	EndCrashed
 )
 
-var endNames = [...]string{"invalid", "done", "failed", "stopped", "no_room", "not_run", "stale"}
+var endNames = [...]string{"invalid", "done", "failed", "stopped", "no_room", "not_run", "stale", "crashed"}
 
 // String returns the status's name in metrics and logs.
 func (e EndStatus) String() string {
@@ -99,3 +105,24 @@
 	Urgency time.Duration      `cbor:"2,keyasint"`
 	MinNeed workload.Resources `cbor:"3,keyasint"`
 }
+
+// CrashReport says that a target has crashed with runs on it. Agents send it before the ends of
+// these runs, and entries pass on to their peers what is new to them. Age is the time since the
+// crash was detected, so that the clocks need not agree.
+type CrashReport struct {
+	Target   string          `cbor:"1,keyasint"`
+	Born     int64           `cbor:"2,keyasint"` // start of the crashed process, Unix milliseconds
+	Age      time.Duration   `cbor:"3,keyasint"`
+	Suspects []crash.Suspect `cbor:"4,keyasint,omitempty"`
+	Partial  bool            `cbor:"5,keyasint,omitempty"` // the target may have had further runs
+}
+
+// NewCrashReport returns the message for a record.
+func NewCrashReport(r crash.Record, now time.Time) *CrashReport {
+	return &CrashReport{Target: r.Target, Born: r.Born, Age: now.Sub(r.At), Suspects: r.Suspects, Partial: r.Partial}
+}
+
+// Record returns the record of a report that was received now.
+func (m *CrashReport) Record(now time.Time) crash.Record {
+	return crash.Record{Target: m.Target, Born: m.Born, At: now.Add(-max(0, m.Age)), Suspects: m.Suspects, Partial: m.Partial}
+}
