--- /dev/null
+++ b/placement/crash_test.go
@@ -0,0 +1,89 @@
+package placement_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// crashScore is how a load with crashing tasks was served.
+type crashScore struct {
+	total, worstWindow float64
+	byKind             []float64
+	mostCrashes        int // targets that crashed under one task, the highest of all seeds
+	crashes            int // of targets, mean of the seeds
+	failedHarmless     int // harmless jobs that were answered as failed, all seeds
+}
+
+// playCrashes plays the users' load with crashing tasks on several seeds.
+func playCrashes(level float64, share func(kind int, at time.Duration) float64) crashScore {
+	var mu sync.Mutex
+	var g sync.WaitGroup
+	sum := crashScore{byKind: make([]float64, len(userKinds()))}
+	n := float64(len(loadSeeds))
+	for _, seed := range loadSeeds {
+		g.Go(func() {
+			f := newFleet(seed, loadEntries, loadHosts)
+			f.crashShare = share
+			f.load(loadDuration, func(_ int, at time.Duration) float64 { return level * dailyLoad(at) })
+			f.run(drainDuration)
+			m := f.computeScore()
+			most, all := f.mostCrashes()
+			mu.Lock()
+			defer mu.Unlock()
+			sum.total += m.total / n
+			sum.worstWindow += m.worstWindows / n
+			for i := range sum.byKind {
+				sum.byKind[i] += m.byKind[i] / n
+			}
+			sum.mostCrashes = max(sum.mostCrashes, most)
+			sum.crashes += all / len(loadSeeds)
+			sum.failedHarmless += f.failedHarmless()
+		})
+	}
+	g.Wait()
+	return sum
+}
+
+// between returns a share of one kind of job from second 2 to 12.
+func crashesOf(kind int, share float64) func(int, time.Duration) float64 {
+	return func(k int, at time.Duration) float64 {
+		if k == kind && at > 2*time.Second && at < 12*time.Second {
+			return share
+		}
+		return 0
+	}
+}
+
+// maxTaskCrashes is the number of targets that may crash under one task. A task is known as the
+// cause after two crashes at best; three allow for one in company of others.
+const maxTaskCrashes = 3
+
+// Guards against a task that crashes target after target: it is given up, and no harmless job
+// that ran beside it is.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	for kind := range userKinds() {
+		m := playCrashes(0.8, crashesOf(kind, 0.02))
+		t.Logf("%s: %+v", userKinds()[kind].name, m)
+		if m.mostCrashes > maxTaskCrashes {
+			t.Errorf("%s: %d targets crashed under one task, want at most %d", userKinds()[kind].name, m.mostCrashes, maxTaskCrashes)
+		}
+		if m.failedHarmless > 0 {
+			t.Errorf("%s: %d harmless jobs were answered as failed", userKinds()[kind].name, m.failedHarmless)
+		}
+	}
+}
+
+// Guards against a kind of job with many crashing tasks that takes all targets from the other
+// kinds: these keep the score that the users require of a day with faults.
+func TestCrashingKindLeavesTargetsToOthers(t *testing.T) {
+	for kind := range userKinds() {
+		m := playCrashes(0.8, crashesOf(kind, 0.1))
+		t.Logf("%s: %+v", userKinds()[kind].name, m)
+		for i, score := range m.byKind {
+			if i != kind && score < minFaultScore {
+				t.Errorf("%s crashes: score of %s %.3f, want at least %.2f", userKinds()[kind].name, userKinds()[i].name, score, minFaultScore)
+			}
+		}
+	}
+}
--- a/placement/simfleet_test.go
+++ b/placement/simfleet_test.go
@@ -27,6 +27,12 @@
 	kinds   []jobKind
 	taskCPU float64 // mean need of a task, in thousandths of a core
 	placers []*simEntry
+	// crashing has the jobs whose first task crashes each target that starts it.
+	crashing map[string]bool
+	// crashShare returns the share of such jobs of a kind at a time; nil: none.
+	crashShare func(kind int, at time.Duration) float64
+	// crashes counts the targets that crashed under each task of crashing.
+	crashes map[workload.TaskID]int
 	// messages counts the agents' reports of free capacity other than with ends of runs.
 	messages int
 }
@@ -100,10 +106,14 @@
 	cpuTime     float64 // thousandths of core-seconds
 	wastedTime  time.Duration
 	typicalNeed workload.Resources
+	born        int64 // number of the target's process
+	down        bool  // its process has crashed
 }
 
 type simRun struct {
 	cpu     int64
+	route   string
+	link    *simLink
 	started time.Time
 	ended   bool
 }
@@ -135,7 +145,7 @@
 
 func newFleet(seed uint64, entries, hosts int) *simFleet {
 	rules := topology.Rules{}
-	f := &simFleet{now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), kinds: userKinds(), taskCPU: meanTaskCPU}
+	f := &simFleet{now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), kinds: userKinds(), taskCPU: meanTaskCPU, crashing: map[string]bool{}, crashes: map[workload.TaskID]int{}}
 	for i := range entries {
 		e := &simEntry{f: f, n: i, pending: make(map[string]pending), waiting: make(map[*simEntry]int64)}
 		e.s = placement.New(placement.Options{
@@ -152,7 +162,7 @@
 	}
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range hosts {
-		h := &simHost{f: f, name: fmt.Sprint("agent-", i), incarnation: 1, table: runs.New(), speed: speeds[f.random.IntN(3)], slow: 1, running: map[workload.RunID]*simRun{}}
+		h := &simHost{f: f, name: fmt.Sprint("agent-", i), incarnation: 1, table: runs.New(), speed: speeds[f.random.IntN(3)], slow: 1, running: map[workload.RunID]*simRun{}, born: 1}
 		h.table.SetCapacity(workload.Resources{CPU: hostCPU, Memory: 131072})
 		f.hosts = append(f.hosts, h)
 		for _, p := range topology.Subset(h.name, placers, rules.LinksPerTarget(entries)) {
@@ -191,12 +201,15 @@
 	l := &simLink{host: h, entry: e}
 	h.links = append(h.links, l)
 	e.s.LinkUp(h.name, h.incarnation, l)
+	e.s.HandleState(h.name, l, h.state(l), h.f.now)
+}
+
+func (h *simHost) state(l *simLink) *wire.TargetState {
 	l.lastSent = h.room(l)
-	state := &wire.TargetState{
-		Target: h.name, Service: "frames", FailureDomain: fmt.Sprint("d", len(h.f.hosts)%3),
+	return &wire.TargetState{
+		Target: h.name, Service: "frames", FailureDomain: fmt.Sprint("d", len(h.f.hosts)%3), Closed: h.down, Born: h.born,
 		Capacity: workload.Resources{CPU: hostCPU, Memory: 131072}, Room: l.lastSent,
 	}
-	e.s.HandleState(h.name, l, state, h.f.now)
 }
 
 func (l *simLink) owner() runs.Owner {
@@ -250,14 +263,18 @@
 	if m.Backlog != nil {
 		h.setBacklog(l, m.Backlog)
 	}
-	if end := h.table.Admit(runs.Run{ID: m.Run, Need: m.Need, SentAt: h.f.now}); end != 0 {
+	if h.down {
+		h.report(l, &wire.RunEnd{Run: m.Run, Status: wire.EndNotRun})
+		return
+	}
+	if end := h.table.Admit(runs.Run{ID: m.Run, Need: m.Need, Route: m.Route, SentAt: h.f.now}); end != 0 {
 		h.rejected++
 		h.report(l, &wire.RunEnd{Run: m.Run, Status: end})
 		return
 	}
 	h.typicalNeed = m.Need
 	h.started++
-	h.running[m.Run] = &simRun{started: h.f.now, cpu: m.Need.CPU}
+	h.running[m.Run] = &simRun{started: h.f.now, cpu: m.Need.CPU, route: m.Route, link: l}
 	work, err := time.ParseDuration(m.Spec)
 	if err != nil {
 		panic(err)
@@ -265,6 +282,10 @@
 	if h.hanging {
 		return
 	}
+	if h.f.crashing[m.Run.Task.Job] && m.Run.Task.Index == 0 {
+		h.crashAfterStart(m.Run)
+		return
+	}
 	end := wire.EndDone
 	if h.failing {
 		end, work = wire.EndFailed, work/4
--- a/placement/simload_test.go
+++ b/placement/simload_test.go
@@ -104,9 +104,16 @@
 		}},
 	}
 	route := routing.Route{Name: c.name, Service: "frames", Priority: c.priority, MaxAttempts: simAttempts, Stretch: simStretch, TargetDuration: simTargetDuration, Timeout: simTimeout}
+	crashing := f.crashShare != nil && f.random.Float64() < f.crashShare(k, at)
+	if crashing {
+		f.crashing[job.ID] = true
+	}
 	e := f.entries[f.random.IntN(len(f.entries))]
 	share := work * float64(tasks) / (float64(c.work) * c.tasks)
 	out := served{kind: k, arrived: at, ideal: ideal, value: c.value * min(4, 0.3+0.7*share)}
+	if crashing {
+		out.value = 0 // nobody can serve it
+	}
 	e.pending[job.ID] = pending{out: out, arrived: f.now, objective: objective}
 	e.submit(placement.Request{Job: job, Route: route, Version: 1, Deadline: f.now.Add(wait)})
 }
@@ -188,6 +195,9 @@
 	byWindow := map[int]*[2]float64{}
 	unserved := 0
 	for _, s := range f.served {
+		if s.value == 0 {
+			continue
+		}
 		got := 0.0
 		switch {
 		case s.inTime:
