Notice the crash of a target within milliseconds instead of at the next renewal

Cause: the polls that wait at the target break with its process; the error does not say that nothing listens any more, and the next poll waited for the renewal interval of 150 ms.

A poll whose connection broke is repeated after 5 ms, once in a row; it finds that nothing listens. TestCrashIsNoticedAtOnce failed before (no report within 20 ms) and passes.

--- a/sidecar/crash_test.go
+++ b/sidecar/crash_test.go
@@ -1,12 +1,75 @@
 package sidecar_test
 
 import (
+	"context"
+	"io"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/sidecar"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 )
 
+// crashingTarget is a client of a target that may crash: polls that wait are broken off, and
+// nothing listens from then on.
+type crashingTarget struct {
+	targets.Client
+	crashed chan struct{}
+}
+
+func (c *crashingTarget) Poll(ctx context.Context, r targets.PollRequest) (targets.PollResponse, error) {
+	select {
+	case <-c.crashed:
+		return targets.PollResponse{}, targets.ErrNotListening
+	default:
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-c.crashed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	response, err := c.Client.Poll(ctx, r)
+	select {
+	case <-c.crashed:
+		return targets.PollResponse{}, io.ErrUnexpectedEOF
+	default:
+		return response, err
+	}
+}
+
+// noticeWithin is how soon after a crash entries have to know: the tasks that were on the target
+// have objectives of some 140 ms.
+const noticeWithin = 20 * time.Millisecond
+
+// Guards against a crash that is noticed only when the next renewal is due: the tasks beside the
+// one that caused it miss their objectives.
+func TestCrashIsNoticedAtOnce(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		client := &crashingTarget{Client: b.client, crashed: make(chan struct{})}
+		b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
+		b.sidecar.Start()
+		b.report("ready")
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(75 * time.Millisecond)
+		close(client.crashed)
+		time.Sleep(noticeWithin)
+		if reports, _ := l.crashReports(); len(reports) != 1 || len(l.ends()) != 1 {
+			t.Errorf("%d crash reports and %d run ends %v after the crash, want one each", len(reports), len(l.ends()), noticeWithin)
+		}
+	})
+}
+
 // crashReports returns the crash reports received on a link, and how many run ends came before
 // the first one.
 func (l *fakeLink) crashReports() (reports []*wire.CrashReport, endsBefore int) {
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -17,11 +17,17 @@
 // target until a run ends or the renewal is due. Delay is the time between a response and the
 // next poll.
 func (s *Sidecar) pollLoop(delay time.Duration) error {
+	broken := false
 	for s.tomb.Alive() {
 		wait := delay
-		if !s.poll() {
+		result := s.poll()
+		switch {
+		case result == pollBroken && !broken:
+			wait = brokenPollDelay
+		case result != pollAnswered:
 			wait = s.opts.RenewInterval
 		}
+		broken = result == pollBroken
 		if wait == 0 {
 			continue
 		}
@@ -34,8 +40,17 @@
 	return nil
 }
 
-// poll sends one poll and reports whether the next one may follow after the usual delay.
-func (s *Sidecar) poll() bool {
+// pollResult says when the next poll may follow.
+type pollResult uint8
+
+const (
+	pollAnswered pollResult = iota // after the usual delay
+	pollFailed                     // when the renewal is due
+	pollBroken                     // at once: the connection broke, most likely with the target's process
+)
+
+// poll sends one poll.
+func (s *Sidecar) poll() pollResult {
 	s.mu.Lock()
 	sentAt := time.Now()
 	request := targets.PollRequest{
@@ -59,9 +74,15 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		s.handlePollFailure(err)
-		return false
+		if errors.Is(err, targets.ErrNotListening) || errors.Is(err, context.DeadlineExceeded) {
+			return pollFailed
+		}
+		return pollBroken
+	}
+	if !s.handlePollResponse(request, sentAt, response) {
+		return pollFailed
 	}
-	return s.handlePollResponse(request, sentAt, response)
+	return pollAnswered
 }
 
 // hasPendingStops reports whether the target has acknowledged a stop without having listed the
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -40,6 +40,9 @@
 	// backupPollDelay is the delay between the polls of all pollers but the first. Each lost
 	// response costs a connection, which limits how often the others should poll.
 	backupPollDelay = 40 * time.Millisecond
+	// brokenPollDelay is the delay before the next poll when a connection has broken. If the
+	// target's process has ended, that poll shows it.
+	brokenPollDelay = 5 * time.Millisecond
 	// unresponsiveAfter is the time without a response to any poll after which the target
 	// accepts no more runs: every poller has failed once by then.
 	unresponsiveAfter = 400 * time.Millisecond
