Ignore a response of the target's earlier process that was overtaken

Found by TestCrashIsReportedBeforeItsRuns, which failed 9 of 300 times: two polls are at the target, and the response of the process that has ended arrives after one of the next process.

Cause: any other start time than the known one counted as a restart, so that the agent went back to the earlier process and then saw another restart; runs started in between were ended as crashed with a process that lives on.

The start time of the process before is remembered, and its responses are ignored.

--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -166,7 +166,7 @@
 		s.target.replaced = true
 		return false // the report of the new incarnation follows
 	}
-	if response.Born == s.target.born && response.Clock < s.target.clock {
+	if response.Born == s.target.born && response.Clock < s.target.clock || response.Born != 0 && response.Born == s.target.endedBorn {
 		return true // a response to a later poll was processed first
 	}
 	if response.Born != s.target.born && response.Born != 0 {
@@ -211,7 +211,7 @@
 		s.recordCrash(time.Now())
 		s.endLostRuns(sentAt.Add(-age), wire.EndCrashed, "the target started again")
 	}
-	s.target = targetState{born: response.Born}
+	s.target = targetState{born: response.Born, endedBorn: s.target.born}
 	if oldToken != 0 {
 		s.target.fencingToken = oldToken + 1
 	}
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -100,3 +100,44 @@
 }
 
 const secondTask = "5c0e7a21d94b36f8.0.0.1"
+
+// overtakenPoll is a client that delays the response to one poll.
+type overtakenPoll struct {
+	targets.Client
+	delayNext chan time.Duration
+}
+
+func (c *overtakenPoll) Poll(ctx context.Context, r targets.PollRequest) (targets.PollResponse, error) {
+	response, err := c.Client.Poll(ctx, r)
+	select {
+	case d := <-c.delayNext:
+		time.Sleep(d)
+	default:
+	}
+	return response, err
+}
+
+// Guards against a response of the target's earlier process that arrives after one of the next
+// process and is taken for another restart: the next process would count as crashed.
+func TestOvertakenResponseIsNoRestart(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		client := &overtakenPoll{Client: b.client, delayNext: make(chan time.Duration, 1)}
+		b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
+		b.sidecar.Start()
+		b.report("ready")
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		client.delayNext <- 400 * time.Millisecond
+		time.Sleep(160 * time.Millisecond) // a poll has its response by now
+		b.runner.Restart()
+		time.Sleep(100 * time.Millisecond)
+		b.start(l, id(1, 1), 1000)
+		time.Sleep(2 * time.Second)
+		if reports, _ := l.crashReports(); len(reports) != 1 {
+			t.Errorf("%d crash reports after one crash", len(reports))
+		}
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -138,6 +138,7 @@
 // targetState is what is known about the current process of the target.
 type targetState struct {
 	born         int64 // Unix milliseconds of the start of the target's process
+	endedBorn    int64 // start of the target's previous process; 0: not known
 	fencingToken uint64
 	clock        time.Duration // the target's clock at clockAt
 	clockAt      time.Time
