Share crashes of targets between gateways

Where each agent is linked to two placers, the others never hear of a crash.

Cause: what one process learns of crashes is gone when it is replaced, and others never had it, while a job may be handed in again, or go on, at any of them.

A placer passes on what an agent tells it, and each process tells a new peer all that it knows. TestCrashesAreSharedWithPeers fails without it (no report to a peer; the second gateway accepts the job) and passes.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -90,7 +90,7 @@
 	case *wire.RunEnd:
 		g.scheduler.HandleRunEnd(l.Name(), l, m, now)
 	case *wire.CrashReport:
-		g.scheduler.HandleCrash(m.Record(now), now)
+		g.handleAgentCrash(m)
 	}
 }
 
@@ -109,6 +109,7 @@
 	g.log.Info("peer linked", zap.String("peer", l.Name()))
 	g.forwarder.linkUp(l)
 	_ = l.Send(&wire.Heartbeat{Revision: g.version()})
+	g.sendCrashes(l)
 	_ = l.Send(g.placerState())
 }
 
@@ -134,6 +135,8 @@
 		g.applyRoutes(m.Body, "peer "+l.Name())
 	case *wire.PlacerState:
 		g.forwarder.handleState(l, m, time.Now())
+	case *wire.CrashReport:
+		g.handlePeerCrash(m)
 	case *wire.JobForward:
 		g.handleForward(l, m)
 	case *wire.JobAnswer:
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -38,6 +38,13 @@
 	return true
 }
 
+// Crashes returns the known crashes of the last minute.
+func (s *Scheduler) Crashes(now time.Time) []crash.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.Records(now)
+}
+
 func (s *Scheduler) reportCrash(r crash.Record, now time.Time) {
 	if s.opts.Observer == nil {
 		return
