Save the crashes of a target with its report

A job that is handed in again after all processes were killed is the same job, but the agents, the last witnesses, had forgotten the crashes under its tasks: a deadly task started from nothing and could reach more than the two further starts that are permitted after three crashes.

Cause: the crashes were kept by processes only. An agent now saves those of its targets in the store with the target's last report, at most two writes a crash, and its next process tells them to the entries. Records that were saved in the future, since a clock was set back, count as seen now, so that they expire.

TestCrashesSurviveTheAgent fails without it and passes, also if the target reports before the store has answered.

--- a/crash/history.go
+++ b/crash/history.go
@@ -91,6 +91,9 @@
 	if now.Sub(r.At) > recordTTL {
 		return false
 	}
+	if r.At.After(now) {
+		r.At = now // the clock was set back since the record was saved
+	}
 	if at := slices.IndexFunc(h.records, func(o *Record) bool { return o.id() == r.id() }); at >= 0 {
 		if !h.records[at].merge(r) {
 			return false
--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/catkinline/catkinline/crash"
 	"github.com/catkinline/catkinline/runs"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -48,7 +49,35 @@
 	s.log.Warn("target crashed", zap.String("target", r.Target), zap.Int64("born", r.Born), zap.Int("runs", len(suspects)),
 		zap.Int("jobs", len(jobs)), zap.Stringer("youngest", youngest.Task), zap.Duration("youngest_age", youngest.RunTime),
 		zap.Duration("listing_age", now.Sub(s.target.answeredAt)))
+	s.broadcastCrash(r, now)
+	s.saveReport(s.report)
+}
+
+func (s *Sidecar) broadcastCrash(r crash.Record, now time.Time) {
 	for _, state := range s.links {
 		s.send(state, wire.NewCrashReport(r, now))
 	}
 }
+
+// restoreCrashes adds the crashes that an earlier process of this agent saved.
+func (s *Sidecar) restoreCrashes(records []crash.Record) {
+	now := time.Now()
+	added := false
+	for _, r := range records {
+		if s.crashes.Add(r, now) {
+			s.broadcastCrash(r, now)
+			added = true
+		}
+	}
+	if added && s.reportUsable {
+		s.saveReport(s.report) // it was saved without them
+	}
+}
+
+// saveReport saves a report of the target together with the recent crashes.
+func (s *Sidecar) saveReport(r targets.Report) {
+	now := time.Now()
+	s.crashes.Expire(now)
+	r.Crashes = s.crashes.Records(now)
+	s.opts.SaveReport(r)
+}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -282,7 +282,7 @@
 	}
 	before, wasAccepting := s.report, s.acceptsRuns()
 	s.report, s.reportUsable, s.restored = r, true, false
-	s.opts.SaveReport(r)
+	s.saveReport(r)
 	s.table.SetCapacity(r.Capacity)
 	replaced := before.Target != r.Target
 	if replaced && before.Target != "" {
@@ -308,7 +308,7 @@
 		return
 	}
 	s.report.Left, s.restored = true, false
-	s.opts.SaveReport(s.report)
+	s.saveReport(s.report)
 	s.log.Info("target left", zap.String("target", target))
 	for _, e := range s.table.Clear("the target left") {
 		s.finish(e)
--- a/sidecar/restore.go
+++ b/sidecar/restore.go
@@ -19,6 +19,7 @@
 func (s *Sidecar) RestoreReport(r targets.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restoreCrashes(r.Crashes)
 	if s.reportUsable || r.Left || r.Target == "" {
 		return
 	}
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -190,3 +190,44 @@
 		})
 	}
 }
+
+// Guards against a deadly task that starts from nothing after all processes were killed at once:
+// only the store has kept what they knew of its crashes.
+func TestCrashesSurviveTheAgent(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+			if err := b.sidecar.Kill(); err != nil {
+				t.Error(err)
+			}
+			var saved targets.Report
+			options := sidecar.Options{
+				FailureDomain: "a", Target: b.client, Log: zap.NewNop(), Metrics: discardMetrics{},
+				SaveReport: func(r targets.Report) { saved = r },
+			}
+			b.sidecar = sidecar.New(options)
+			b.sidecar.Start()
+			b.report("ready")
+			b.start(b.open("a"), id(0, 1), 1000)
+			time.Sleep(50 * time.Millisecond)
+			b.runner.Restart()
+			time.Sleep(time.Second)
+			if err := b.sidecar.Kill(); err != nil {
+				t.Error(err)
+			}
+			before := saved
+			b.sidecar = sidecar.New(options)
+			b.sidecar.Start()
+			if reported {
+				b.report("ready") // before the store has answered
+			}
+			l := b.link("a")
+			b.sidecar.RestoreReport(before)
+			if reports, _ := l.crashReports(); len(reports) == 0 {
+				t.Errorf("target reported first %t: the next agent process tells nothing of the crash", reported)
+			}
+			if reported && len(saved.Crashes) == 0 {
+				t.Error("the crash is lost in the report that the next process saved")
+			}
+		})
+	}
+}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -8,6 +8,7 @@
 	"errors"
 	"time"
 
+	"github.com/catkinline/catkinline/crash"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -24,6 +25,9 @@
 	Left          bool   // the target has ended as planned
 	Born          int64  // start of the target process, Unix milliseconds; 0: unknown
 	Sequence      uint64 // increases with each report of one process
+	// Crashes are the recent crashes of the agent's targets, which the agent adds before it saves
+	// the report; targets do not report them.
+	Crashes []crash.Record `json:",omitempty"`
 }
 
 // StartResult is the outcome of a request to start a run.
