Start nothing on an unguarded target whose capacity is not known for certain

Where targets do not guard their capacity, a start beyond it breaks a rule, and a target may shrink at any moment. An agent went by what its earlier process had saved until the target's next report, up to 1.8 s after its own start and however old the saved report was (the store may have been down); an agent that had been paused, or whose target's reports were lost, went by the last one without a limit.

The route now says whether the targets of its service guard their capacity, and each start says so to the agent, which refuses an unguarded start unless the target itself has reported within 3 s to this process, not counting a pause. It tells the entries while the capacity is stale, so that they do not try. Guarded targets are used as before.

--- a/placement/place.go
+++ b/placement/place.go
@@ -260,13 +260,14 @@
 		j.firstRun = now
 	}
 	s.starts = append(s.starts, pendingStart{t, &wire.RunStart{
-		Run:      r.id,
-		Spec:     j.request.Job.Spec,
-		Need:     r.need,
-		TimeLeft: j.request.Deadline.Sub(now),
-		Target:   t.state.Target,
-		Route:    j.request.Route.Name,
-		Alone:    r.alone,
+		Run:       r.id,
+		Spec:      j.request.Job.Spec,
+		Need:      r.need,
+		TimeLeft:  j.request.Deadline.Sub(now),
+		Target:    t.state.Target,
+		Route:     j.request.Route.Name,
+		Alone:     r.alone,
+		Unguarded: j.request.Route.Unguarded,
 	}})
 }
 
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -356,3 +356,26 @@
 		t.Errorf("last start: got %+v, want no waiting task", starts)
 	}
 }
+
+// Guards against a start on a target that may have shrunk unseen, where targets start what does
+// not fit; where they refuse it, waiting for a report would only cost time.
+func TestStaleCapacityIsNotUsedUnguarded(t *testing.T) {
+	for _, unguarded := range []bool{false, true} {
+		s := placement.New(placement.Options{})
+		l := &recordingLink{}
+		s.LinkUp("a", 1, l)
+		stale := state("a", 8000, 8000)
+		stale.CapacityStale = true
+		s.HandleState("a", l, stale, begin)
+		r := request("j", 1, 1000)
+		r.Route.Unguarded = unguarded
+		submit(t, s, r, begin)
+		if started := len(l.starts()) > 0; started == unguarded {
+			t.Errorf("unguarded %t: started %t on a target with stale capacity", unguarded, started)
+		}
+		s.HandleState("a", l, state("a", 8000, 8000), begin)
+		if len(l.starts()) != 1 {
+			t.Errorf("unguarded %t: %d starts once the capacity is known, want 1", unguarded, len(l.starts()))
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,6 +26,9 @@
 	Timeout        time.Duration `cbor:"7,keyasint,omitempty"` // of a request; 0: no timeout
 	Stretch        float64       `cbor:"8,keyasint"`           // multiple of the job's critical path that the latency objective allows
 	TargetDuration time.Duration `cbor:"9,keyasint,omitempty"` // added to the latency objective
+	// Unguarded says that targets of the service start what does not fit: nobody else keeps them
+	// within their capacity.
+	Unguarded bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Table is one version of the configured routes. It is immutable after Build and so
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -147,6 +147,7 @@
 func (s *Sidecar) handlePollResponse(request targets.PollRequest, sentAt time.Time, response targets.PollResponse) bool {
 	wasAccepting := s.acceptsRuns()
 	again := s.updateFromPoll(request, sentAt, response)
+	s.updateStaleness(time.Now())
 	if wasAccepting != s.acceptsRuns() {
 		if s.acceptsRuns() {
 			s.log.Info("target accepts runs", zap.String("target", s.report.Target), zap.Int64("born", s.target.born), zap.Uint64("fence", s.target.fencingToken))
@@ -282,6 +283,7 @@
 	}
 	before, wasAccepting := s.report, s.acceptsRuns()
 	s.report, s.reportUsable, s.restored = r, true, false
+	s.reportedAt = time.Now()
 	s.saveReport(r)
 	s.table.SetCapacity(r.Capacity)
 	replaced := before.Target != r.Target
@@ -297,6 +299,7 @@
 		s.broadcastState()
 		signal(s.pollNow)
 	}
+	s.updateStaleness(s.reportedAt)
 	return true
 }
 
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		state.stale = true
+		s.reportedAt = time.Time{} // the clock that it was read from may have stood still
 		s.log.Warn("link closed after a pause of this process", zap.String("entry", state.link.Name()))
 		_ = state.link.Close(Error.New("the agent process was paused"))
 	}
@@ -89,6 +90,8 @@
 		return wire.EndNotRun, "the target does not accept runs"
 	case m.Target != s.report.Target:
 		return wire.EndNotRun, "the target was replaced"
+	case m.Unguarded && s.capacityStale(now):
+		return wire.EndNotRun, "the target has not reported its capacity recently"
 	case now.Before(s.target.backoffUntil):
 		return wire.EndNotRun, "the target refused a run a moment ago"
 	}
@@ -100,6 +103,18 @@
 	}
 }
 
+// capacityStale reports whether the target may have shrunk without this process knowing.
+func (s *Sidecar) capacityStale(now time.Time) bool {
+	return s.reportedAt.IsZero() || now.Sub(s.reportedAt) > maxCapacityAge
+}
+
+// updateStaleness tells the entries when the capacity begins or ceases to be stale.
+func (s *Sidecar) updateStaleness(now time.Time) {
+	if s.capacityStale(now) != s.saidStale {
+		s.broadcastState()
+	}
+}
+
 // leaseEnd returns the time on the target's clock at which a lease that is sent now ends, and
 // records it for leaseExpired. It returns 0 while that clock is not known.
 func (s *Sidecar) leaseEnd(now time.Time) time.Duration {
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -12,6 +12,7 @@
 	"github.com/catkinline/catkinline/sidecar"
 	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/targets"
+	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
 
@@ -231,3 +232,56 @@
 		})
 	}
 }
+
+func (b *fixture) startUnguarded(l *fakeLink, run workload.RunID, cpu int64) {
+	b.sidecar.Handle(l, &wire.RunStart{Run: run, Spec: "s", Need: workload.Resources{CPU: cpu}, TimeLeft: time.Second, Target: "i-standin", Unguarded: true})
+}
+
+// Guards against starts beyond the capacity of a target that has shrunk unseen and does not guard
+// it: while the agent was restarted and only knows what its earlier process saved, while it was
+// paused, or while no report arrived.
+func TestUnguardedTargetNeedsItsOwnRecentReport(t *testing.T) {
+	for name, makeStale := range map[string]func(*fixture) *fakeLink{
+		"restored": func(b *fixture) *fakeLink {
+			l := b.restart()
+			b.sidecar.RestoreReport(b.savedReport("i-standin"))
+			time.Sleep(200 * time.Millisecond)
+			return l
+		},
+		"paused": func(b *fixture) *fakeLink {
+			b.open("a")
+			b.paused = true
+			b.link("b")
+			b.paused = false
+			return b.link("c")
+		},
+		"silent": func(b *fixture) *fakeLink {
+			l := b.open("a")
+			time.Sleep(3 * time.Second)
+			return l
+		},
+	} {
+		runFixture(t, withRunTime(time.Second), func(b *fixture) {
+			l := makeStale(b)
+			if s := l.state(); s == nil || s.Closed || !s.CapacityStale {
+				t.Errorf("%s: state %+v, want open with a stale capacity", name, s)
+			}
+			b.startUnguarded(l, id(0, 1), 1000)
+			b.start(l, id(1, 1), 1000)
+			synctest.Wait()
+			if ends := l.ends(); len(ends) != 1 || ends[0].Run != id(0, 1) || ends[0].Status != wire.EndNotRun {
+				t.Errorf("%s: run ends %+v, want the unguarded run refused only", name, ends)
+			}
+			b.report("ready")
+			if s := l.state(); s == nil || s.CapacityStale {
+				t.Errorf("%s: the capacity is stale after a report", name)
+			}
+			b.startUnguarded(l, id(2, 1), 1000)
+			synctest.Wait()
+			if n := len(l.ends()); n != 1 {
+				t.Errorf("%s: %d run ends after a report, want no other refusal", name, n)
+			}
+			time.Sleep(1500 * time.Millisecond)
+		})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -40,6 +40,9 @@
 	// backupPollDelay is the delay between the polls of all pollers but the first. Each lost
 	// response costs a connection, which limits how often the others should poll.
 	backupPollDelay = 40 * time.Millisecond
+	// maxCapacityAge is how long after a report the capacity in it counts as known. Targets report
+	// every 1.5 s, and one that has shrunk must not get more than fits from 4.5 s after that.
+	maxCapacityAge = 3 * time.Second
 	// brokenPollDelay is the delay before the next poll when a connection has broken. If the
 	// target's process has ended, that poll shows it.
 	brokenPollDelay = 5 * time.Millisecond
@@ -128,8 +131,10 @@
 	links        map[string]*linkState
 	crashes      *crash.History // of the target's processes
 	report       targets.Report
-	reportUsable bool // report is from the target itself, or was confirmed by a poll
-	restored     bool // the report is from an earlier process
+	reportUsable bool      // report is from the target itself, or was confirmed by a poll
+	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
+	saidStale    bool      // the entries were told that the capacity is stale
+	restored     bool      // the report is from an earlier process
 	stopping     bool
 	killed       bool // Kill was called
 	target       targetState
@@ -330,6 +335,7 @@
 
 func (s *Sidecar) sendState(state *linkState) {
 	state.advertised = s.roomFor(state)
+	s.saidStale = s.capacityStale(time.Now())
 	s.send(state, &wire.TargetState{
 		Target:        s.report.Target,
 		Service:       s.report.Service,
@@ -339,6 +345,7 @@
 		Room:          state.advertised,
 		Closed:        !s.acceptsRuns() || state.retiring,
 		Born:          s.target.born,
+		CapacityStale: s.saidStale,
 	})
 }
 
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -24,6 +24,9 @@
 	Closed bool `cbor:"7,keyasint,omitempty"`
 	// Born is the start of the target's process as it says itself, in Unix milliseconds; 0: unknown.
 	Born int64 `cbor:"8,keyasint,omitempty"`
+	// CapacityStale says that the target has not reported its capacity for a while. Targets that
+	// do not guard it get no runs then.
+	CapacityStale bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Room is a target's free capacity. StartsReceived is the number of RunStarts that
@@ -47,6 +50,9 @@
 	Backlog *Backlog `cbor:"6,keyasint,omitempty"`
 	Route   string   `cbor:"7,keyasint,omitempty"` // of the run's job
 	Alone   bool     `cbor:"8,keyasint,omitempty"` // no run of another job may be on the target meanwhile
+	// Unguarded says that the target starts what does not fit, so that its capacity has to be
+	// known for certain.
+	Unguarded bool `cbor:"9,keyasint,omitempty"`
 }
 
 // EndStatus is how a run ended.
