Close a target while it has a run that the agent does not know

A delayed start request of an earlier agent process may be carried out after the target was announced. The agent stopped the run, but went on starting others beside it, with capacity that the run used; a target that does not guard its capacity exceeds it then.

The target accepts no runs until a listing has none that the table lacks. TestUnknownRunClosesTheTarget failed before and passes.

--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -184,6 +184,7 @@
 	s.target.silentRuns = nil // they were stopped, or go on without a lease
 	orphans := s.applyPollResponse(sentAt, response)
 	s.target.synced = s.target.synced || len(orphans) == 0
+	s.target.orphans = len(orphans)
 	if len(orphans) > 0 {
 		s.stopOrphans(s.report.Target, orphans, s.target.fencingToken)
 	}
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -285,3 +285,29 @@
 		})
 	}
 }
+
+// Guards against starts beside a run that the agent does not know, which a delayed request of an
+// earlier process has started: the target that does not guard its capacity would exceed it.
+func TestUnknownRunClosesTheTarget(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.runner.SetFaults(standin.RunnerFaults{DropStops: 2})
+		started, _ := b.client.Start(context.Background(), "i-standin", targets.StartRequest{
+			Run: id(7, 1), Spec: "s", LeaseEnd: time.Hour, FencingToken: 1 << 40,
+		})
+		if started != targets.Started {
+			t.Errorf("start: %v", started)
+		}
+		closed := false
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			closed = closed || l.state().Closed
+		}
+		if !closed {
+			t.Error("the target accepts runs while an unknown run is on it")
+		}
+		if l.state().Closed || len(b.runner.Running()) > 0 {
+			t.Error("the target stays closed, or the run goes on")
+		}
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -157,6 +157,9 @@
 	// silentRuns are the runs that were given up because the target was silent for longer than
 	// their lease. If another process of it responds next, it has crashed under them.
 	silentRuns []crash.Suspect
+	// orphans is the number of listed runs that the table does not have. They use capacity, so that
+	// starts wait for their end.
+	orphans int
 }
 
 // New returns a sidecar that runs nothing until Start is called.
@@ -321,7 +324,7 @@
 
 // acceptsRuns reports whether new runs can be started on the target.
 func (s *Sidecar) acceptsRuns() bool {
-	return s.ready() && s.target.reachable && !s.stopping && !s.report.Draining && !s.report.Left
+	return s.ready() && s.target.reachable && s.target.orphans == 0 && !s.stopping && !s.report.Draining && !s.report.Left
 }
 
 func (s *Sidecar) broadcastState() {
