Blame no route for crashes because of an earlier series

Evidence about routes counts only if it is within 10 s of the last crash; what is known about tasks still lasts a minute. TestOldGuiltBlamesNobody failed before and passes.

--- a/crash/history.go
+++ b/crash/history.go
@@ -81,6 +81,7 @@
 	sole    bool // no other job was suspected of one of them
 	recent  bool // it had started shortly before one of them
 	route   string
+	last    time.Time // its last crash
 }
 
 func (k *involvement) guilty() bool {
@@ -153,6 +154,9 @@
 				h.tasks[s.Task] = k
 			}
 			k.crashes++
+			if r.At.After(k.last) {
+				k.last = r.At
+			}
 			k.sole = k.sole || jobs == 1 && !r.Partial
 			k.recent = k.recent || s.RunTime <= youngest+recentStart
 			if k.crashes >= guiltyCrashes && r.At.After(h.alertAt) {
@@ -166,12 +170,15 @@
 func (h *History) updateRoutes() {
 	clear(h.routes)
 	for task, k := range h.tasks {
-		if k.guilty() {
+		if k.guilty() && h.current(k.last) {
 			h.route(k.route).guiltyJobs[task.Job] = true
 		}
 	}
 	counted := make(map[workload.TaskID]bool)
 	for _, r := range h.records {
+		if !h.current(r.At) {
+			continue
+		}
 		recent, only := h.recentOfOneRoute(r)
 		if !only || slices.ContainsFunc(recent, func(s Suspect) bool { return counted[s.Task] }) {
 			continue // the same task may have caused both
@@ -182,10 +189,16 @@
 		}
 	}
 	for _, r := range h.records {
-		h.updateRoutesFrom(r)
+		if h.current(r.At) {
+			h.updateRoutesFrom(r)
+		}
 	}
 }
 
+// current reports whether a crash belongs to the same series as the last one. A route that had
+// deadly jobs a while ago is not the cause of what crashes targets now.
+func (h *History) current(at time.Time) bool { return h.LastCrash().Sub(at) < alertTTL }
+
 func (h *History) route(name string) *routeCrashes {
 	if h.routes[name] == nil {
 		h.routes[name] = &routeCrashes{guiltyJobs: make(map[string]bool)}
--- a/crash/history_test.go
+++ b/crash/history_test.go
@@ -123,3 +123,22 @@
 		t.Error("the route is blamed long after its last crash")
 	}
 }
+
+// Guards against a route that is blamed for new crashes because it had a deadly job a while ago:
+// its harmless jobs would be refused while another route crashes the targets.
+func TestOldGuiltBlamesNobody(t *testing.T) {
+	h := crash.NewHistory()
+	h.Add(withRoute("p", crashOf("a", 0, "deadly")), at(0))
+	h.Add(withRoute("p", crashOf("b", 100, "deadly")), at(100))
+	h.Add(withRoute("p", crashOf("c", 200, "next")), at(200))
+	if !h.Blamed("p", at(200)) {
+		t.Error("the route is not blamed at the time")
+	}
+	both := withRoute("q", crashOf("d", 14_000, "x"))
+	both.Suspects = append(both.Suspects, withRoute("p", crashOf("d", 14_000, "y")).Suspects...)
+	h.Add(both, at(14_000))
+	if h.Blamed("p", at(14_000)) {
+		t.Error("the route is blamed for a crash 14 s after its own")
+	}
+	expect(t, h, 14_000, map[string]crash.Verdict{"deadly": crash.Guilty})
+}
