Report every run that was lost in a crash as crashed

TestRestartedTargetEndsItsRuns failed once in 31 plays since it expects 'crashed': if the response that shows the restart belongs to a poll that was sent before the run was confirmed, the run counts as unconfirmed, is stopped at the next process, and ended as 'stopped'. The decisions were the same; logs and counters were wrong.

Such a run remembers that the process ended. 100 plays of the package pass.

--- a/runs/runs.go
+++ b/runs/runs.go
@@ -45,6 +45,7 @@
 	StopRequested bool      // the run has to be stopped
 	StopAckedAt   time.Time // when the acknowledgement of the stop arrived; zero: not yet
 	StopReason    string    // why the stop was requested
+	Crashed       bool      // the target's process ended after the start was requested
 }
 
 // Table holds the runs of one target. It contains every run that the target may be
@@ -198,7 +199,7 @@
 		}
 		switch {
 		case !r.StopAckedAt.IsZero() && r.StopAckedAt.Before(l.RequestedAt):
-			ended = append(ended, EndedRun{r, wire.EndStopped, r.StopReason})
+			ended = append(ended, EndedRun{r, r.endIfStopped(), r.StopReason})
 		case r.State == Running && r.ConfirmedAt.Before(l.RequestedAt):
 			ended = append(ended, EndedRun{r, wire.EndStopped, "the target does not list it any more"})
 		}
@@ -209,6 +210,14 @@
 	return ended
 }
 
+// endIfStopped returns how a run ended that the target was told to stop and does not have.
+func (r *Run) endIfStopped() wire.EndStatus {
+	if r.Crashed {
+		return wire.EndCrashed
+	}
+	return wire.EndStopped
+}
+
 // TargetRestarted handles the end of the target's process at endedAt or later; a new
 // process may have started. It removes and returns, with the given end, the runs that the old process
 // confirmed before endedAt. Start requests that were unanswered then may reach the new
@@ -223,6 +232,7 @@
 			continue
 		}
 		r.State = Unconfirmed
+		r.Crashed = r.Crashed || end == wire.EndCrashed
 		if !r.StopRequested || !r.StopAckedAt.IsZero() {
 			r.StopRequested, r.StopAckedAt = false, time.Time{}
 			unconfirmed = append(unconfirmed, r)
