Let tasks crash their targets and targets shrink in the soak

The stand-in targets don't guard their capacity. New checks: BUDGET (a task crashes five targets at most), LIMIT for a shrunk target from 4.5 s on, and a job may be shown as failed if a task of it has crashed two targets.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -22,6 +22,8 @@
 	resendDelay = 1300 * time.Millisecond
 	// maxSends is the maximum number of times that a caller sends a job.
 	maxSends = 3
+	// crashOneIn is the number of jobs of which one crashes its targets, while some do.
+	crashOneIn = 10
 	// lossTolerance is the time after the last byte of a request in which a planned stop
 	// may lose it, unless one of its tasks has started.
 	lossTolerance = 200 * time.Millisecond
@@ -65,8 +67,12 @@
 
 // run submits jobs with Poisson arrivals until ctx ends.
 func (c *callers) run(ctx context.Context, rnd *rand.Rand, perSecond float64) {
+	crashRandom := rand.New(rand.NewPCG(c.b.seed, 4))
 	for sleep(ctx, time.Duration(rnd.ExpFloat64()/perSecond*float64(time.Second))) {
 		j := c.randomJob(rnd)
+		if c.b.crashingJobs.Load() && crashRandom.IntN(crashOneIn) == 0 {
+			j.crash()
+		}
 		c.jobs.Go(func() { c.submit(j) })
 	}
 }
@@ -105,6 +111,14 @@
 	return j
 }
 
+// crash makes the job crash the targets of its tasks.
+func (j *callerJob) crash() {
+	s := parseSpec(j.job.Spec)
+	s.crashes = true
+	j.job.Spec = s.String()
+	j.job.Steps[0].Tasks = 1
+}
+
 // nextID returns a new job id.
 func (c *callers) nextID() string { return fmt.Sprintf("%016x", c.number.Add(1)) }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -101,6 +101,39 @@
 	return out
 }
 
+// crashing generates jobs that crash their targets and targets that shrink and grow again. They
+// are drawn apart from the other faults, so that these are the same for a seed with and without.
+func (g *generator) crashing(phase time.Duration, seed uint64) []fault {
+	apart := &generator{b: g.b, rnd: rand.New(rand.NewPCG(seed, 3))}
+	var out []fault
+	for at := apart.between(0, 1500); at < phase; at += apart.between(1000, 3000) {
+		f := apart.shrink()
+		if apart.rnd.IntN(2) == 0 {
+			f = apart.crashJobs()
+		}
+		f.at = at
+		out = append(out, f)
+	}
+	return out
+}
+
+// crashJobs makes some of the callers' jobs crash each target that starts their first task.
+func (g *generator) crashJobs() fault {
+	return fault{name: "jobs crash their targets", place: everywhere, lasts: g.between(500, 2500), apply: func() func() {
+		g.b.crashingJobs.Store(true)
+		return func() { g.b.crashingJobs.Store(false) }
+	}}
+}
+
+// shrink lowers the capacity of a target for a while, to nothing or to a part.
+func (g *generator) shrink() fault {
+	n, cpu := g.anySidecar(), targetCPU*int64(g.rnd.IntN(3))/4
+	return fault{name: fmt.Sprintf("target of %s shrinks to %d", n.name, cpu), place: n.name, lasts: g.between(500, 6000), apply: func() func() {
+		g.b.runChecker.setCPU(n.target, cpu)
+		return func() { g.b.runChecker.setCPU(n.target, targetCPU) }
+	}}
+}
+
 func (g *generator) kill(n *node) fault {
 	return fault{name: "kill " + n.name, place: n.name, lasts: g.between(100, 1500), apply: func() func() {
 		p := n.signal(syscall.SIGKILL)
--- a/soak/run_checker.go
+++ b/soak/run_checker.go
@@ -19,6 +19,7 @@
 	tasks      map[string]*taskHistory
 	byJob      map[string][]*taskHistory
 	cpuInUse   map[string]int64 // CPU in use in thousandths of a core, by target
+	capacity   map[*standin.Runner]reportedCapacity
 	violations []string
 	// repeated counts starts of tasks that were done. It is no violation: a job that
 	// was resent begins anew at another gateway, which is permitted here.
@@ -30,6 +31,7 @@
 type taskHistory struct {
 	running map[string]int64 // CPU in thousandths of a core, by target that runs the task
 	done    int              // runs that ended "done"
+	crashes int              // starts that crashed a target
 	failed  int              // runs that ended "failed"
 }
 
@@ -39,7 +41,45 @@
 func newRunChecker() *runChecker {
 	return &runChecker{
 		targets: make(map[string]*standin.Runner), tasks: make(map[string]*taskHistory), byJob: make(map[string][]*taskHistory),
-		cpuInUse: make(map[string]int64), startedAt: time.Now(),
+		cpuInUse: make(map[string]int64), capacity: make(map[*standin.Runner]reportedCapacity), startedAt: time.Now(),
+	}
+}
+
+// reportedCapacity is a target's capacity and since when it is in force.
+type reportedCapacity struct {
+	cpu   int64
+	since time.Time
+}
+
+// shrinkNotice is the time after which a target that has shrunk must not get more than fits: three
+// seconds and one report.
+const shrinkNotice = 3*time.Second + 1500*time.Millisecond
+
+// setCPU changes the capacity of a target.
+func (c *runChecker) setCPU(r *standin.Runner, cpu int64) {
+	r.SetCPU(cpu)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.capacity[r] = reportedCapacity{cpu, time.Now()}
+}
+
+// limit returns the CPU that the runs on a target may use.
+func (c *runChecker) limit(r *standin.Runner, now time.Time) int64 {
+	k, changed := c.capacity[r]
+	if changed && now.Sub(k.since) > shrinkNotice && !r.ApplyingLate() {
+		return k.cpu
+	}
+	return targetCPU
+}
+
+// maxCrashes is the number of targets that may crash under one task: two more after three.
+const maxCrashes = 5
+
+// checkCrashes counts the starts of a task that crashes its targets.
+func (c *runChecker) checkCrashes(t *taskHistory, task string) {
+	t.crashes++
+	if t.crashes > maxCrashes {
+		c.addViolation("BUDGET", "%s was started %d times and crashed its target each time", task, t.crashes)
 	}
 }
 
@@ -85,14 +125,18 @@
 			c.addViolation("TWICE", "%s starts on %s while it runs on %s", task, target, other)
 		}
 	}
-	cpu := parseSpec(spec).cpu
+	s := parseSpec(spec)
+	if s.crashes {
+		c.checkCrashes(t, task)
+	}
+	cpu := s.cpu
 	t.running[target] = cpu
 	c.cpuInUse[target] += cpu
 	if t.done > 0 {
 		c.repeated++
 	}
-	if c.cpuInUse[target] > targetCPU {
-		c.addViolation("LIMIT", "%s uses %d of %d thousandths of a core after the start of %s", target, c.cpuInUse[target], targetCPU, task)
+	if limit := c.limit(c.targets[target], now); c.cpuInUse[target] > limit {
+		c.addViolation("LIMIT", "%s uses %d of %d thousandths of a core after the start of %s", target, c.cpuInUse[target], limit, task)
 	}
 }
 
@@ -169,12 +213,12 @@
 }
 
 // checkFailed checks that some task of a job that was reported as failed has failed
-// MaxAttempts times.
+// MaxAttempts times, or has crashed two targets.
 func (c *runChecker) checkFailed(job string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.byJob[job] {
-		if t.failed >= MaxAttempts {
+		if t.failed >= MaxAttempts || t.crashes >= 2 {
 			return
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,7 @@
 	Planned     time.Duration // phase of planned operations only; default 5 s
 	Overlapping time.Duration // phase of overlapping faults; default 8 s
 	Rate        float64       // jobs a second; default 15, half of the targets' capacity
+	NoCrashes   bool          // no jobs crash their targets, and no targets shrink
 	Dir         string        // for the logs and settings files of the processes
 }
 
@@ -96,6 +97,9 @@
 func (s *soak) runPhases(ctx context.Context) Report {
 	gen := newGenerator(s.b, s.o.Seed)
 	planned, overlapping := gen.planned(s.o.Planned), gen.overlapping(s.o.Overlapping)
+	if !s.o.NoCrashes {
+		overlapping = append(overlapping, gen.crashing(s.o.Overlapping, s.o.Seed)...)
+	}
 	report := Report{Seed: s.o.Seed, Faults: len(planned) + len(overlapping)}
 	s.waitServing(ctx)
 
--- a/soak/spec.go
+++ b/soak/spec.go
@@ -16,23 +16,24 @@
 	taskMemory = 64
 )
 
-// taskSpec is the part of a task that its target reads: CPU need, run time, and the
-// number of its first runs that fail.
+// taskSpec is the part of a task that its target reads: CPU need, run time, the
+// number of its first runs that fail, and whether it crashes its targets.
 type taskSpec struct {
 	cpu      int64
 	runTime  time.Duration
 	failures int
+	crashes  bool // crashes each target that starts it
 }
 
 func (s taskSpec) String() string {
-	return fmt.Sprintf("cpu=%d work=%d failures=%d", s.cpu, s.runTime.Milliseconds(), s.failures)
+	return fmt.Sprintf("cpu=%d work=%d failures=%d crashes=%t", s.cpu, s.runTime.Milliseconds(), s.failures, s.crashes)
 }
 
 // parseSpec parses the result of String. It returns a zero taskSpec for other text.
 func parseSpec(text string) taskSpec {
 	var s taskSpec
 	var ms int64
-	if _, err := fmt.Sscanf(text, "cpu=%d work=%d failures=%d", &s.cpu, &ms, &s.failures); err != nil {
+	if _, err := fmt.Sscanf(text, "cpu=%d work=%d failures=%d crashes=%t", &s.cpu, &ms, &s.failures, &s.crashes); err != nil {
 		return taskSpec{}
 	}
 	s.runTime = time.Duration(ms) * time.Millisecond
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,9 @@
 	largeGatewayCPU = 800
 	// maxLease is the longest lease that targets accept.
 	maxLease = time.Second
+	// crashDelay and crashRestartTime are how the users' targets crash under a task.
+	crashDelay       = 25 * time.Millisecond
+	crashRestartTime = 3 * time.Second
 )
 
 // node is one instance: its process and the fault relays of its connections.
@@ -69,10 +73,14 @@
 	server     *httptest.Server
 	gateways   []*node
 	onePlacer  bool // one gateway places the jobs of all
+	seed       uint64
 	sidecars   []*node
 	cleanups   []func()
 	watchers   sync.WaitGroup
 
+	// crashingJobs says that some of the callers' jobs crash their targets.
+	crashingJobs atomic.Bool
+
 	writeMu sync.Mutex // held while routes are written, so that versions are written in order
 
 	mu        sync.Mutex
@@ -83,7 +91,7 @@
 func newTestbed(ctx context.Context, o Options, log *zap.Logger) (*testbed, error) {
 	b := &testbed{
 		ctx: ctx, dir: o.Dir, log: log, runChecker: newRunChecker(), timeline: &timeline{}, store: standin.NewStore(standin.StoreOptions{FirstRevision: 1}),
-		writtenAt: make(map[uint64]time.Time), onePlacer: o.Seed%2 == 1,
+		writtenAt: make(map[uint64]time.Time), onePlacer: o.Seed%2 == 1, seed: o.Seed,
 	}
 	b.server = httptest.NewServer(b.store.Handler())
 	b.cleanups = append(b.cleanups, b.server.Close)
@@ -191,7 +199,9 @@
 	}
 	n := &node{name: name, role: "sidecar", store: store}
 	id := fmt.Sprintf("i-%d-0", i)
-	n.target = standin.NewRunner(standin.RunnerOptions{ID: id, CPU: targetCPU, MaxLease: maxLease, Work: b.runChecker.work, Observer: b.runChecker})
+	n.target = standin.NewRunner(standin.RunnerOptions{ID: id, CPU: targetCPU, MaxLease: maxLease, Work: b.runChecker.work, Observer: b.runChecker,
+		Crashes:    func(spec string) bool { return b.crashes(name, spec) },
+		CrashDelay: crashDelay, RestartTime: crashRestartTime})
 	b.runChecker.addTarget(id, n.target)
 	server := httptest.NewServer(n.target.Handler())
 	b.cleanups = append(b.cleanups, server.Close)
@@ -299,7 +309,7 @@
 	for _, prefix := range []string{commonPrefix, prefixOf(version)} {
 		routes = append(routes, routing.Route{
 			Name: strings.Trim(prefix, "/"), Host: host, Prefix: prefix, Service: service, MaxAttempts: MaxAttempts, Stretch: 1.6,
-			TargetDuration: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond,
+			TargetDuration: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond, Unguarded: true,
 		})
 	}
 	document, err := platform.EncodeRoutes(version, routes)
@@ -346,6 +356,17 @@
 	return b.writtenAt[version]
 }
 
+// crashes reports whether a task crashes the target of a node, which counts as an unplanned fault
+// until the target is back.
+func (b *testbed) crashes(place, spec string) bool {
+	if !parseSpec(spec).crashes {
+		return false
+	}
+	end := b.timeline.begin(place, false)
+	time.AfterFunc(crashDelay+crashRestartTime, end)
+	return true
+}
+
 // replace ends a node's target and starts one with a new id in its place.
 func (b *testbed) replace(n *node, clockLag time.Duration) {
 	n.mu.Lock()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -19,12 +19,16 @@
 	// Work returns the run time of a task and whether the task fails after it. The
 	// default is 50 ms without a failure.
 	Work func(task, spec string) (time.Duration, bool)
+	// Crashes reports whether a task crashes the target's process CrashDelay after its start; nil:
+	// none does. The next process starts after RestartTime.
+	Crashes                 func(spec string) bool
+	CrashDelay, RestartTime time.Duration
 	// Observer is notified of the target's runs; it may be nil.
 	Observer RunnerObserver
 }
 
 // RunnerObserver is notified of a target's runs, in order and with the target's mutex
-// held: LeaseEnd is the only method of the target that it may call.
+// held: LeaseEnd and ApplyingLate are the only methods of the target that it may call.
 type RunnerObserver interface {
 	RunStarted(target, task, spec string)
 	// RunEnded reports the outcome of a run: "done", "failed", "stopped", "lapsed" if
@@ -57,6 +61,8 @@
 	endSeq        uint64         // sequence number of the last ended run
 	runEnded      chan struct{}  // closed and replaced when a run ends
 	starts        map[string]int // by task
+	downUntil     time.Time      // nothing answers before
+	applyingLate  atomic.Bool
 }
 
 // RunnerFaults are the fault switches of a Runner. Zero fields are off.
@@ -120,6 +126,10 @@
 func (r *Runner) Restart() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.restart()
+}
+
+func (r *Runner) restart() {
 	for task, run := range r.runs {
 		run.timer.Stop()
 		r.opts.Observer.RunEnded(r.opts.ID, task, "broken")
@@ -128,6 +138,34 @@
 	r.reset()
 }
 
+// crash ends a process of the target, if it still runs; the next one answers after RestartTime.
+func (r *Runner) crash(generation int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if generation == r.generation {
+		r.restart()
+		r.downUntil = time.Now().Add(r.opts.RestartTime)
+	}
+}
+
+// down reports whether the target's process has crashed and the next one has not started.
+func (r *Runner) down() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.downUntil)
+}
+
+// ApplyingLate reports whether the run that starts was requested a while ago: the request got no
+// response and was delayed. Observers may call it.
+func (r *Runner) ApplyingLate() bool { return r.applyingLate.Load() }
+
+// SetCPU changes the capacity that the target reports.
+func (r *Runner) SetCPU(cpu int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.CPU = cpu
+}
+
 // Replace simulates a crash of the process and the start of another instance with a
 // new id, whose wall clock lags by the given time.
 func (r *Runner) Replace(id string, clockLag time.Duration) {
@@ -287,6 +325,9 @@
 	})
 	r.runs[q.Task] = run
 	r.starts[q.Task]++
+	if r.opts.Crashes != nil && r.opts.Crashes(q.Spec) {
+		time.AfterFunc(r.opts.CrashDelay, func() { r.crash(generation) })
+	}
 	r.opts.Observer.RunStarted(r.opts.ID, q.Task, q.Spec)
 	return http.StatusOK, r.response("")
 }
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -32,15 +32,23 @@
 // errors and goes on with the next heartbeat.
 func (r *Runner) SendReports(ctx context.Context, agent, service string) {
 	for n := uint64(1); ctx.Err() == nil; n++ {
+		if r.down() {
+			sleepUntilReport(ctx)
+			continue
+		}
 		body, _ := json.Marshal(r.Report(service, "ready", n)) // plain values always encode
 		// An error means that the agent is not running.
 		if resp, err := http.Post("http://"+agent+"/instances/"+r.id()+"/heartbeat", "application/json", bytes.NewReader(body)); err == nil {
 			resp.Body.Close()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(reportInterval):
-		}
+		sleepUntilReport(ctx)
+	}
+}
+
+func sleepUntilReport(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(reportInterval):
 	}
 }
 
@@ -63,18 +71,28 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if r.down() {
+			panic(http.ErrAbortHandler)
+		}
 		if instance := req.Header.Get(platform.HeaderTargetInstance); instance != "" && instance != r.id() {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
 		if drop, delay := r.takeDrop(dropCount); drop {
 			if delay > 0 {
-				time.AfterFunc(delay, func() { apply(context.Background(), q) })
+				time.AfterFunc(delay, func() {
+					r.applyingLate.Store(true)
+					defer r.applyingLate.Store(false)
+					apply(context.Background(), q)
+				})
 			}
 			<-req.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
 		status, response := apply(req.Context(), q)
+		if r.down() {
+			panic(http.ErrAbortHandler) // crashed while the request waited
+		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
 		// An error means that the agent has disconnected.
