Give no harmless task up that was the last suspect of a crash without a cause

Cause: being left as the only suspect of one crash counted as being the cause of it.

A task is guilty after two crashes if it was alone on one of the targets, not only left; or if it is the only suspect left of two.

--- a/crash/history.go
+++ b/crash/history.go
@@ -18,8 +18,9 @@
 	// recentStart is how much longer than the youngest suspect of a crash a run may have been on
 	// the target to count as started shortly before. Crashes are detected within some 50 ms.
 	recentStart = 50 * time.Millisecond
-	// guiltyCrashes is the number of crashes after which a task is the cause, if it was the only
-	// suspect of one of them: a single crash may have no cause among the runs.
+	// guiltyCrashes is the number of crashes after which a task is the cause, if it was alone on one
+	// of the targets, or is the only suspect left of that many. A crash without a cause among the
+	// runs leaves one suspect in the end too.
 	guiltyCrashes = 2
 	// maxCrashes is the number of crashes after which a task is given up although it always had
 	// company. Two more crashes are permitted after three.
@@ -44,7 +45,7 @@
 	Clear Verdict = iota
 	// Suspected: a cause of a crash, like others; the task should run where a crash harms nobody.
 	Suspected
-	// PrimeSuspect: the only suspect of its one crash.
+	// PrimeSuspect: the only suspect of one of its crashes.
 	PrimeSuspect
 	// Guilty: the task crashes its targets and should not start again.
 	Guilty
@@ -82,14 +83,15 @@
 // involvement is what the crashes say about a task.
 type involvement struct {
 	crashes int  // targets that crashed under it
-	sole    bool // no other job was suspected of one of them
+	sole    int  // of them, those of which no other job is suspected any more
+	alone   bool // no other job was on one of the targets
 	recent  bool // it had started shortly before one of them
 	route   string
 	last    time.Time // its last crash
 }
 
 func (k *involvement) guilty() bool {
-	return k.crashes >= guiltyCrashes && k.sole || k.crashes >= maxCrashes
+	return k.crashes >= guiltyCrashes && k.alone || k.sole >= guiltyCrashes || k.crashes >= maxCrashes
 }
 
 // NewHistory returns an empty history.
@@ -173,7 +175,10 @@
 			if r.At.After(k.last) {
 				k.last = r.At
 			}
-			k.sole = k.sole || jobs == 1 && !r.Partial
+			if jobs == 1 && !r.Partial {
+				k.sole++
+				k.alone = k.alone || len(suspects) == len(r.Suspects)
+			}
 			k.recent = k.recent || s.RunTime <= youngest+recentStart
 			if k.crashes >= guiltyCrashes && r.At.After(h.alertAt) {
 				h.alertAt = r.At
@@ -335,13 +340,15 @@
 		return Clear
 	case k.guilty():
 		return Guilty
+	case k.crashes >= guiltyCrashes && k.sole > 0:
+		return PrimeSuspect
 	case k.crashes >= guiltyCrashes:
 		return Suspected
 	case !h.Alert(now):
 		return Clear
 	case len(h.BlamedRoutes(now)) > 0 && !h.Blamed(k.route, now):
 		return Clear
-	case k.sole:
+	case k.sole > 0:
 		return PrimeSuspect
 	case k.recent:
 		return Suspected
--- a/crash/history_test.go
+++ b/crash/history_test.go
@@ -53,6 +53,7 @@
 	h.Add(crashOf("a", 0, "deadly", "x"), at(0))
 	h.Add(crashOf("b", 100, "deadly", "y"), at(100))
 	expect(t, h, 100, map[string]crash.Verdict{"deadly": crash.Suspected})
+	h.Done(task("x"), at(200))
 	h.Done(task("y"), at(200))
 	h.Refresh(at(200))
 	expect(t, h, 200, map[string]crash.Verdict{"deadly": crash.Guilty})
@@ -144,3 +145,17 @@
 	}
 	expect(t, h, 14_000, map[string]crash.Verdict{"deadly": crash.Guilty})
 }
+
+// Guards against a harmless task that is given up since it was left as the only suspect of a crash
+// without a cause among the runs, and was beside a deadly task later (soak seed 3035).
+func TestOneCrashWithoutCauseIsNoGuilt(t *testing.T) {
+	h := crash.NewHistory()
+	h.Add(crashOf("a", 0, "harmless", "other"), at(0))
+	h.Done(task("other"), at(100))
+	h.Refresh(at(100))
+	h.Add(crashOf("b", 200, "harmless", "deadly", "third"), at(200))
+	expect(t, h, 200, map[string]crash.Verdict{"harmless": crash.PrimeSuspect})
+	h.Done(task("third"), at(300))
+	h.Refresh(at(300))
+	expect(t, h, 300, map[string]crash.Verdict{"harmless": crash.PrimeSuspect})
+}
