Let a stand-in target that is down apply nothing

A process that has ended carries nothing out; the soak's fault, not the system's. The check is unchanged.

--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -81,6 +81,9 @@
 		if drop, delay := r.takeDrop(dropCount); drop {
 			if delay > 0 {
 				time.AfterFunc(delay, func() {
+					if r.down() {
+						return
+					}
 					r.applyingLate.Store(true)
 					defer r.applyingLate.Store(false)
 					apply(context.Background(), q)
