--- a/crash/history.go
+++ b/crash/history.go
@@ -166,7 +166,7 @@
 	h.alertAt = time.Time{}
 	for _, r := range h.records {
 		suspects := h.remaining(r)
-		youngest, jobs := summarize(suspects)
+		youngest, jobs := Summarize(suspects)
 		for _, s := range suspects {
 			k := h.tasks[s.Task]
 			if k == nil {
@@ -181,7 +181,7 @@
 				k.sole++
 				k.alone = k.alone || len(suspects) == len(r.Suspects)
 			}
-			k.recent = k.recent || s.RunTime <= youngest+recentStart
+			k.recent = k.recent || s.RunTime <= youngest.RunTime+recentStart
 			if k.crashes >= guiltyCrashes && r.At.After(h.alertAt) {
 				h.alertAt = r.At
 			}
@@ -233,9 +233,9 @@
 // them are of one route.
 func (h *History) recentOfOneRoute(r *Record) (recent []Suspect, only bool) {
 	suspects := h.remaining(r)
-	youngest, _ := summarize(suspects)
+	youngest, _ := Summarize(suspects)
 	for _, s := range suspects {
-		if s.RunTime <= youngest+recentStart {
+		if s.RunTime <= youngest.RunTime+recentStart {
 			recent = append(recent, s)
 		}
 	}
@@ -247,11 +247,11 @@
 // a run on the target.
 func (h *History) updateRoutesFrom(r *Record) {
 	suspects := h.remaining(r)
-	youngest, _ := summarize(suspects)
+	youngest, _ := Summarize(suspects)
 	explained := slices.ContainsFunc(suspects, func(s Suspect) bool { return h.tasks[s.Task].guilty() })
 	for _, s := range suspects {
 		route := h.routes[s.Route]
-		if route == nil || s.RunTime > youngest+recentStart {
+		if route == nil || s.RunTime > youngest.RunTime+recentStart {
 			continue
 		}
 		if explained && !h.tasks[s.Task].guilty() {
@@ -275,18 +275,6 @@
 	return left
 }
 
-// summarize returns the shortest run time and the number of jobs of suspects.
-func summarize(suspects []Suspect) (youngest time.Duration, jobs int) {
-	seen := make(map[string]bool)
-	for i, s := range suspects {
-		if i == 0 || s.RunTime < youngest {
-			youngest = s.RunTime
-		}
-		seen[s.Task.Job] = true
-	}
-	return youngest, len(seen)
-}
-
 // Records returns the records that are not older than a minute.
 func (h *History) Records(now time.Time) []Record {
 	var records []Record
--- a/crash/record.go
+++ b/crash/record.go
@@ -52,3 +52,15 @@
 func (r *Record) has(task workload.TaskID) bool {
 	return slices.ContainsFunc(r.Suspects, func(s Suspect) bool { return s.Task == task })
 }
+
+// Summarize returns the suspect with the shortest run time, and the number of jobs of suspects.
+func Summarize(suspects []Suspect) (youngest Suspect, jobs int) {
+	seen := make(map[string]bool)
+	for i, s := range suspects {
+		if i == 0 || s.RunTime < youngest.RunTime {
+			youngest = s
+		}
+		seen[s.Task.Job] = true
+	}
+	return youngest, len(seen)
+}
--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -38,16 +38,9 @@
 		return
 	}
 	s.opts.Metrics.TargetCrashed()
-	youngest := suspects[0]
-	jobs := make(map[string]bool)
-	for _, k := range suspects {
-		jobs[k.Task.Job] = true
-		if k.RunTime < youngest.RunTime {
-			youngest = k
-		}
-	}
+	youngest, jobs := crash.Summarize(suspects)
 	s.log.Warn("target crashed", zap.String("target", r.Target), zap.Int64("born", r.Born), zap.Int("runs", len(suspects)),
-		zap.Int("jobs", len(jobs)), zap.Stringer("youngest", youngest.Task), zap.Duration("youngest_age", youngest.RunTime),
+		zap.Int("jobs", jobs), zap.Stringer("youngest", youngest.Task), zap.Duration("youngest_age", youngest.RunTime),
 		zap.Duration("listing_age", now.Sub(s.target.answeredAt)))
 	s.broadcastCrash(r, now)
 	s.saveReport(s.report)
