Work out the last crash once for each change of a history

History.current looked through all records for the last crash, for each record and task: an update was quadratic in up to 512 records, at each crash and up to twenty times a second while suspects complete. The time is kept. The filter for runs that had just started stood twice and is one function.

--- a/crash/history.go
+++ b/crash/history.go
@@ -63,6 +63,7 @@
 	cleared map[workload.TaskID]time.Time
 	tasks   map[workload.TaskID]*involvement
 	alertAt time.Time // the last crash under a task that had been on a crashed target before
+	last    time.Time // the last known crash
 	changed bool      // a task was cleared since the last update
 	updated time.Time
 	routes  map[string]*routeCrashes
@@ -163,8 +164,11 @@
 func (h *History) update() {
 	h.changed = false
 	clear(h.tasks)
-	h.alertAt = time.Time{}
+	h.alertAt, h.last = time.Time{}, time.Time{}
 	for _, r := range h.records {
+		if r.At.After(h.last) {
+			h.last = r.At
+		}
 		suspects := h.remaining(r)
 		youngest, jobs := Summarize(suspects)
 		for _, s := range suspects {
@@ -202,12 +206,12 @@
 		if !h.current(r.At) {
 			continue
 		}
-		recent, only := h.recentOfOneRoute(r)
-		if !only || slices.ContainsFunc(recent, func(s Suspect) bool { return counted[s.Task] }) {
+		started, only := h.recentOfOneRoute(r)
+		if !only || slices.ContainsFunc(started, func(s Suspect) bool { return counted[s.Task] }) {
 			continue // the same task may have caused both
 		}
-		h.route(recent[0].Route).only++
-		for _, s := range recent {
+		h.route(started[0].Route).only++
+		for _, s := range started {
 			counted[s.Task] = true
 		}
 	}
@@ -220,7 +224,7 @@
 
 // current reports whether a crash belongs to the same series as the last one. A route that had
 // deadly jobs a while ago is not the cause of what crashes targets now.
-func (h *History) current(at time.Time) bool { return h.LastCrash().Sub(at) < alertTTL }
+func (h *History) current(at time.Time) bool { return h.last.Sub(at) < alertTTL }
 
 func (h *History) route(name string) *routeCrashes {
 	if h.routes[name] == nil {
@@ -229,32 +233,28 @@
 	return h.routes[name]
 }
 
+// recent returns the suspects of a crash that had just started.
+func recent(suspects []Suspect) []Suspect {
+	youngest, _ := Summarize(suspects)
+	return slices.DeleteFunc(slices.Clone(suspects), func(s Suspect) bool { return s.RunTime > youngest.RunTime+recentStart })
+}
+
 // recentOfOneRoute returns the runs that had just started on a crashed target, and whether all of
 // them are of one route.
-func (h *History) recentOfOneRoute(r *Record) (recent []Suspect, only bool) {
-	suspects := h.remaining(r)
-	youngest, _ := Summarize(suspects)
-	for _, s := range suspects {
-		if s.RunTime <= youngest.RunTime+recentStart {
-			recent = append(recent, s)
-		}
-	}
-	other := func(s Suspect) bool { return s.Route != recent[0].Route }
-	return recent, len(recent) > 0 && !r.Partial && !slices.ContainsFunc(recent, other)
+func (h *History) recentOfOneRoute(r *Record) (started []Suspect, only bool) {
+	started = recent(h.remaining(r))
+	other := func(s Suspect) bool { return s.Route != started[0].Route }
+	return started, len(started) > 0 && !r.Partial && !slices.ContainsFunc(started, other)
 }
 
 // updateRoutesFrom adds a crash to those of the routes with a guilty task that had just started
 // a run on the target.
 func (h *History) updateRoutesFrom(r *Record) {
 	suspects := h.remaining(r)
-	youngest, _ := Summarize(suspects)
 	explained := slices.ContainsFunc(suspects, func(s Suspect) bool { return h.tasks[s.Task].guilty() })
-	for _, s := range suspects {
+	for _, s := range recent(suspects) {
 		route := h.routes[s.Route]
-		if route == nil || s.RunTime > youngest.RunTime+recentStart {
-			continue
-		}
-		if explained && !h.tasks[s.Task].guilty() {
+		if route == nil || explained && !h.tasks[s.Task].guilty() {
 			continue
 		}
 		route.unexplained = route.unexplained || !explained
@@ -300,19 +300,11 @@
 func (h *History) Empty() bool { return len(h.records) == 0 }
 
 // LastCrash returns the time of the last known crash.
-func (h *History) LastCrash() time.Time {
-	var last time.Time
-	for _, r := range h.records {
-		if r.At.After(last) {
-			last = r.At
-		}
-	}
-	return last
-}
+func (h *History) LastCrash() time.Time { return h.last }
 
 // Unexplained reports whether targets have just crashed and no route is blamed for it.
 func (h *History) Unexplained(now time.Time) bool {
-	return h.Alert(now) && now.Sub(h.LastCrash()) < blameTTL && len(h.BlamedRoutes(now)) == 0
+	return h.Alert(now) && now.Sub(h.last) < blameTTL && len(h.BlamedRoutes(now)) == 0
 }
 
 // Alert reports whether a task that crashes its targets is likely to be around.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -11,6 +11,8 @@
 	demandHalfLife = 3 * time.Second
 	// demandInterval is how often the demand is aged.
 	demandInterval = demandHalfLife / 6
+	// agingPerInterval is the sixth root of 2.
+	agingPerInterval = 1.1225
 )
 
 // routeOfService names a route together with its service.
@@ -38,7 +40,7 @@
 	}
 	d.agedAt = now
 	for route, work := range d.work {
-		if work /= 1.1225; work < 1 { // the sixth root of 2
+		if work /= agingPerInterval; work < 1 {
 			delete(d.work, route)
 		} else {
 			d.work[route] = work
