--- a/gateway/links.go
+++ b/gateway/links.go
@@ -84,7 +84,9 @@
 	now := time.Now()
 	switch m := m.(type) {
 	case *wire.TargetState:
-		g.scheduler.HandleState(l.Name(), l, m, now)
+		if r := g.scheduler.HandleState(l.Name(), l, m, now); r != nil {
+			g.sendToPeers(wire.NewCrashReport(*r, now))
+		}
 	case *wire.Room:
 		g.scheduler.HandleRoom(l.Name(), l, m, now)
 	case *wire.RunEnd:
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/catkinline/catkinline/crash"
+	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
 
@@ -38,6 +39,37 @@
 	return true
 }
 
+// inferCrash records that a target has crashed together with its agent, which therefore reports
+// nothing: another process of the target is there now, and runs of this entry were on the one
+// before. Other entries may have had further runs there.
+func (s *Scheduler) inferCrash(t *target, before wire.TargetState, now time.Time) *crash.Record {
+	suspects := t.lostRuns
+	t.lostRuns = nil
+	if before.Born == 0 || t.state.Born == 0 || before.Born == t.state.Born {
+		return nil
+	}
+	suspects = append(suspects, t.suspects(now, func(r *run) bool { return r.incarnation != t.incarnation })...)
+	if len(suspects) == 0 {
+		return nil
+	}
+	r := crash.Record{Target: before.Target, Born: before.Born, At: now, Suspects: suspects, Partial: true}
+	if !s.crashes.Add(r, now) {
+		return nil
+	}
+	s.reportCrash(r, now)
+	s.judge(now)
+	return &r
+}
+
+// suspects returns the runs on a target for which keep returns true.
+func (t *target) suspects(now time.Time, keep func(*run) bool) []crash.Suspect {
+	var suspects []crash.Suspect
+	for _, r := range t.sortedRuns(keep) {
+		suspects = append(suspects, crash.Suspect{Task: r.id.Task, Route: r.job.request.Route.Name, RunTime: now.Sub(r.sent)})
+	}
+	return suspects
+}
+
 // Crashes returns the known crashes of the last minute.
 func (s *Scheduler) Crashes(now time.Time) []crash.Record {
 	s.mu.Lock()
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -4,6 +4,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/catkinline/catkinline/placement"
 )
 
 // crashScore is how a load with crashing tasks was served.
@@ -96,3 +98,44 @@
 		}
 	}
 }
+
+// Guards against a crash that nobody counts because the agent died with its target: the entry
+// that had runs there is the only witness. An agent that restarts alone is no crash.
+func TestCrashTogetherWithAgentIsInferred(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		back time.Duration // after the loss of the link
+		born int64
+		want int // suspects
+	}{
+		{"both restart", 500 * time.Millisecond, 2, 2},
+		{"both restart after the runs were given up", 3 * time.Second, 2, 2},
+		{"the agent restarts", 500 * time.Millisecond, 1, 0},
+		{"the agent restarts after the runs were given up", 3 * time.Second, 1, 0},
+	} {
+		s := placement.New(placement.Options{LostRunTimeout: 1200 * time.Millisecond})
+		first := &recordingLink{}
+		s.LinkUp("a", 1, first)
+		before := state("a", 8000, 8000)
+		before.Born = 1
+		s.HandleState("a", first, before, begin)
+		submit(t, s, request("j", 2, 1000), begin)
+		s.LinkDown("a", first, begin)
+		tickUntil(s, 0, c.back)
+		next := &recordingLink{}
+		s.LinkUp("a", 2, next)
+		now := state("a", 8000, 8000)
+		now.Born = c.born
+		r := s.HandleState("a", next, now, after(c.back))
+		got := 0
+		if r != nil {
+			got = len(r.Suspects)
+			if !r.Partial || r.Born != 1 {
+				t.Errorf("%s: record %+v, want a partial one of the first process", c.name, *r)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: %d suspects, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -173,7 +173,9 @@
 	}
 	for _, t := range s.ordered {
 		if t.link == nil && !t.linkLostAt.IsZero() && now.Sub(t.linkLostAt) >= s.opts.LostRunTimeout && len(t.runs) > 0 {
-			s.endLostRuns(t, now, func(*run) bool { return true })
+			all := func(*run) bool { return true }
+			t.lostRuns = append(t.lostRuns, t.suspects(t.linkLostAt, all)...)
+			s.endLostRuns(t, now, all)
 		}
 	}
 	s.expire(now)
--- a/placement/target.go
+++ b/placement/target.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/catkinline/catkinline/crash"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -40,6 +41,8 @@
 	backoffUntil time.Time     // no start is sent before this time
 	health       health
 	crashedAt    time.Time // of its last process
+	// lostRuns are the runs that were given up after the agent's link was lost.
+	lostRuns []crash.Suspect
 }
 
 // Limits of the backoff after a target refused a start for a reason other than capacity.
@@ -158,13 +161,14 @@
 }
 
 // HandleState handles an agent's report of its target's state. The first report on a link
-// also means that no run of an earlier incarnation of the agent or the target is left.
-func (s *Scheduler) HandleState(name string, link Sender, m *wire.TargetState, now time.Time) {
+// also means that no run of an earlier incarnation of the agent or the target is left. It returns
+// the crash of the target that follows from the report and that no agent has seen, or nil.
+func (s *Scheduler) HandleState(name string, link Sender, m *wire.TargetState, now time.Time) *crash.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.targetOnLink(name, link)
 	if t == nil {
-		return
+		return nil
 	}
 	before := t.state
 	first := !t.stateKnown
@@ -176,9 +180,11 @@
 	if first || before.Closed != m.Closed || before.Target != m.Target {
 		s.reportTargetChange(t, stateChange(m), "")
 	}
+	crashed := s.inferCrash(t, before, now)
 	s.updateSandbox(now)
 	s.endLostRuns(t, now, func(r *run) bool { return r.incarnation != t.incarnation })
 	s.schedule(now)
+	return crashed
 }
 
 func stateChange(m *wire.TargetState) string {
