--- a/review/bed/leaving.go
+++ b/review/bed/leaving.go
@@ -20,7 +20,7 @@
 		rounds    = 12
 		roundTime = drainFor + emptyFor + calm
 	)
-	endTime := 20 * time.Millisecond
+	endTime := 5 * time.Millisecond
 	if n, err := strconv.Atoi(os.Getenv("END_MS")); err == nil {
 		endTime = time.Duration(n) * time.Millisecond
 	}
