--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,5 +5,5 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-[ -x target/review-bed ] || { echo 'review/build.sh has not been run' >&2; exit 2; }
-exec target/review-bed leaving-runner "$here/record.txt"
+[ -x target/review-standin ] || { echo 'review/build.sh has not been run' >&2; exit 2; }
+exec target/review-standin leaving-runner "$here/record.txt"
--- a/review/bed/deployment.go
+++ b/review/standin/deployment.go
@@ -96,7 +96,7 @@
 	if _, err := os.Stat(d.program); err != nil {
 		return d, fmt.Errorf("the program is not built: %w", err)
 	}
-	if d.dir, err = os.MkdirTemp("", "review-bed-"); err != nil {
+	if d.dir, err = os.MkdirTemp("", "review-standin-"); err != nil {
 		return d, err
 	}
 	if d.network, err = freeNetwork(); err != nil {
--- a/review/bed/main.go
+++ b/review/standin/main.go
@@ -1,4 +1,4 @@
-// Command bed plays the scripted cases of the review: it starts gateways and sidecars as
+// Command standin plays the scripted cases of the review: it starts gateways and sidecars as
 // processes of the built program, with stand-ins of the platform, the runners and the clients,
 // and checks one rule. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
 // could not run. With TROUBLE=0 in the environment, it leaves the disruption out.
@@ -20,7 +20,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: bed CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
 		os.Exit(2)
 	}
 	play, known := plays[os.Args[1]]
