--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -62,10 +63,38 @@
 type clients struct {
 	d    *deployment
 	http *http.Client
+
+	mu       sync.Mutex
+	channels map[string][]*net.TCPConn // by address, since the last reset
 }
 
 func newClients(d *deployment) *clients {
-	return &clients{d: d, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	c := &clients{d: d, channels: make(map[string][]*net.TCPConn)}
+	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: c.dial}}
+	return c
+}
+
+func (c *clients) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	if channel, ok := conn.(*net.TCPConn); ok {
+		c.mu.Lock()
+		c.channels[address] = append(c.channels[address], channel)
+		c.mu.Unlock()
+	}
+	return conn, err
+}
+
+// resetChannels resets all open channels to an address.
+func (c *clients) resetChannels(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.d.record.write("channels reset", "to", address)
+	for _, channel := range c.channels[address] {
+		_ = channel.SetLinger(0) // an error means that the channel is closed
+		_ = channel.Close()
+	}
+	delete(c.channels, address)
 }
 
 // send sends one request to an address and waits for its response for wait at most, as its header
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -275,7 +275,18 @@
 	_ = m.command.Process.Signal(s) // an error means that the process has ended
 }
 
-// awaitReady waits until every gateway is ready and has answered a job.
+// killAndStart kills the process and starts the next one.
+func (m *machine) killAndStart(d *deployment) error {
+	m.signal(d, syscall.SIGKILL)
+	m.mu.Lock()
+	exited := m.exited
+	m.mu.Unlock()
+	<-exited
+	time.Sleep(500 * time.Millisecond)
+	return m.start(d)
+}
+
+// awaitReady waits until every gateway is ready.
 func (d *deployment) awaitReady() error {
 	limit := time.Now().Add(20 * time.Second)
 	for _, g := range d.gateways {
