--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -19,8 +19,12 @@
 	cancelTime = 3 * time.Second
 	stopBound  = 50 * time.Millisecond
 	applyTime  = 2 * time.Second
+	drainTime  = 2 * time.Second
 )
 
+// exitTime is how long a runner that leaves takes to end, with its work: less than stop_ms.
+const exitTime = 40 * time.Millisecond
+
 // previewRoute is the only route of most cases.
 var previewRoute = route{name: "r-preview", host: "kuva.example", prefix: "/kuva/", timeout: 30 * time.Second}
 
@@ -81,6 +85,38 @@
 	return violations, nil
 }
 
+// leavingRunner takes a runner away as planned that has work which lasts longer than its drain.
+func leavingRunner(s *scene) ([]string, error) {
+	if _, err := s.configure(previewRoute); err != nil {
+		return nil, err
+	}
+	if err := s.start(3, s.ordinaryRunners(4)); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	left := make(chan error, 1)
+	if s.trouble {
+		time.AfterFunc(2*time.Second, func() { left <- s.sides[0].runner.leave(drainTime+500*time.Millisecond, exitTime) })
+	}
+	var wg sync.WaitGroup
+	for n := range 10 {
+		m := s.edges[n%len(s.edges)]
+		wg.Go(func() { s.client.submit(m, previewRoute, newJobID(), simpleJob(3, 7*time.Second), 25*time.Second) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	if s.trouble {
+		if err := <-left; err != nil {
+			return nil, err
+		}
+	}
+	var violations []string
+	for _, o := range overlaps(s.spans.snapshot(), overlapMargin) {
+		violations = append(violations, "TWICE: "+o.String())
+	}
+	return violations, nil
+}
+
 // otherKind restarts a runner of kind a under its id as a runner of kind b. Jobs that need kind a
 // must not start there once it has said so.
 func otherKind(s *scene) ([]string, error) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 // cases returns the violations that a case saw, or an error if it could not run.
 var cases = map[string]func(*scene) ([]string, error){
 	"foreign-report": foreignReport,
+	"leaving-runner": leavingRunner,
 	"other-kind":     otherKind,
 	"late-copy":      lateCopy,
 	"dropped-route":  droppedRoute,
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -452,3 +452,31 @@
 	}
 	return found
 }
+
+// leave ends the process as planned: it reports that it is draining, serves on for a while after the
+// acknowledgement, deregisters and ends. Its work ends with it, which takes exit.
+func (r *runner) leave(serveOn, exit time.Duration) error {
+	r.mu.Lock()
+	l := r.life
+	l.state = "draining"
+	r.mu.Unlock()
+	r.beat(context.Background(), l)
+	r.rec.printf("runner %s reports that it is draining", r.name)
+	time.Sleep(serveOn)
+	r.rec.printf("runner %s deregisters", r.name)
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.control+"/instances/"+l.identity.id+"/deregister", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err
+	}
+	response.Body.Close()
+	r.rec.printf("runner %s: its deregistration is answered %d", r.name, response.StatusCode)
+	time.Sleep(exit)
+	r.crash("left")
+	return nil
+}
