--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -20,10 +21,11 @@
 	stopBound  = 50 * time.Millisecond
 	applyTime  = 2 * time.Second
 	drainTime  = 2 * time.Second
+	resendTime = 1300 * time.Millisecond
 )
 
 // exitTime is how long a runner that leaves takes to end, with its work: less than stop_ms.
-const exitTime = 40 * time.Millisecond
+const exitTime = 20 * time.Millisecond
 
 // previewRoute is the only route of most cases.
 var previewRoute = route{name: "r-preview", host: "kuva.example", prefix: "/kuva/", timeout: 30 * time.Second}
@@ -117,8 +119,12 @@
 	return violations, nil
 }
 
-// otherKind restarts a runner of kind a under its id as a runner of kind b. Jobs that need kind a
-// must not start there once it has said so.
+// kindRounds is how often the runner comes back as kind b; between two of them it is kind a again.
+const kindRounds = 3
+
+// otherKind has a runner of kind a crash and come back under its id as kind b. A heartbeat that its earlier
+// life had sent arrives right after the new one has registered. Jobs that need kind a must not start
+// there.
 func otherKind(s *scene) ([]string, error) {
 	if _, err := s.configure(previewRoute); err != nil {
 		return nil, err
@@ -128,35 +134,23 @@
 	if err := s.start(3, runners); err != nil {
 		return nil, err
 	}
-	reported := make(chan time.Time, 1)
+	settled := make(chan []time.Time, 1)
 	if s.trouble {
-		time.AfterFunc(4*time.Second, func() {
-			side := s.sides[0]
-			who, _ := side.runner.current()
-			side.runner.crash("crashed")
-			time.Sleep(700 * time.Millisecond)
-			who.labels = []string{"b", who.labels[1]}
-			if err := side.runner.start(who, 500*time.Millisecond); err != nil {
-				s.rec.printf("cannot start the runner again: %v", err)
-			}
-			time.Sleep(time.Second)
-			reported <- time.Now()
-		})
+		go func() { settled <- s.changeKinds(s.sides[0].runner) }()
 	}
 	job := func() jobBody {
 		j := simpleJob(1, 300*time.Millisecond)
 		j.Steps[0].Requirements = "a"
 		return j
 	}
-	s.traffic(previewRoute, job, 200*time.Millisecond, 14*time.Second)
-	var since time.Time
-	select {
-	case since = <-reported:
-	default:
+	s.traffic(previewRoute, job, 100*time.Millisecond, 3*time.Second+kindRounds*8*time.Second)
+	var times []time.Time
+	if s.trouble {
+		times = <-settled
 	}
 	var violations []string
 	for _, p := range s.spans.snapshot() {
-		if strings.HasPrefix(p.labels, "a,") || p.from.Before(since) {
+		if strings.HasPrefix(p.labels, "a,") || !duringKindB(times, p.from) {
 			continue
 		}
 		violations = append(violations, fmt.Sprintf("ROUTE: %s needs a and started at %.3f on %s with labels %s", p.task, s.rec.seconds(p.from), p.runner, p.labels))
@@ -164,6 +158,44 @@
 	return violations, nil
 }
 
+// changeKinds lets a runner of kind a come back as kind b and as kind a by turns, and returns the times from
+// which on a start on kind b counts: half a second after all of its heartbeats had been answered.
+func (s *scene) changeKinds(r *runner) []time.Time {
+	var settled []time.Time
+	time.Sleep(2 * time.Second)
+	for range kindRounds {
+		who, _ := r.current()
+		deliver := r.lateHeartbeat()
+		for _, kind := range []string{"b", "a"} {
+			r.crash("crashed")
+			time.Sleep(700 * time.Millisecond)
+			who.labels = []string{kind, who.labels[1]}
+			if err := r.start(who, 0); err != nil {
+				s.rec.printf("runner %s cannot start: %v", r.name, err)
+				return settled
+			}
+			if kind == "b" {
+				time.Sleep(10 * time.Millisecond)
+				deliver()
+				time.Sleep(500 * time.Millisecond)
+				settled = append(settled, time.Now())
+			}
+			time.Sleep(3 * time.Second)
+		}
+	}
+	return settled
+}
+
+// duringKindB reports whether a time is one from which on starts on kind b count.
+func duringKindB(settled []time.Time, t time.Time) bool {
+	for _, from := range settled {
+		if !t.Before(from) && t.Sub(from) < 3*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
 // lateCopy cancels a job, and seconds after the answers to both requests a copy of the job's
 // request arrives at another gateway.
 func lateCopy(s *scene) ([]string, error) {
@@ -340,3 +372,62 @@
 	_ = conn.Close()
 	s.rec.printf("client: the channel of its DELETE to %s was reset before the request was sent", m.name)
 }
+
+// lateOrders has the runners leave half of the orders unanswered and carry them out late, in spells. Half of
+// the jobs take longer than their clients wait: the gateway answers 504, and the client sends the job again to
+// another node. No task may run twice at the same time.
+func lateOrders(s *scene) ([]string, error) {
+	const (
+		spells   = 10
+		spellFor = 5500 * time.Millisecond
+		calmFor  = 3500 * time.Millisecond
+		wait     = 1500 * time.Millisecond
+	)
+	if _, err := s.configure(previewRoute); err != nil {
+		return nil, err
+	}
+	if err := s.start(3, s.ordinaryRunners(8)); err != nil {
+		return nil, err
+	}
+	setLateShare := func(share float64) {
+		s.rec.printf("share of late orders: %.2f", share)
+		for _, m := range s.sides {
+			m.runner.setLateShare(share)
+		}
+	}
+	if s.trouble {
+		go func() {
+			for range spells {
+				time.Sleep(calmFor)
+				setLateShare(0.5)
+				time.Sleep(spellFor)
+				setLateShare(0)
+			}
+		}()
+	}
+	var wg sync.WaitGroup
+	end := time.Now().Add(spells * (spellFor + calmFor))
+	for n := 0; time.Now().Before(end); n++ {
+		job := simpleJob(2, 170*time.Millisecond)
+		if n%2 == 0 {
+			job = simpleJob(4, 4*time.Second)
+		}
+		job.Steps[0].CPU = 400
+		wg.Go(func() {
+			id := newJobID()
+			a := s.client.submit(s.edges[n%3], previewRoute, id, job, wait+100*time.Millisecond)
+			if a.status == http.StatusGatewayTimeout {
+				time.Sleep(resendTime)
+				s.client.submit(s.edges[(n+1)%3], previewRoute, id, job, wait+100*time.Millisecond)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	var violations []string
+	for _, o := range overlaps(s.spans.snapshot(), overlapMargin) {
+		violations = append(violations, "TWICE: "+o.String())
+	}
+	return violations, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"leaving-runner": leavingRunner,
 	"other-kind":     otherKind,
 	"late-copy":      lateCopy,
+	"late-orders":    lateOrders,
 	"dropped-route":  droppedRoute,
 	"waiting-cancel": waitingCancel,
 	"cancel-retried": cancelRetried,
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -79,8 +80,32 @@
 	rec     *record
 	spans   *spanLog
 
-	mu   sync.Mutex
-	life *life
+	mu        sync.Mutex
+	life      *life
+	lateShare float64 // share of the orders that get no answer and are carried out late
+}
+
+// setLateShare sets the share of the orders that get no answer and are carried out late.
+func (r *runner) setLateShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lateShare = share
+}
+
+// carriedOutLate reports whether an order gets no answer, and carries it out 2 to 12 s later if the
+// process is still there. Calls to /hold are no orders.
+func (r *runner) carriedOutLate(l *life, q *http.Request, c call, handle handler) bool {
+	r.mu.Lock()
+	late := q.URL.Path != "/hold" && rand.Float64() < r.lateShare
+	r.mu.Unlock()
+	if !late {
+		return false
+	}
+	time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+		status, _ := handle(l, q, c)
+		r.rec.printf("runner %s: %s %s run=%d is carried out late: %d", r.name, q.URL.Path, c.Task, c.Run, status)
+	})
+	return true
 }
 
 // spanLog collects the runs of all runners.
@@ -188,6 +213,21 @@
 	}
 }
 
+// lateHeartbeat returns the next heartbeat of the running process, which is held up, and a function
+// that delivers it.
+func (r *runner) lateHeartbeat() (deliver func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.life
+	l.sequence++
+	body, sequence := heartbeatBody(l.identity, r.address, l.state, l.born, l.sequence), l.sequence
+	return func() {
+		status, err := postHeartbeat(context.Background(), r.control, l.identity.id, body)
+		r.rec.printf("runner %s: late heartbeat of an earlier life arrives: labels=%s sequence=%d status=%d err=%v",
+			r.name, strings.Join(l.identity.labels, ","), sequence, status, err)
+	}
+}
+
 func (r *runner) beat(ctx context.Context, l *life) {
 	r.mu.Lock()
 	l.sequence++
@@ -276,8 +316,11 @@
 	Wait      int64  `json:"wait_ms"`
 }
 
+// handler carries out a call and returns its status and the body of its answer.
+type handler func(*life, *http.Request, call) (int, map[string]any)
+
 // serve decodes a call, checks which process it is meant for, and answers it.
-func (r *runner) serve(l *life, w http.ResponseWriter, q *http.Request, handle func(*life, *http.Request, call) (int, map[string]any)) {
+func (r *runner) serve(l *life, w http.ResponseWriter, q *http.Request, handle handler) {
 	var c call
 	if err := json.NewDecoder(q.Body).Decode(&c); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -287,6 +330,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.carriedOutLate(l, q, c, handle) {
+		<-q.Context().Done()
+		return
+	}
 	status, body := handle(l, q, c)
 	body["clock_ms"] = time.Since(l.born).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
@@ -367,7 +414,10 @@
 func (r *runner) runStop(l *life, _ *http.Request, c call) (int, map[string]any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l.fenced(c) {
+	switch {
+	case l.over:
+		return http.StatusServiceUnavailable, map[string]any{}
+	case l.fenced(c):
 		return conflict("fence")
 	}
 	l.highest[c.Task] = max(l.highest[c.Task], c.Run)
