--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -80,7 +80,12 @@
 			s.rec.printf("foreign report of %s for service %s to %s: status %d, %v", writer.id, writer.service, side.name, status, err)
 		})
 	}
-	s.traffic(previewRoute, func() jobBody { return simpleJob(4, 700*time.Millisecond) }, 150*time.Millisecond, 10*time.Second)
+	job := func() jobBody {
+		j := simpleJob(4, 800*time.Millisecond)
+		j.Steps[0].CPU = 1500
+		return j
+	}
+	s.traffic(previewRoute, job, 75*time.Millisecond, 10*time.Second)
 	var violations []string
 	for _, o := range overlaps(s.spans.snapshot(), overlapMargin) {
 		violations = append(violations, "TWICE: "+o.String())
