Review cases 3 to 5: eleven runners as on the site, and a cancelling whose own channel is reset

Cases 3 and 4 took one runner of four away, more than the shares that they quote; now it is one of eleven. Case 5 reset an empty channel beside the DELETE; now the ingress resets the channel of the DELETE, one of 26.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -25,6 +25,9 @@
 	resendTime = 1300 * time.Millisecond
 )
 
+// siteRunners is the number of runners of the site, of which one may crash, leave or be cut off at a time.
+const siteRunners = 11
+
 // exitTime is how long a runner that leaves takes to end, with its work: less than stop_ms.
 const exitTime = 20 * time.Millisecond
 
@@ -98,7 +101,7 @@
 	if _, err := s.configure(previewRoute); err != nil {
 		return nil, err
 	}
-	if err := s.start(3, s.ordinaryRunners(4)); err != nil {
+	if err := s.start(3, s.ordinaryRunners(siteRunners)); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Second)
@@ -107,10 +110,10 @@
 		time.AfterFunc(2*time.Second, func() { left <- s.sides[0].runner.leave(drainTime+500*time.Millisecond, exitTime) })
 	}
 	var wg sync.WaitGroup
-	for n := range 10 {
+	for n := range 26 {
 		m := s.edges[n%len(s.edges)]
 		wg.Go(func() { s.client.submit(m, previewRoute, newJobID(), simpleJob(3, 7*time.Second), 25*time.Second) })
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(40 * time.Millisecond)
 	}
 	wg.Wait()
 	if s.trouble {
@@ -135,8 +138,10 @@
 	if _, err := s.configure(previewRoute); err != nil {
 		return nil, err
 	}
-	runners := s.ordinaryRunners(4)
-	runners[2].labels[0], runners[3].labels[0] = "b", "b"
+	runners := s.ordinaryRunners(siteRunners)
+	for i := 2; i < len(runners); i++ {
+		runners[i].labels[0] = "b"
+	}
 	if err := s.start(3, runners); err != nil {
 		return nil, err
 	}
@@ -313,7 +318,7 @@
 			return nil, err
 		}
 	}
-	return s.cancelAndWatch(m, m, simpleJob(2, 9*time.Second), 150*time.Millisecond)
+	return s.cancelAndWatch(m, []*machine{m}, simpleJob(2, 9*time.Second), 150*time.Millisecond)
 }
 
 // accepts reports whether something listens at an address.
@@ -326,14 +331,19 @@
 	return true
 }
 
-// cancelAndWatch submits a job at one gateway, cancels it at a gateway a while later, and returns
-// the tasks that are still at work when they have to be gone.
-func (s *scene) cancelAndWatch(at, cancelAt *machine, job jobBody, pause time.Duration) ([]string, error) {
+// cancelAndWatch submits a job at one gateway, and cancels it a while later at the first of some gateways
+// that answers. It returns the tasks that are still at work when they have to be gone.
+func (s *scene) cancelAndWatch(at *machine, cancelAt []*machine, job jobBody, pause time.Duration) ([]string, error) {
 	id := newJobID()
 	answered := make(chan answer, 1)
 	go func() { answered <- s.client.submit(at, previewRoute, id, job, 20*time.Second) }()
 	time.Sleep(pause)
-	ack := s.client.cancel(cancelAt, previewRoute, id)
+	var ack answer
+	for _, m := range cancelAt {
+		if ack = s.client.cancel(m, previewRoute, id); ack.err == nil {
+			break
+		}
+	}
 	if ack.status/100 != 2 && ack.status != 410 {
 		return nil, fmt.Errorf("cancelling job %s was answered %d, want 2xx or 410", id, ack.status)
 	}
@@ -350,33 +360,29 @@
 	return violations, nil
 }
 
-// cancelRetried cancels a job; the channel of the request is reset before it has reached a
-// gateway, and the client's retry reaches another one.
+// cancelRetried cancels one of many running jobs through the ingress. The channel of the DELETE is reset
+// before the request has reached a gateway, and the client's retry reaches another one.
 func cancelRetried(s *scene) ([]string, error) {
+	const others = 24 // jobs of other clients, whose channels stay as they are
 	if _, err := s.configure(previewRoute); err != nil {
 		return nil, err
 	}
-	if err := s.start(3, s.ordinaryRunners(4)); err != nil {
+	if err := s.start(3, s.ordinaryRunners(siteRunners)); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Second)
-	m, reached := s.edges[0], s.edges[0]
-	if s.trouble {
-		reached = s.edges[1]
-		time.AfterFunc(900*time.Millisecond, func() { s.resetChannel(m) })
-	}
-	return s.cancelAndWatch(m, reached, simpleJob(2, 10*time.Second), time.Second)
-}
-
-// resetChannel opens a channel to a gateway and resets it before a request has been sent on it.
-func (s *scene) resetChannel(m *machine) {
-	conn, err := net.DialTimeout("tcp", m.front(), time.Second)
+	in, err := s.newIngress(s.edges[0])
 	if err != nil {
-		return
+		return nil, err
+	}
+	defer in.listener.Close()
+	for range others {
+		go s.client.submit(in.machine, previewRoute, newJobID(), simpleJob(1, 9*time.Second), 20*time.Second)
+	}
+	if s.trouble {
+		time.AfterFunc(800*time.Millisecond, func() { in.resetNext.Store(true) })
 	}
-	_ = conn.(*net.TCPConn).SetLinger(0) // makes Close reset the connection
-	_ = conn.Close()
-	s.rec.printf("client: the channel of its DELETE to %s was reset before the request was sent", m.name)
+	return s.cancelAndWatch(in.machine, []*machine{in.machine, s.edges[1]}, simpleJob(2, 10*time.Second), time.Second)
 }
 
 // lateOrders has the runners leave half of the orders unanswered and carry them out late, in spells. Half of
