Use a target's report only after the target has answered as the process that it names

Callers saw tasks run twice at once (TWICE): one report of another writer, with a later start, made the agent report all runs of its target as stopped while they went on. The cause is that a report's start time was taken as proof that the earlier process had ended. Reports of a process that is not known to be the target's are now confirmed by a poll that is addressed to it, and runs end when another incarnation answers.

--- a/runs/runs.go
+++ b/runs/runs.go
@@ -241,13 +241,13 @@
 	return ended, unconfirmed
 }
 
-// Clear removes and returns all runs, as stopped, after the target's process has ended
+// Clear removes and returns all runs, with the given end, after the target's process has ended
 // for good.
-func (t *Table) Clear(reason string) []EndedRun {
+func (t *Table) Clear(end wire.EndStatus, reason string) []EndedRun {
 	var ended []EndedRun
 	for _, r := range t.Select(func(*Run) bool { return true }) {
 		t.Remove(r.ID)
-		ended = append(ended, EndedRun{r, wire.EndStopped, reason})
+		ended = append(ended, EndedRun{r, end, reason})
 	}
 	return ended
 }
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -164,7 +164,7 @@
 		return true
 	}
 	if response.Replaced {
-		s.target.replaced = true
+		s.handleReplaced(request)
 		return false // the report of the new incarnation follows
 	}
 	if response.Born == s.target.born && response.Clock < s.target.clock || response.Born != 0 && response.Born == s.target.endedBorn {
@@ -256,66 +256,3 @@
 	}
 	return orphans
 }
-
-// isStale reports whether a report is from an earlier process of the target, or older than the
-// one in use. The system clock may step back between two starts, so that the start time in the
-// target's responses takes precedence over the one in its reports.
-func (s *Sidecar) isStale(r targets.Report) bool {
-	switch {
-	case !s.reportUsable || s.target.replaced:
-		return false
-	case r.Target == s.report.Target && r.Born == s.report.Born:
-		return r.Sequence < s.report.Sequence
-	case s.target.born != 0 && r.Target == s.report.Target && r.Born == s.target.born:
-		return false
-	}
-	return r.Born < s.report.Born
-}
-
-// HandleReport processes a report from the target, and returns whether it is from the current
-// incarnation. After a network partition, a delayed report may arrive after the first report
-// of a new incarnation.
-func (s *Sidecar) HandleReport(r targets.Report) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isStale(r) {
-		s.log.Info("stale target report ignored", zap.String("target", r.Target), zap.Int64("born", r.Born), zap.Uint64("sequence", r.Sequence))
-		return false
-	}
-	before, wasAccepting := s.report, s.acceptsRuns()
-	s.report, s.reportUsable, s.restored = r, true, false
-	s.reportedAt = time.Now()
-	s.saveReport(r)
-	s.table.SetCapacity(r.Capacity)
-	replaced := before.Target != r.Target
-	if replaced && before.Target != "" {
-		for _, e := range s.table.Clear("the target was replaced") {
-			s.finish(e)
-		}
-		s.target = targetState{}
-	}
-	if replaced || wasAccepting != s.acceptsRuns() || before.Draining != r.Draining || before.Capacity != r.Capacity {
-		s.log.Info("target reported", zap.String("target", r.Target), zap.String("service", r.Service), zap.Bool("draining", r.Draining),
-			zap.Int64("cpu", r.Capacity.CPU), zap.Int64("memory_mb", r.Capacity.Memory), zap.Strings("labels", r.Labels), zap.Uint64("sequence", r.Sequence))
-		s.broadcastState()
-		signal(s.pollNow)
-	}
-	s.updateStaleness(s.reportedAt)
-	return true
-}
-
-// HandleDeregistration processes the planned end of the target: no run is left on it.
-func (s *Sidecar) HandleDeregistration(target string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if target != s.report.Target {
-		return
-	}
-	s.report.Left, s.restored = true, false
-	s.saveReport(s.report)
-	s.log.Info("target left", zap.String("target", target))
-	for _, e := range s.table.Clear("the target left") {
-		s.finish(e)
-	}
-	s.broadcastState()
-}
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -117,6 +117,7 @@
 	reports := NewReportStore(p.opts.Store, p.node.Name, p.log)
 	p.sidecar = New(Options{
 		FailureDomain: p.node.FailureDomain,
+		Service:       p.node.Service,
 		Target:        p.opts.Target,
 		Log:           p.log,
 		Metrics:       recorder{p.opts.Metrics},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -90,6 +90,7 @@
 // Options configures a Sidecar. Durations that are zero take the defaults.
 type Options struct {
 	FailureDomain  string
+	Service        string // of the target; reports for other services are ignored; empty: not known
 	Target         targets.Client
 	Log            *zap.Logger
 	Metrics        Metrics
@@ -135,9 +136,13 @@
 	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
 	saidStale    bool      // the entries were told that the capacity is stale
 	restored     bool      // the report is from an earlier process
-	stopping     bool
-	killed       bool // Kill was called
-	target       targetState
+	// confirmations is the number of reports about which the target is being asked, and confirmedAt
+	// is when the last one was confirmed.
+	confirmations int
+	confirmedAt   time.Time
+	stopping      bool
+	killed        bool // Kill was called
+	target        targetState
 }
 
 // targetState is what is known about the current process of the target.
@@ -151,7 +156,7 @@
 	ackedEnd     uint64        // number of the last processed end
 	synced       bool          // the table holds every run that may be on the target
 	reachable    bool
-	replaced     bool // the target answered that it is another incarnation
+	replaced     bool // the target answered that it is another incarnation; its runs were ended
 	answeredAt   time.Time
 	backoffUntil time.Time // no start is sent before this time
 	// silentRuns are the runs that were given up because the target was silent for longer than
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -153,6 +153,9 @@
 	})
 }
 
+// born returns the start of the target's current process, as it reports it.
+func (b *fixture) born() int64 { return b.runner.Report("frames", "ready", 0)["born"].(int64) }
+
 func (b *fixture) link(name string) *fakeLink {
 	l := &fakeLink{name: name, incarnation: 1}
 	b.sidecar.LinkUp(l)
