Keep the runs of a leaving target until its process has ended

Callers saw tasks run twice at once (TWICE): the agent took a target's announcement of its end for the end, and reported all runs as stopped while it answered the request. The target's process goes on for a while after it, or for seconds if it gets no acknowledgement. The announcement now only closes the target. Its runs end when it lists them, when another process answers, or when nothing listens and the lease has passed: a process that ends as planned may close its address first.

The soak gains reports of other writers, targets that take time to end after they have deregistered, stops without a response, callers with a time budget that leave and send again, also while a gateway is frozen, and targets that take up to 50 ms to end a run.

--- a/sidecar/crash_test.go
+++ b/sidecar/crash_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// useCrashingTarget replaces the sidecar by one whose target may crash.
+func (b *fixture) useCrashingTarget() *crashingTarget {
+	b.t.Helper()
+	if err := b.sidecar.Kill(); err != nil {
+		b.t.Fatal(err)
+	}
+	client := &crashingTarget{Client: b.client, crashed: make(chan struct{})}
+	b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
+	b.sidecar.Start()
+	b.report("ready")
+	return client
+}
+
 // noticeWithin is how soon after a crash entries have to know: the tasks that were on the target
 // have objectives of some 140 ms.
 const noticeWithin = 20 * time.Millisecond
@@ -52,13 +65,7 @@
 // one that caused it miss their objectives.
 func TestCrashIsNoticedAtOnce(t *testing.T) {
 	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
-		if err := b.sidecar.Kill(); err != nil {
-			t.Fatal(err)
-		}
-		client := &crashingTarget{Client: b.client, crashed: make(chan struct{})}
-		b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
-		b.sidecar.Start()
-		b.report("ready")
+		client := b.useCrashingTarget()
 		l := b.open("a")
 		b.start(l, id(0, 1), 1000)
 		time.Sleep(75 * time.Millisecond)
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -93,9 +93,10 @@
 
 // renewedLease returns the lease end to send with a poll, or 0 to renew nothing. A target that
 // has been silent for unresponsiveAfter may still receive the polls; with renewals, its runs
-// would continue for as long as it is silent.
+// would continue for as long as it is silent. A lease that no process gets would delay the report
+// of its runs' end.
 func (s *Sidecar) renewedLease(now time.Time) time.Duration {
-	if !s.target.answeredAt.IsZero() && now.Sub(s.target.answeredAt) > unresponsiveAfter {
+	if !s.target.answeredAt.IsZero() && (!s.target.reachable || now.Sub(s.target.answeredAt) > unresponsiveAfter) {
 		return 0
 	}
 	return s.leaseEnd(now)
@@ -113,7 +114,8 @@
 // handlePollFailure records that a poll got no response. Once the lease has expired, no run
 // continues whose start the target had confirmed. A start request without a response may still
 // be in transit, and a target that restarts under its id would execute it; these runs stay in
-// the table until the target responds.
+// the table until the target responds. A target that leaves may close its address before its runs
+// have ended, so that nothing listening there only proves that a crashed one has none.
 func (s *Sidecar) handlePollFailure(err error) {
 	notListening := errors.Is(err, targets.ErrNotListening)
 	if !notListening {
@@ -129,9 +131,11 @@
 	s.target.reachable = false
 	now := time.Now()
 	switch {
-	case notListening:
+	case notListening && !s.leaves():
 		s.recordCrash(now)
 		s.endLostRuns(now, wire.EndCrashed, "the target's process has ended")
+	case notListening && s.leaseExpired(now):
+		s.endLostRuns(now, wire.EndStopped, "the target has left, and its lease has ended")
 	case s.leaseExpired(now):
 		s.target.silentRuns = s.suspects(now)
 		s.endLostRuns(now, wire.EndStopped, "the target was unreachable for longer than its lease")
@@ -211,7 +215,7 @@
 		// The target read its clock, in whole milliseconds, after the poll was sent.
 		age := time.Duration(clockDriftFactor*float64(response.Clock)) + time.Millisecond
 		s.recordCrash(time.Now())
-		s.endLostRuns(sentAt.Add(-age), wire.EndCrashed, "the target started again")
+		s.endLostRuns(sentAt.Add(-age), s.endWithProcess(), "the target started again")
 	}
 	s.target = targetState{born: response.Born, endedBorn: s.target.born}
 	if oldToken != 0 {
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -155,12 +155,8 @@
 // endReplacedRuns reports the end of all runs after another incarnation of the target has
 // answered.
 func (s *Sidecar) endReplacedRuns() {
-	end := wire.EndCrashed
-	if s.report.Draining || s.report.Left {
-		end = wire.EndStopped
-	}
 	s.recordCrash(time.Now())
-	for _, e := range s.table.Clear(end, "the target was replaced") {
+	for _, e := range s.table.Clear(s.endWithProcess(), "the target was replaced") {
 		s.finish(e)
 	}
 }
@@ -181,7 +177,20 @@
 	s.updateStaleness(s.reportedAt)
 }
 
-// HandleDeregistration processes the planned end of the target: no run is left on it.
+// endWithProcess returns how the runs end that were on the target when its process ended.
+func (s *Sidecar) endWithProcess() wire.EndStatus {
+	if s.leaves() {
+		return wire.EndStopped
+	}
+	return wire.EndCrashed
+}
+
+// leaves reports whether the target has announced its planned end.
+func (s *Sidecar) leaves() bool { return s.report.Draining || s.report.Left }
+
+// HandleDeregistration processes the announcement that the target's process is about to end. The
+// process may take a while, or go on for some seconds if it gets no acknowledgement; its runs are
+// at work until they are listed as ended or the process has ended.
 func (s *Sidecar) HandleDeregistration(target string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,9 +199,7 @@
 	}
 	s.report.Left, s.restored = true, false
 	s.saveReport(s.report)
-	s.log.Info("target left", zap.String("target", target))
-	for _, e := range s.table.Clear(wire.EndStopped, "the target left") {
-		s.finish(e)
-	}
+	s.log.Info("target leaves", zap.String("target", target), zap.Int("runs", s.table.Len()))
 	s.broadcastState()
+	signal(s.pollNow)
 }
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/catkinline/catkinline/sidecar"
 	"github.com/catkinline/catkinline/targets"
+	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
 
@@ -40,7 +41,7 @@
 				b.report("ready")
 				b.start(l, id(1, 1), 1000)
 				time.Sleep(1100 * time.Millisecond)
-				if ends := l.ends(); len(ends) != 2 || ends[0].Status.String() != "done" || ends[1].Status.String() != "done" {
+				if ends := l.ends(); len(ends) != 2 || ends[0].Status != wire.EndDone || ends[1].Status != wire.EndDone {
 					t.Errorf("run ends received: %+v, want two done runs", ends)
 				}
 			})
@@ -131,3 +132,59 @@
 		}
 	})
 }
+
+// Guards against a leaving target whose runs are reported as ended when it announces its end or
+// closes its address: they go on until its process has ended, which takes a while.
+func TestRunsOfLeavingTargetEndWithItsProcess(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		client := b.useCrashingTarget()
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		b.report("draining")
+		time.Sleep(100 * time.Millisecond)
+		b.sidecar.HandleDeregistration("i-standin")
+		time.Sleep(3 * time.Second)
+		if ends := l.ends(); len(ends) != 0 || !l.state().Closed {
+			t.Fatalf("run ends received: %+v, closed %t; want a run that goes on and a closed target", ends, l.state().Closed)
+		}
+		close(client.crashed) // the target's process still lives: its lease counts
+		for range 3000 {
+			time.Sleep(time.Millisecond)
+			if len(l.ends()) > 0 {
+				break
+			}
+		}
+		reports, _ := l.crashReports()
+		if ends, left := l.ends(), b.runner.Running(); len(ends) != 1 || ends[0].Status != wire.EndStopped || len(left) != 0 || len(reports) != 0 {
+			t.Errorf("run ends received: %+v while %v still run, %d crash reports; want one stopped run after its lease and none", ends, left, len(reports))
+		}
+	})
+}
+
+// Guards against a leaving target whose runs are not reported as ended once another one answers.
+func TestRunsOfLeavingTargetEndWithItsSuccessor(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		b.sidecar.HandleDeregistration("i-standin")
+		time.Sleep(time.Second)
+		b.runner.Replace("i-next", 0)
+		time.Sleep(300 * time.Millisecond)
+		if ends := l.ends(); len(ends) != 1 || ends[0].Status != wire.EndStopped {
+			t.Errorf("run ends received: %+v, want one stopped run", ends)
+		}
+	})
+}
+
+// Guards against a run that ends as planned on a leaving target and is not reported as done.
+func TestRunIsDoneOnLeavingTarget(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		b.sidecar.HandleDeregistration("i-standin")
+		time.Sleep(1100 * time.Millisecond)
+		if ends := l.ends(); len(ends) != 1 || ends[0].Status != wire.EndDone {
+			t.Errorf("run ends received: %+v, want one done run", ends)
+		}
+	})
+}
--- /dev/null
+++ b/soak/adverse.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/catkinline/catkinline/standin"
+)
+
+const (
+	// rushJobs and rushInterval are the jobs of impatient callers that reach a gateway as it
+	// freezes, and the time between them.
+	rushJobs     = 12
+	rushInterval = 30 * time.Millisecond
+	// lateStopDelay is how late a stop is applied that got no response.
+	lateStopDelay = 3 * time.Second
+	// deepNesting is a depth at which recursive decoders fail.
+	deepNesting = 20000
+)
+
+// adverse generates what other writers, leaving targets and impatient callers do. It is drawn apart
+// from the other faults, so that these are the same for a seed with and without.
+func (g *generator) adverse(phase time.Duration, c *callers) []fault {
+	apart := &generator{b: g.b, rnd: rand.New(rand.NewPCG(g.b.seed, 5))}
+	choices := []func() fault{
+		apart.oddReport, apart.oddReport, apart.leavingTarget, apart.unansweredStops,
+		func() fault { return apart.freezeInRush(c) },
+	}
+	var out []fault
+	for at := apart.between(0, 800); at < phase; at += apart.between(300, 1500) {
+		f := pick(apart.rnd, choices)()
+		f.at = at
+		out = append(out, f)
+	}
+	return out
+}
+
+// oddReport sends a sidecar a report, or a deregistration, that is not from its target. It must
+// have no effect, so that it does not count as a fault.
+func (g *generator) oddReport() fault {
+	n := g.anySidecar()
+	kind := g.rnd.IntN(8)
+	return fault{name: "odd report to " + n.name, place: n.name, planned: true, apply: func() func() {
+		path, body := n.oddReport(kind)
+		// An error means that the sidecar does not run.
+		if resp, err := http.Post("http://"+n.reports+path, "application/json", bytes.NewReader([]byte(body))); err == nil {
+			resp.Body.Close()
+		}
+		return func() {}
+	}}
+}
+
+// oddReport returns the path and body of a report that is not from a node's target.
+func (n *node) oddReport(kind int) (path, body string) {
+	const format = `{"service":%q,"address":"127.0.0.1:99999","zone":"a","state":%q,"capacity":{"cpu":%s,"mem_mb":8192,"gpu":0},"labels":["m"],"sequence":%s,"born":%s}`
+	own, foreign := "/instances/"+n.target.ID()+"/heartbeat", "/instances/w-71c0/heartbeat"
+	later := fmt.Sprint(time.Now().Add(-time.Second).UnixMilli())
+	switch kind {
+	case 0:
+		return foreign, fmt.Sprintf(format, service, "ready", "4000", "1", later)
+	case 1:
+		return own, fmt.Sprintf(format, service, "draining", "0", "1000000", later)
+	case 2:
+		return foreign, fmt.Sprintf(format, "another", "ready", "4000", "1", later)
+	case 3:
+		return own, fmt.Sprintf(format, service, "gone", "4000", "1000000", "1")
+	case 4:
+		return foreign, fmt.Sprintf(format, service, "ready", "1e400", "1e400", "1e400")
+	case 5:
+		return foreign, fmt.Sprintf(format, service, "ready", "9223372036854775807", "18446744073709551615", "9223372036854775807")
+	case 6:
+		return own, `{"labels":` + strings.Repeat("[", deepNesting) + strings.Repeat("]", deepNesting) + "}"
+	default:
+		return "/instances/w-71c0/deregister", "{}"
+	}
+}
+
+// leavingTarget has a target leave as planned and take some time to end after it has deregistered,
+// whether its sidecar has acknowledged that or not. Another one takes its place.
+func (g *generator) leavingTarget() fault {
+	n, drains, ends := g.anySidecar(), g.between(300, 1500), g.between(20, 400)
+	return fault{name: fmt.Sprintf("target of %s leaves and ends %v after it has deregistered", n.name, ends), place: n.name, lasts: drains + ends, apply: func() func() {
+		n.target.Drain()
+		time.AfterFunc(drains, func() { n.target.Deregister(n.reports) })
+		return func() { g.b.replace(n, 0) }
+	}}
+}
+
+// unansweredStops has the next stops at a target get no response; they are applied much later.
+func (g *generator) unansweredStops() fault {
+	n, stops := g.anySidecar(), 2+g.rnd.IntN(20)
+	return fault{name: fmt.Sprintf("%d stops at the target of %s get no response", stops, n.name), place: n.name, lasts: g.between(500, 3000), apply: func() func() {
+		n.target.SetFaults(standin.RunnerFaults{DropStops: stops, ApplyDelay: lateStopDelay})
+		return func() { n.target.SetFaults(standin.RunnerFaults{}) }
+	}}
+}
+
+// freezeInRush freezes a gateway while impatient callers send it jobs: they leave and send them
+// elsewhere before it wakes, or as it does.
+func (g *generator) freezeInRush(c *callers) fault {
+	at := g.rnd.IntN(len(g.b.gateways))
+	n := g.b.gateways[at]
+	return fault{name: "freeze " + n.name + " as callers rush in", place: n.name, lasts: g.between(300, 4000), apply: func() func() {
+		n.signal(syscall.SIGSTOP)
+		for i := range rushJobs {
+			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 4, taskSpec{cpu: taskCPU / 8, runTime: 760 * time.Millisecond})}
+			c.jobs.Go(func() {
+				if sleep(g.b.ctx, time.Duration(i)*rushInterval) {
+					c.submit(j)
+				}
+			})
+		}
+		return func() { n.signal(syscall.SIGCONT) }
+	}}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -18,6 +18,11 @@
 const (
 	// callerTimeout is the time that a caller waits for the response, over all sends.
 	callerTimeout = 8 * time.Second
+	// impatientTimeout is the time budget of callers that leave when it is over and send the job
+	// again, as the platform's callers do.
+	impatientTimeout = 1500 * time.Millisecond
+	// impatientOneIn is the number of callers of which one is impatient.
+	impatientOneIn = 3
 	// resendDelay is the delay before a caller resends a job after a broken connection.
 	resendDelay = 1300 * time.Millisecond
 	// maxSends is the maximum number of times that a caller sends a job.
@@ -68,8 +73,10 @@
 // run submits jobs with Poisson arrivals until ctx ends.
 func (c *callers) run(ctx context.Context, rnd *rand.Rand, perSecond float64) {
 	crashRandom := rand.New(rand.NewPCG(c.b.seed, 4))
+	impatience := rand.New(rand.NewPCG(c.b.seed, 6))
 	for sleep(ctx, time.Duration(rnd.ExpFloat64()/perSecond*float64(time.Second))) {
 		j := c.randomJob(rnd)
+		j.impatient = !c.b.plain && impatience.IntN(impatientOneIn) == 0
 		if c.b.crashingJobs.Load() && crashRandom.IntN(crashOneIn) == 0 {
 			j.crash()
 		}
@@ -81,6 +88,7 @@
 type callerJob struct {
 	job             workload.Job
 	disconnectAfter time.Duration // when the caller disconnects; 0: never
+	impatient       bool          // each send has a time budget of its own, after which the caller leaves
 	firstGateway    int           // index of the first gateway
 	sends           []send
 }
@@ -133,13 +141,14 @@
 		defer cancel()
 	}
 	for i := range maxSends {
-		s := c.send(ctx, c.b.gateways[(j.firstGateway+i)%len(c.b.gateways)], commonPrefix, j.job)
+		s := c.send(ctx, c.b.gateways[(j.firstGateway+i)%len(c.b.gateways)], commonPrefix, j)
 		j.sends = append(j.sends, s)
-		if s.err == nil && !s.response.Refused() {
+		timedOut := j.impatient && s.response.Status == http.StatusGatewayTimeout
+		if s.err == nil && !s.response.Refused() && !timedOut {
 			break
 		}
 		pause := resendDelay
-		if s.err == nil {
+		if s.err == nil && !timedOut {
 			pause = s.response.RetryAfter
 		}
 		if !sleep(ctx, pause) {
@@ -149,16 +158,23 @@
 	c.checkResponses(j)
 }
 
-func (c *callers) send(ctx context.Context, g *node, prefix string, job workload.Job) send {
+func (c *callers) send(ctx context.Context, g *node, prefix string, j *callerJob) send {
 	s := send{gateway: g, incarnation: g.incarnation(), from: time.Now()}
-	r, err := platform.NewJobRequest(ctx, g.callerAddress, host, prefix, job, callerTimeout)
+	budget := callerTimeout
+	if j.impatient {
+		budget = impatientTimeout
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, budget)
+		defer cancel()
+	}
+	r, err := platform.NewJobRequest(ctx, g.callerAddress, host, prefix, j.job, budget)
 	if err == nil {
 		var resp *http.Response
 		if resp, err = c.client.Do(r); err == nil {
 			s.response, err = platform.ReadJobResponse(resp)
 		}
 	}
-	s.err, s.to, s.started = err, time.Now(), c.b.runChecker.started(job.ID)
+	s.err, s.to, s.started = err, time.Now(), c.b.runChecker.started(j.job.ID)
 	return s
 }
 
@@ -195,7 +211,7 @@
 	if !c.b.timeline.calm(everywhere, j.sends[0].from.Add(-quietPeriod), last.to) {
 		return
 	}
-	if j.disconnectAfter == 0 && (last.err != nil || last.response.State == "") {
+	if j.disconnectAfter == 0 && !j.impatient && (last.err != nil || last.response.State == "") {
 		c.b.runChecker.reportViolation("CALM", "job %s is not served although no fault was active: status %d %s %v", j.job.ID, last.response.Status, last.response.Reason, last.err)
 	}
 }
--- a/soak/prober.go
+++ b/soak/prober.go
@@ -46,7 +46,7 @@
 func (p *prober) probe(ctx context.Context, version uint64) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	job := newJob(p.callers.nextID(), 1, taskSpec{cpu: taskCPU, runTime: probeRunTime})
+	job := &callerJob{job: newJob(p.callers.nextID(), 1, taskSpec{cpu: taskCPU, runTime: probeRunTime})}
 	s := p.callers.send(ctx, p.gateway, prefixOf(version), job)
 	switch {
 	case s.err != nil || s.incarnation != p.gateway.incarnation():
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,7 +42,7 @@
 	Planned     time.Duration // phase of planned operations only; default 5 s
 	Overlapping time.Duration // phase of overlapping faults; default 8 s
 	Rate        float64       // jobs a second; default 15, half of the targets' capacity
-	NoCrashes   bool          // no jobs crash their targets, and no targets shrink
+	Plain       bool          // only the faults and callers with which the regression seeds were found
 	Dir         string        // for the logs and settings files of the processes
 }
 
@@ -97,8 +97,9 @@
 func (s *soak) runPhases(ctx context.Context) Report {
 	gen := newGenerator(s.b, s.o.Seed)
 	planned, overlapping := gen.planned(s.o.Planned), gen.overlapping(s.o.Overlapping)
-	if !s.o.NoCrashes {
+	if !s.o.Plain {
 		overlapping = append(overlapping, gen.crashing(s.o.Overlapping, s.o.Seed)...)
+		overlapping = append(overlapping, gen.adverse(s.o.Overlapping, s.callers)...)
 	}
 	report := Report{Seed: s.o.Seed, Faults: len(planned) + len(overlapping)}
 	s.waitServing(ctx)
@@ -146,7 +147,7 @@
 func (s *soak) servesJob(ctx context.Context, g *node) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	job := newJob(s.callers.nextID(), 1, taskSpec{cpu: taskCPU, runTime: probeRunTime})
+	job := &callerJob{job: newJob(s.callers.nextID(), 1, taskSpec{cpu: taskCPU, runTime: probeRunTime})}
 	attempt := s.callers.send(ctx, g, commonPrefix, job)
 	return attempt.err == nil && attempt.response.State == "done"
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,7 +77,7 @@
 		t.Run(fmt.Sprint("seed-", r.seed), func(t *testing.T) {
 			t.Parallel()
 			t.Log(r.cause)
-			runSoak(t, soak.Options{Seed: r.seed, NoCrashes: true})
+			runSoak(t, soak.Options{Seed: r.seed, Plain: true})
 		})
 	}
 }
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -37,6 +37,8 @@
 	largeGatewayCPU = 800
 	// maxLease is the longest lease that targets accept.
 	maxLease = time.Second
+	// maxStopTime is the longest time that a target may take to end a run that is stopped.
+	maxStopTime = 50 * time.Millisecond
 	// crashDelay and crashRestartTime are how the users' targets crash under a task.
 	crashDelay       = 25 * time.Millisecond
 	crashRestartTime = 3 * time.Second
@@ -54,6 +56,7 @@
 	inbound       *faultproxy.TCP // from callers to a gateway, from a sidecar to its target
 	links         *faultproxy.UDP // gateways only
 	target        *standin.Runner // sidecars only
+	reports       string          // address for the target's reports; sidecars only
 
 	mu           sync.Mutex
 	process      *fleet.Process
@@ -74,6 +77,7 @@
 	gateways   []*node
 	onePlacer  bool // one gateway places the jobs of all
 	seed       uint64
+	plain      bool // see Options.Plain
 	sidecars   []*node
 	cleanups   []func()
 	watchers   sync.WaitGroup
@@ -91,7 +95,7 @@
 func newTestbed(ctx context.Context, o Options, log *zap.Logger) (*testbed, error) {
 	b := &testbed{
 		ctx: ctx, dir: o.Dir, log: log, runChecker: newRunChecker(), timeline: &timeline{}, store: standin.NewStore(standin.StoreOptions{FirstRevision: 1}),
-		writtenAt: make(map[uint64]time.Time), onePlacer: o.Seed%2 == 1, seed: o.Seed,
+		writtenAt: make(map[uint64]time.Time), onePlacer: o.Seed%2 == 1, seed: o.Seed, plain: o.Plain,
 	}
 	b.server = httptest.NewServer(b.store.Handler())
 	b.cleanups = append(b.cleanups, b.server.Close)
@@ -201,7 +205,7 @@
 	id := fmt.Sprintf("i-%d-0", i)
 	n.target = standin.NewRunner(standin.RunnerOptions{ID: id, CPU: targetCPU, MaxLease: maxLease, Work: b.runChecker.work, Observer: b.runChecker,
 		Crashes:    func(spec string) bool { return b.crashes(name, spec) },
-		CrashDelay: crashDelay, RestartTime: crashRestartTime})
+		CrashDelay: crashDelay, RestartTime: crashRestartTime, StopTime: b.stopTime()})
 	b.runChecker.addTarget(id, n.target)
 	server := httptest.NewServer(n.target.Handler())
 	b.cleanups = append(b.cleanups, server.Close)
@@ -211,6 +215,7 @@
 	if s.ReportAddress, err = fleet.FreeTCPAddress(); err != nil {
 		return err
 	}
+	n.reports = s.ReportAddress
 	s.TargetAddress, s.Service, s.LinkPort = n.inbound.Address(), service, 1
 	go n.target.SendReports(b.ctx, s.ReportAddress, service)
 	b.sidecars = append(b.sidecars, n)
@@ -356,6 +361,14 @@
 	return b.writtenAt[version]
 }
 
+// stopTime returns how long the targets take to end a run that is stopped.
+func (b *testbed) stopTime() time.Duration {
+	if b.plain {
+		return 0
+	}
+	return maxStopTime * time.Duration(b.seed%4) / 4
+}
+
 // crashes reports whether a task crashes the target of a node, which counts as an unplanned fault
 // until the target is back.
 func (b *testbed) crashes(place, spec string) bool {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -23,6 +23,7 @@
 	// none does. The next process starts after RestartTime.
 	Crashes                 func(spec string) bool
 	CrashDelay, RestartTime time.Duration
+	StopTime                time.Duration // from the acknowledgement of a stop to the end of the run
 	// Observer is notified of the target's runs; it may be nil.
 	Observer RunnerObserver
 }
@@ -63,6 +64,7 @@
 	starts        map[string]int // by task
 	downUntil     time.Time      // nothing answers before
 	applyingLate  atomic.Bool
+	draining      atomic.Bool // its reports say that it is about to leave
 }
 
 // RunnerFaults are the fault switches of a Runner. Zero fields are off.
@@ -174,8 +176,12 @@
 	defer r.mu.Unlock()
 	r.opts.ID = id
 	r.clockLag = clockLag
+	r.draining.Store(false)
 }
 
+// Drain makes the target report that it is about to leave, until Replace.
+func (r *Runner) Drain() { r.draining.Store(true) }
+
 // bornMS is the start time of the process by its own wall clock, in Unix ms.
 func (r *Runner) bornMS() int64 { return r.born.Add(-r.clockLag).UnixMilli() }
 
@@ -340,11 +346,26 @@
 	}
 	r.endedAttempts[q.Task] = max(r.endedAttempts[q.Task], q.Run)
 	if run := r.runs[q.Task]; run != nil && run.attempt <= q.Run {
-		r.endRun(q.Task, "stopped")
+		r.stopRun(q.Task, run)
 	}
 	return http.StatusOK, r.response("")
 }
 
+// stopRun ends a run after the time that a stop takes.
+func (r *Runner) stopRun(task string, run *activeRun) {
+	if r.opts.StopTime == 0 {
+		r.endRun(task, "stopped")
+		return
+	}
+	time.AfterFunc(r.opts.StopTime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.runs[task] == run {
+			r.endRun(task, "stopped")
+		}
+	})
+}
+
 func (r *Runner) poll(ctx context.Context, q platform.PollRequest) (int, platform.TargetResponse) {
 	r.mu.Lock()
 	if r.rejectToken(q.FencingToken) {
@@ -393,7 +414,8 @@
 	return out
 }
 
-func (r *Runner) id() string {
+// ID returns the id of the target's current incarnation.
+func (r *Runner) ID() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.opts.ID
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -36,15 +36,30 @@
 			sleepUntilReport(ctx)
 			continue
 		}
-		body, _ := json.Marshal(r.Report(service, "ready", n)) // plain values always encode
+		state := "ready"
+		if r.draining.Load() {
+			state = "draining"
+		}
+		body, _ := json.Marshal(r.Report(service, state, n)) // plain values always encode
 		// An error means that the agent is not running.
-		if resp, err := http.Post("http://"+agent+"/instances/"+r.id()+"/heartbeat", "application/json", bytes.NewReader(body)); err == nil {
+		if resp, err := http.Post("http://"+agent+"/instances/"+r.ID()+"/heartbeat", "application/json", bytes.NewReader(body)); err == nil {
 			resp.Body.Close()
 		}
 		sleepUntilReport(ctx)
 	}
 }
 
+// Deregister tells the target's agent that the target ends, and reports whether the agent has
+// acknowledged it.
+func (r *Runner) Deregister(agent string) bool {
+	resp, err := http.Post("http://"+agent+"/instances/"+r.ID()+"/deregister", "application/json", bytes.NewReader([]byte("{}")))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 func sleepUntilReport(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -74,7 +89,7 @@
 		if r.down() {
 			panic(http.ErrAbortHandler)
 		}
-		if instance := req.Header.Get(platform.HeaderTargetInstance); instance != "" && instance != r.id() {
+		if instance := req.Header.Get(platform.HeaderTargetInstance); instance != "" && instance != r.ID() {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
