Count a run for the crash of the process that it was on only

A run whose start was not confirmed stays in the table after a crash until its stop is acknowledged; if the target's next process ended meanwhile, it was a suspect of that crash too.

Evidence: TestUnconfirmedRunCountsForOneCrash saw three crash reports before and sees one.

--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -12,14 +12,16 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// suspects returns the runs that may have been on the target when it crashed: all that the table
-// has, and those that were given up while the target was silent.
+// suspects returns the runs that may have been on the target when it crashed: those that the table
+// has, and those that were given up while the target was silent. A run that was on an earlier process
+// that crashed, and that the current one has not confirmed, counts for that crash only.
 func (s *Sidecar) suspects(now time.Time) []crash.Suspect {
 	suspects := s.target.silentRuns
 	known := func(r *runs.Run) bool {
 		return slices.ContainsFunc(suspects, func(k crash.Suspect) bool { return k.Task == r.ID.Task })
 	}
-	for _, r := range s.table.Select(func(r *runs.Run) bool { return !known(r) }) {
+	counted := func(r *runs.Run) bool { return r.Crashed && r.State != runs.Running }
+	for _, r := range s.table.Select(func(r *runs.Run) bool { return !known(r) && !counted(r) }) {
 		suspects = append(suspects, crash.Suspect{Task: r.ID.Task, Route: r.Route, RunTime: now.Sub(r.SentAt)})
 	}
 	return suspects
--- a/sidecar/crash_test.go
+++ b/sidecar/crash_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/sidecar"
+	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -133,3 +134,28 @@
 		}
 	})
 }
+
+// Guards against a task that counts for two crashes although it was on the target during one: the
+// target crashes, and its next process ends before the stop of the run has been acknowledged.
+func TestUnconfirmedRunCountsForOneCrash(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		client := &delayedStarts{Client: b.client, responseDelay: 500 * time.Millisecond}
+		b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
+		b.sidecar.Start()
+		b.report("ready")
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(time.Millisecond)
+		b.runner.SetFaults(standin.RunnerFaults{DropStops: 100})
+		b.runner.Restart()
+		time.Sleep(5 * time.Millisecond)
+		b.runner.Replace("i-next", 0)
+		time.Sleep(time.Second)
+		if reports, _ := l.crashReports(); len(reports) != 1 {
+			t.Errorf("%d crash reports with the task, want one", len(reports))
+		}
+	})
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -171,9 +171,9 @@
 // Replace simulates a crash of the process and the start of another instance with a
 // new id, whose wall clock lags by the given time.
 func (r *Runner) Replace(id string, clockLag time.Duration) {
-	r.Restart()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.restart()
 	r.opts.ID = id
 	r.clockLag = clockLag
 	r.draining.Store(false)
