Take a poll's response as evidence only as far as it goes

A 200 with "{}" or without the start of the target's process counted as an empty list and ended all runs; a list with a row that could not be decoded, or with as many ends as a response may have, ended the runs that it left out. A poll that carried an older fencing token, from before the agent had one, counted as the list on which a new agent announces its target; a start of an earlier agent could be carried out after it. Two polls answered in the same millisecond were ordered by the target's clock, which cannot; the later list then seemed to have an unknown run, and the target was closed.

A target that starts again is now also announced as closed until it is known what runs there.

--- a/runs/runs.go
+++ b/runs/runs.go
@@ -167,6 +167,7 @@
 	ReceivedAt  time.Time
 	Running     map[workload.RunID]bool
 	Ended       map[workload.RunID]ListedEnd
+	Incomplete  bool // runs may be missing from it
 }
 
 // ListedEnd is the end of a run as a target lists it.
@@ -179,7 +180,8 @@
 // end is certain: those listed as ended, and those whose start was confirmed or whose
 // stop was acknowledged before the listing was requested and that it does not contain.
 // Responses on different connections can arrive out of order, so a listing proves
-// nothing about requests that were unanswered when it was requested.
+// nothing about requests that were unanswered when it was requested. An incomplete listing ends
+// only the runs that it lists as ended.
 func (t *Table) Apply(l Listing) []EndedRun {
 	var ended []EndedRun
 	for _, r := range t.Select(func(*Run) bool { return true }) {
@@ -197,6 +199,9 @@
 			}
 			continue
 		}
+		if l.Incomplete {
+			continue
+		}
 		switch {
 		case !r.StopAckedAt.IsZero() && r.StopAckedAt.Before(l.RequestedAt):
 			ended = append(ended, EndedRun{r, r.endIfStopped(), r.StopReason})
--- a/runs/runs_test.go
+++ b/runs/runs_test.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// Guards against a run that ends because a listing leaves it out that may leave out runs.
+func TestIncompleteListingProvesNoAbsence(t *testing.T) {
+	table := newTable()
+	admit(t, table, 1, 1000, 0)
+	admit(t, table, 2, 1000, 1)
+	table.Apply(runs.Listing{RequestedAt: at(0), ReceivedAt: at(2), Running: listed(1, 2)})
+	l := runs.Listing{RequestedAt: at(5), ReceivedAt: at(6), Incomplete: true, Ended: map[workload.RunID]runs.ListedEnd{runID(1): {End: wire.EndDone}}}
+	if ended := table.Apply(l); len(ended) != 1 || ended[0].Run.ID != runID(1) || table.Get(runID(2)) == nil {
+		t.Errorf("ended %+v, want only the run that is listed as ended", ended)
+	}
+}
+
 // Guards against freed capacity that goes to the first entry to request it: urgent work of
 // one entry would wait behind less urgent work of another.
 func TestFreeCapacityIsOfferedToMostUrgentEntry(t *testing.T) {
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -49,26 +49,40 @@
 	pollBroken                     // at once: the connection broke, most likely with the target's process
 )
 
-// poll sends one poll.
-func (s *Sidecar) poll() pollResult {
-	s.mu.Lock()
-	sentAt := time.Now()
-	request := targets.PollRequest{
+// sentPoll is a poll with its number, from 1, in the order in which the polls were sent.
+type sentPoll struct {
+	request targets.PollRequest
+	sentAt  time.Time
+	number  uint64
+}
+
+// nextPoll returns the next poll to send.
+func (s *Sidecar) nextPoll() sentPoll {
+	s.polls++
+	p := sentPoll{sentAt: time.Now(), number: s.polls}
+	p.request = targets.PollRequest{
 		Target:       s.report.Target,
-		LeaseEnd:     s.renewedLease(sentAt),
+		LeaseEnd:     s.renewedLease(p.sentAt),
 		FencingToken: s.target.fencingToken,
 		AckedEnd:     s.target.ackedEnd,
 		MaxWait:      s.opts.RenewInterval,
 	}
 	switch {
-	case request.FencingToken == 0:
-		request.MaxWait = 0
+	case p.request.FencingToken == 0:
+		p.request.MaxWait = 0
 	case s.hasPendingStops():
-		request.MaxWait = stopPollWait
+		p.request.MaxWait = stopPollWait
 	}
+	return p
+}
+
+// poll sends one poll.
+func (s *Sidecar) poll() pollResult {
+	s.mu.Lock()
+	p := s.nextPoll()
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), request.MaxWait+s.opts.RequestTimeout)
-	response, err := s.opts.Target.Poll(ctx, request)
+	ctx, cancel := context.WithTimeout(context.Background(), p.request.MaxWait+s.opts.RequestTimeout)
+	response, err := s.opts.Target.Poll(ctx, p.request)
 	cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,7 +93,7 @@
 		}
 		return pollBroken
 	}
-	if !s.handlePollResponse(request, sentAt, response) {
+	if !s.handlePollResponse(p, response) {
 		return pollFailed
 	}
 	return pollAnswered
@@ -146,11 +160,11 @@
 	}
 }
 
-// handlePollResponse processes the response to a poll that was sent at sentAt, and reports
-// whether the next poll may follow at once.
-func (s *Sidecar) handlePollResponse(request targets.PollRequest, sentAt time.Time, response targets.PollResponse) bool {
+// handlePollResponse processes the response to a poll, and reports whether the next poll may
+// follow at once.
+func (s *Sidecar) handlePollResponse(p sentPoll, response targets.PollResponse) bool {
 	wasAccepting := s.acceptsRuns()
-	again := s.updateFromPoll(request, sentAt, response)
+	again := s.updateFromPoll(p, response)
 	s.updateStaleness(time.Now())
 	if wasAccepting != s.acceptsRuns() {
 		if s.acceptsRuns() {
@@ -162,32 +176,35 @@
 }
 
 // updateFromPoll updates the state of the target and its runs, as handlePollResponse.
-func (s *Sidecar) updateFromPoll(request targets.PollRequest, sentAt time.Time, response targets.PollResponse) bool {
+func (s *Sidecar) updateFromPoll(p sentPoll, response targets.PollResponse) bool {
 	now := time.Now()
-	if s.restored && !s.reportUsable && request.Target == s.report.Target && !s.confirmRestored(response) {
+	if s.restored && !s.reportUsable && p.request.Target == s.report.Target && !s.confirmRestored(response) {
 		return true
 	}
 	if response.Replaced {
-		s.handleReplaced(request)
+		s.handleReplaced(p.request)
 		return false // the report of the new incarnation follows
 	}
-	if response.Born == s.target.born && response.Clock < s.target.clock || response.Born != 0 && response.Born == s.target.endedBorn {
-		return true // a response to a later poll was processed first
+	if s.overtaken(p, response) {
+		return true
 	}
 	if response.Born != s.target.born && response.Born != 0 {
-		s.handleTargetRestart(sentAt, response)
+		s.handleTargetRestart(p.sentAt, response)
 	}
-	s.target.clock, s.target.clockAt, s.target.answeredAt = response.Clock, now, now
+	s.target.clock, s.target.clockAt, s.target.answeredAt, s.target.answeredPolls = response.Clock, now, now, s.polls
 	if s.target.fencingToken == 0 || response.Fenced {
-		if request.FencingToken == s.target.fencingToken { // not raised since the poll was sent
+		if p.request.FencingToken == s.target.fencingToken { // not raised since the poll was sent
 			s.target.raiseFencingToken()
 		}
 		return true
 	}
+	if p.request.FencingToken < s.target.fencingToken {
+		return true // a request with a lower token may still have been executed after this list
+	}
 	s.target.reachable = true
 	s.target.silentRuns = nil // they were stopped, or go on without a lease
-	orphans := s.applyPollResponse(sentAt, response)
-	s.target.synced = s.target.synced || len(orphans) == 0
+	orphans := s.applyPollResponse(p.sentAt, response)
+	s.target.synced = s.target.synced || len(orphans) == 0 && !response.Incomplete
 	s.target.orphans = len(orphans)
 	if len(orphans) > 0 {
 		s.stopOrphans(s.report.Target, orphans, s.target.fencingToken)
@@ -195,6 +212,19 @@
 	return len(orphans) == 0
 }
 
+// overtaken reports whether a response to a later poll, or of a later process, was processed first.
+// The target's clock is read in whole milliseconds: within one, the order of two responses is
+// known only if the second poll was sent after the first response had arrived.
+func (s *Sidecar) overtaken(p sentPoll, response targets.PollResponse) bool {
+	if response.Born != 0 && response.Born == s.target.endedBorn {
+		return true
+	}
+	if response.Born != s.target.born {
+		return false
+	}
+	return response.Clock < s.target.clock || response.Clock == s.target.clock && p.number <= s.target.answeredPolls
+}
+
 // raiseFencingToken selects a token above the last one. The target's clock is monotonic while
 // its process lives, so that a later agent usually starts with a higher token. A restarted
 // target may have seen a much higher token, from a delayed request meant for the earlier
@@ -239,6 +269,7 @@
 // does not have.
 func (s *Sidecar) applyPollResponse(sentAt time.Time, response targets.PollResponse) []workload.RunID {
 	listing := runs.Listing{
+		Incomplete:  response.Incomplete,
 		RequestedAt: sentAt,
 		ReceivedAt:  time.Now(),
 		Running:     make(map[workload.RunID]bool, len(response.Running)),
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -129,12 +129,10 @@
 // that a report names.
 func (s *Sidecar) replaceProcess(r targets.Report, sentAt time.Time, response targets.PollResponse) {
 	switch {
-	case r.Target != s.report.Target:
-		if s.report.Target != "" && !s.target.replaced {
-			s.endReplacedRuns()
-		}
+	case s.target.replaced: // its runs have been ended
 		s.target = targetState{}
-	case s.target.replaced:
+	case s.report.Target != "" && r.Target != s.report.Target:
+		s.endReplacedRuns()
 		s.target = targetState{}
 	case s.target.born != 0 && response.Born != s.target.born:
 		s.handleTargetRestart(sentAt, response)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -112,6 +112,7 @@
 	advertised     wire.Room
 	stale          bool // start requests on it may be out of date
 	retiring       bool // the entry was told to send no more starts
+	announced      bool // the target's state was sent on it
 }
 
 // Sidecar is a running agent. All methods are safe for concurrent use. One mutex guards its
@@ -140,6 +141,7 @@
 	// is when the last one was confirmed.
 	confirmations int
 	confirmedAt   time.Time
+	polls         uint64 // number of polls sent
 	stopping      bool
 	killed        bool // Kill was called
 	target        targetState
@@ -158,7 +160,9 @@
 	reachable    bool
 	replaced     bool // the target answered that it is another incarnation; its runs were ended
 	answeredAt   time.Time
-	backoffUntil time.Time // no start is sent before this time
+	// answeredPolls is the number of polls that had been sent when the last response was processed.
+	answeredPolls uint64
+	backoffUntil  time.Time // no start is sent before this time
 	// silentRuns are the runs that were given up because the target was silent for longer than
 	// their lease. If another process of it responds next, it has crashed under them.
 	silentRuns []crash.Suspect
@@ -332,17 +336,19 @@
 	return s.ready() && s.target.reachable && s.target.orphans == 0 && !s.stopping && !s.report.Draining && !s.report.Left
 }
 
+// broadcastState tells the entries the target's state. An entry that knows nothing of the target on
+// its link is told only when it may be announced: the first state also says that nothing is left
+// of an earlier process.
 func (s *Sidecar) broadcastState() {
-	if !s.ready() {
-		return
-	}
 	for _, state := range s.links {
-		s.sendState(state)
+		if state.announced || s.ready() {
+			s.sendState(state)
+		}
 	}
 }
 
 func (s *Sidecar) sendState(state *linkState) {
-	state.advertised = s.roomFor(state)
+	state.announced, state.advertised = true, s.roomFor(state)
 	s.saidStale = s.capacityStale(time.Now())
 	s.send(state, &wire.TargetState{
 		Target:        s.report.Target,
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -92,6 +93,12 @@
 	return out
 }
 
+func (l *fakeLink) messages() []wire.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.sent)
+}
+
 func (l *fakeLink) state() *wire.TargetState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -85,6 +85,9 @@
 	Running  []workload.RunID
 	Progress []int // percent, in the order of Running
 	Ended    []EndedRun
+	// Incomplete says that runs may be missing from the lists, so that the absence of one proves
+	// nothing.
+	Incomplete bool
 }
 
 // ErrNotListening is returned when nothing listens at the target's address, because its
