Renew no lease while a stop has no response

Callers saw tasks run twice at once (TWICE): a run whose stop got no response was kept alive by the polls, past the 1.3 s after which its caller sends the job again.

Evidence: TestRunWithoutResponseToStopEndsWithItsLease failed before, for a stop of the entry and for the loss of its link.

--- a/runs/runs.go
+++ b/runs/runs.go
@@ -84,6 +84,16 @@
 	return false
 }
 
+// HasUnansweredStop reports whether the stop of a run was requested and not acknowledged yet.
+func (t *Table) HasUnansweredStop() bool {
+	for _, r := range t.runs {
+		if r.StopRequested && r.StopAckedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Get returns the run with the given id, or nil. The run belongs to the table, and
 // callers may change its state.
 func (t *Table) Get(id workload.RunID) *Run { return t.runs[id] }
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -73,7 +73,7 @@
 	}
 	s.lastNeed = m.Need
 	signal(s.roomChanged)
-	request := targets.StartRequest{Run: m.Run, Spec: m.Spec, LeaseEnd: s.leaseEnd(now), FencingToken: s.target.fencingToken}
+	request := targets.StartRequest{Run: m.Run, Spec: m.Spec, LeaseEnd: s.startLease(now), FencingToken: s.target.fencingToken}
 	incarnation := s.report.Target
 	run := s.table.Get(m.Run)
 	s.opts.Metrics.RunStarted()
@@ -94,6 +94,8 @@
 		return wire.EndNotRun, "the target has not reported its capacity recently"
 	case now.Before(s.target.backoffUntil):
 		return wire.EndNotRun, "the target refused a run a moment ago"
+	case s.table.HasUnansweredStop() && s.leaseLeft(now) < minStartLease:
+		return wire.EndNotRun, "a stop has no response, and the lease ends soon"
 	}
 	switch end := s.table.Admit(r); end {
 	case wire.EndNotRun:
@@ -115,6 +117,20 @@
 	}
 }
 
+// startLease returns the lease end to send with a start. A target has one lease for all of its
+// runs, which must not be extended while a stop has no response.
+func (s *Sidecar) startLease(now time.Time) time.Duration {
+	if s.table.HasUnansweredStop() {
+		return s.target.leaseSent
+	}
+	return s.leaseEnd(now)
+}
+
+// leaseLeft returns how long the last lease that was sent lasts.
+func (s *Sidecar) leaseLeft(now time.Time) time.Duration {
+	return s.target.leaseSent - s.target.clock - now.Sub(s.target.clockAt)
+}
+
 // leaseEnd returns the time on the target's clock at which a lease that is sent now ends, and
 // records it for leaseExpired. It returns 0 while that clock is not known.
 func (s *Sidecar) leaseEnd(now time.Time) time.Duration {
@@ -126,6 +142,10 @@
 	return end
 }
 
+// minStartLease is the shortest lease with which a run is started: a stop without a response is
+// repeated twice in it, after which the lease is renewed again.
+const minStartLease = 300 * time.Millisecond
+
 // refusalBackoff is the delay before the next start after the target refused one for which the
 // table has room. It covers the time until the target lists the end of the run that uses the
 // room.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -64,8 +64,9 @@
 	// listing that was requested after the acknowledgement shows how the run ended, and the
 	// short wait lets that end be in it.
 	stopPollWait = time.Millisecond
-	// stopRetryDelay is the delay between two requests to stop the same run.
-	stopRetryDelay = 100 * time.Millisecond
+	// stopRetryDelay is the delay after a stop request without a response. Five requests fit into a
+	// lease, which is not renewed meanwhile.
+	stopRetryDelay = 10 * time.Millisecond
 	// drainPollInterval is how often a planned stop checks for remaining runs. It is short
 	// compared with the shortest runs.
 	drainPollInterval = 10 * time.Millisecond
