Start no task of a job that is sent again while a run of its earlier request is in the books

The path by which a job that came back to the same entry started beside its earlier runs: their caller had left, their stops had no response, and a new request began without a look at them. Such runs are counted by task until their end is known. TestResubmittedJobWaitsForItsEarlierRuns failed before.

--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -53,6 +53,7 @@
 		})
 	}
 	if j.ended {
+		s.lingers(r, -1)
 		return
 	}
 	k := &j.tasks[r.step][r.index]
@@ -131,12 +132,25 @@
 	}
 }
 
+// lingers adds n to the number of runs of a task whose job has ended.
+func (s *Scheduler) lingers(r *run, n int) {
+	if s.lingering[r.id.Task] += n; s.lingering[r.id.Task] == 0 {
+		delete(s.lingering, r.id.Task)
+	}
+}
+
+// stopRuns stops the runs in flight of a job that has ended.
 func (s *Scheduler) stopRuns(j *activeJob) {
 	byTarget := make(map[*target][]workload.RunID)
 	var targets []*target
 	for step := range j.tasks {
 		for index := range j.tasks[step] {
-			if r := j.tasks[step][index].run; r != nil && !r.stopping {
+			r := j.tasks[step][index].run
+			if r == nil {
+				continue
+			}
+			s.lingers(r, 1)
+			if !r.stopping {
 				r.stopping = true
 				if byTarget[r.target] == nil {
 					targets = append(targets, r.target)
--- a/placement/place.go
+++ b/placement/place.go
@@ -212,6 +212,10 @@
 			if k.state != taskWaiting {
 				continue
 			}
+			if len(s.lingering) > 0 && s.lingering[j.taskID(step, index)] > 0 {
+				complete = false // a run for an earlier request of the same job may be at work
+				continue
+			}
 			kind := s.confinementOf(j, step, index, now)
 			if kind == held {
 				complete = false
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -58,13 +58,15 @@
 // Scheduler places the jobs of one entry on targets. Its methods are safe for concurrent
 // use.
 type Scheduler struct {
-	opts      Options
-	mu        sync.Mutex
-	jobs      map[*activeJob]struct{}
-	byID      map[string]*activeJob
-	queue     []*activeJob // jobs with waiting tasks, sorted by key
-	targets   map[string]*target
-	ordered   []*target // sorted by name
+	opts    Options
+	mu      sync.Mutex
+	jobs    map[*activeJob]struct{}
+	byID    map[string]*activeJob
+	queue   []*activeJob // jobs with waiting tasks, sorted by key
+	targets map[string]*target
+	ordered []*target // sorted by name
+	// lingering has the number of runs that have not ended yet, by task, of jobs that have.
+	lingering map[workload.TaskID]int
 	estimates estimates
 	demand    demand
 	crashes   *crash.History
@@ -97,6 +99,7 @@
 		jobs:      make(map[*activeJob]struct{}),
 		byID:      make(map[string]*activeJob),
 		targets:   make(map[string]*target),
+		lingering: make(map[workload.TaskID]int),
 		estimates: newEstimates(),
 		demand:    newDemand(),
 		crashes:   crash.NewHistory(),
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -445,3 +445,31 @@
 		t.Errorf("%d starts and %+v after a later state, want one start and two runs", n, s.Load())
 	}
 }
+
+// Guards against a job that is sent again to the same entry and starts while a run of its earlier
+// request is still at work: the caller had left, and the stop of the run has no response yet.
+func TestResubmittedJobWaitsForItsEarlierRuns(t *testing.T) {
+	s := placement.New(placement.Options{})
+	a := join(s, "a", 1, begin)
+	first := submit(t, s, request("j", 1, 1000), begin)
+	first.Cancel(after(100 * time.Millisecond))
+	b := join(s, "b", 1, after(100*time.Millisecond))
+	submit(t, s, request("j", 1, 1000), after(200*time.Millisecond))
+	submit(t, s, request("other", 1, 1000), after(200*time.Millisecond))
+	tickUntil(s, 200*time.Millisecond, 300*time.Millisecond)
+	for _, m := range append(a.starts()[1:], b.starts()...) {
+		if m.Run.Task.Job == "j" {
+			t.Fatalf("%v starts before the earlier run has ended", m.Run)
+		}
+	}
+	s.HandleRunEnd("a", a, &wire.RunEnd{Run: a.starts()[0].Run, Status: wire.EndStopped, Room: wire.Room{Free: capacity(8000)}}, after(400*time.Millisecond))
+	started := 0
+	for _, m := range append(a.starts()[1:], b.starts()...) {
+		if m.Run.Task.Job == "j" {
+			started++
+		}
+	}
+	if started != 1 {
+		t.Errorf("%d starts after the earlier run has ended, want 1", started)
+	}
+}
