Close a target that started again until its new process has reported

A report describes one process of the target; it opens the target only while that process answers the polls.

Evidence: TestRestartedTargetIsClosedUntilItReports and TestChangedLabelsAreAnnounced; before, the target was open with the earlier labels.

--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -166,7 +167,7 @@
 	s.reportedAt = time.Now()
 	s.saveReport(r)
 	s.table.SetCapacity(r.Capacity)
-	if !wasUsable || before.Target != r.Target || wasAccepting != s.acceptsRuns() || before.Draining != r.Draining || before.Capacity != r.Capacity {
+	if !wasUsable || wasAccepting != s.acceptsRuns() || describesOtherwise(before, r) {
 		s.log.Info("target reported", zap.String("target", r.Target), zap.String("service", r.Service), zap.Bool("draining", r.Draining),
 			zap.Int64("cpu", r.Capacity.CPU), zap.Int64("memory_mb", r.Capacity.Memory), zap.Strings("labels", r.Labels), zap.Uint64("sequence", r.Sequence))
 		s.broadcastState()
@@ -175,6 +176,11 @@
 	s.updateStaleness(s.reportedAt)
 }
 
+// describesOtherwise reports whether two reports differ in what entries have to know.
+func describesOtherwise(a, b targets.Report) bool {
+	return a.Target != b.Target || a.Service != b.Service || a.Draining != b.Draining || a.Capacity != b.Capacity || !slices.Equal(a.Labels, b.Labels)
+}
+
 // endWithProcess returns how the runs end that were on the target when its process ended.
 func (s *Sidecar) endWithProcess() wire.EndStatus {
 	if s.leaves() {
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -188,3 +188,42 @@
 		}
 	})
 }
+
+// Guards against tasks that start on a target which came back under its id as another kind: it is
+// closed until it has reported, and entries are told of the labels.
+func TestRestartedTargetIsClosedUntilItReports(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.runner.Restart()
+		time.Sleep(time.Second)
+		if s := l.state(); !s.Closed {
+			t.Errorf("announced state %+v before the new process has reported, want a closed target", s)
+		}
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(50 * time.Millisecond)
+		if n := b.runner.Starts(firstTask); n != 0 {
+			t.Errorf("%d starts before the new process has reported", n)
+		}
+		b.sidecar.HandleReport(targets.Report{
+			Target: "i-standin", Service: "frames", Capacity: workload.Resources{CPU: 32000, Memory: 131072}, Labels: []string{"b"}, Born: b.born(), Sequence: 1,
+		})
+		time.Sleep(300 * time.Millisecond)
+		if s := l.state(); s.Closed || len(s.Labels) != 1 || s.Labels[0] != "b" {
+			t.Errorf("announced state %+v, want an open target with the label b", s)
+		}
+	})
+}
+
+// Guards against entries that are not told of a target's changed labels.
+func TestChangedLabelsAreAnnounced(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.number++
+		b.sidecar.HandleReport(targets.Report{
+			Target: "i-standin", Service: "frames", Capacity: workload.Resources{CPU: 32000, Memory: 131072}, Labels: []string{"b"}, Born: b.born(), Sequence: b.number,
+		})
+		if s := l.state(); len(s.Labels) != 1 || s.Labels[0] != "b" {
+			t.Errorf("announced labels %v, want b", s.Labels)
+		}
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -334,7 +334,13 @@
 
 // acceptsRuns reports whether new runs can be started on the target.
 func (s *Sidecar) acceptsRuns() bool {
-	return s.ready() && s.target.reachable && s.target.orphans == 0 && !s.stopping && !s.report.Draining && !s.report.Left
+	return s.ready() && s.reportIsCurrent() && s.target.reachable && s.target.orphans == 0 && !s.stopping && !s.report.Draining && !s.report.Left
+}
+
+// reportIsCurrent reports whether the report is from the process that answers the polls. Another
+// process under the same id may be of another kind or size.
+func (s *Sidecar) reportIsCurrent() bool {
+	return s.target.born == 0 || s.report.Born == 0 || s.target.born == s.report.Born
 }
 
 // broadcastState tells the entries the target's state. An entry that knows nothing of the target on
