Ignore entries among the peers whose address cannot be dialled, and log what is ignored

Operators of similar systems saw processes end, or stop following a list, after another writer had left one odd entry in it. Deep nesting, numbers too large and wrong types were ignored here already, without a log line; an entry with a port out of range, without one, or with a host name counted as a peer, was dialled for good and could be chosen as a placer.

--- a/member/directory.go
+++ b/member/directory.go
@@ -3,16 +3,23 @@
 import (
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/wire"
 )
 
+// Error is the class of errors of entries in the store that are no peers.
+var Error = errs.Class("member")
+
 // Snapshot is an immutable list of the other live entries, sorted by name. Each name
 // is listed once, with its latest incarnation.
 type Snapshot struct {
@@ -41,6 +48,7 @@
 // directory merges the peers known from the store, links and reports, by name.
 type directory struct {
 	self          wire.Peer
+	log           *zap.Logger
 	recoveryGrace time.Duration
 	reportedTTL   time.Duration
 
@@ -52,9 +60,10 @@
 	snapshot atomic.Pointer[Snapshot]
 }
 
-func newDirectory(self wire.Peer, recoveryGrace, reportedTTL time.Duration) *directory {
+func newDirectory(self wire.Peer, recoveryGrace, reportedTTL time.Duration, log *zap.Logger) *directory {
 	d := &directory{
 		self:          self,
+		log:           log,
 		recoveryGrace: recoveryGrace,
 		reportedTTL:   reportedTTL,
 		stored:        map[string]expiring{},
@@ -73,7 +82,7 @@
 	defer d.mu.Unlock()
 	listed := map[string]expiring{}
 	for _, e := range entries {
-		if p, ok := decodePeer(e); ok {
+		if p, ok := d.decodePeer(e); ok {
 			listed[p.Name] = expiring{peer: p}
 		}
 	}
@@ -116,7 +125,10 @@
 			continue
 		}
 		delete(d.stored, name)
-		if p, ok := decodePeer(c.Entry); ok && !c.Deleted {
+		if c.Deleted {
+			continue
+		}
+		if p, ok := d.decodePeer(c.Entry); ok {
 			d.stored[name] = expiring{peer: p}
 		}
 	}
@@ -124,12 +136,32 @@
 	return own
 }
 
-// decodePeer decodes the peer of a key. A value whose name does not match the key is
-// ignored.
-func decodePeer(e kv.Entry) (wire.Peer, bool) {
+// decodePeer decodes the peer of a key, and logs an entry that is none.
+func (d *directory) decodePeer(e kv.Entry) (wire.Peer, bool) {
+	p, err := decodePeer(e)
+	if err != nil {
+		d.log.Warn("entry of another writer among the peers ignored", zap.String("key", e.Key), zap.Error(err))
+	}
+	return p, err == nil
+}
+
+// decodePeer decodes the peer of a key. Other writers may have left entries there that are none.
+func decodePeer(e kv.Entry) (wire.Peer, error) {
 	var p wire.Peer
-	err := json.Unmarshal(e.Value, &p)
-	return p, err == nil && Prefix+p.Name == e.Key
+	if err := json.Unmarshal(e.Value, &p); err != nil {
+		return wire.Peer{}, Error.Wrap(err)
+	}
+	if Prefix+p.Name != e.Key {
+		return wire.Peer{}, Error.New("the name %q is not that of the key", p.Name)
+	}
+	if p.Address == "" {
+		return p, nil // not announced yet
+	}
+	address, err := netip.ParseAddrPort(p.Address)
+	if err == nil && address.Port() == 0 {
+		err = Error.New("the address %q has no port", p.Address)
+	}
+	return p, Error.Wrap(err)
 }
 
 func (d *directory) addLinked(p wire.Peer) {
--- a/member/member.go
+++ b/member/member.go
@@ -95,7 +95,7 @@
 		store:        store,
 		self:         self,
 		options:      o,
-		directory:    newDirectory(self, o.RecoveryGrace, o.ReportedTTL),
+		directory:    newDirectory(self, o.RecoveryGrace, o.ReportedTTL, o.Log),
 		registration: newRegistration(store, self, o.LeaseTTL),
 		keyLost:      make(chan struct{}, 1),
 	}
@@ -288,7 +288,7 @@
 	}
 	var peers []wire.Peer
 	for _, e := range entries {
-		if p, ok := decodePeer(e); ok {
+		if p, err := decodePeer(e); err == nil { // the entries log those that are none
 			peers = append(peers, p)
 		}
 	}
