Handle SIGHUP from the first statement of a gateway or sidecar

The handler was set after the settings had been read and the role had been built.

What is left is the start of the program itself.

--- a/command/node.go
+++ b/command/node.go
@@ -61,11 +61,12 @@
 }
 
 func runGateway(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	reloads := notifyReloads()
 	var a gatewayArgs
 	if exit, ok := parseArgs("gateway", &a, args, stdout, stderr); !ok {
 		return exit
 	}
-	return a.run(ctx, "entry", stderr, func(n nodeProcess) (process, error) {
+	return a.run(ctx, "entry", reloads, stderr, func(n nodeProcess) (process, error) {
 		return gateway.New(gateway.Options{
 			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
 			RoutesKey: platform.RoutesKey, DecodeRoutes: platform.DecodeRoutes,
@@ -76,11 +77,12 @@
 }
 
 func runSidecar(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	reloads := notifyReloads()
 	var a sidecarArgs
 	if exit, ok := parseArgs("sidecar", &a, args, stdout, stderr); !ok {
 		return exit
 	}
-	return a.run(ctx, "agent", stderr, func(n nodeProcess) (process, error) {
+	return a.run(ctx, "agent", reloads, stderr, func(n nodeProcess) (process, error) {
 		return sidecar.NewProcess(sidecar.ProcessOptions{
 			Node: n.node, Log: n.log, Metrics: n.metrics, Store: n.store,
 			Target:        platform.NewTargetClient(n.node.TargetAddress),
@@ -100,7 +102,7 @@
 
 // run reads the settings, builds a role and runs it. Log lines go to standard
 // output; if it blocks, lines are dropped instead of blocking the role.
-func (a nodeArgs) run(ctx context.Context, role string, stderr io.Writer, build func(nodeProcess) (process, error)) int {
+func (a nodeArgs) run(ctx context.Context, role string, reloads chan os.Signal, stderr io.Writer, build func(nodeProcess) (process, error)) int {
 	path := a.path()
 	node, err := platform.LoadNode(path)
 	if err != nil {
@@ -122,7 +124,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
-	defer watchReload(path, node, log)()
+	defer watchReload(path, node, reloads, log)()
 	if err := p.Run(ctx); err != nil {
 		log.Error("process failed", zap.Error(err))
 		return exitFailed
@@ -141,12 +143,18 @@
 // change without a signal.
 const reloadInterval = 2 * time.Second
 
+// notifyReloads returns a channel that receives SIGHUP. It is called before anything else: without a
+// handler the signal ends the process.
+func notifyReloads() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // watchReload reads the settings again on SIGHUP and when the file changes. All
 // settings (addresses and names) are fixed while a process runs, so a reload only
 // validates the file and logs whether the next start would use other settings.
-func watchReload(path string, current settings.Node, log *zap.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func watchReload(path string, current settings.Node, signals chan os.Signal, log *zap.Logger) (stop func()) {
 	done := make(chan struct{})
 	go func() {
 		ticker := time.NewTicker(reloadInterval)
