--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -14,9 +14,11 @@
 
 const (
 	// rushJobs and rushInterval are the jobs of impatient callers that reach a gateway as it
-	// freezes, and the time between them.
-	rushJobs     = 12
-	rushInterval = 30 * time.Millisecond
+	// freezes, and the time between them. They are sent again impatientTimeout and resendDelay
+	// later, and run for rushRunTime: a freeze that ends meanwhile is the worst.
+	rushJobs     = 60
+	rushInterval = 15 * time.Millisecond
+	rushRunTime  = 1200 * time.Millisecond
 	// lateStopDelay is how late a stop is applied that got no response.
 	lateStopDelay = 3 * time.Second
 	// deepNesting is a depth at which recursive decoders fail.
@@ -105,10 +107,14 @@
 func (g *generator) freezeInRush(c *callers) fault {
 	at := g.rnd.IntN(len(g.b.gateways))
 	n := g.b.gateways[at]
-	return fault{name: "freeze " + n.name + " as callers rush in", place: n.name, lasts: g.between(300, 4000), apply: func() func() {
+	lasts := g.between(300, 4000)
+	if worst := impatientTimeout + resendDelay; g.rnd.IntN(2) == 0 {
+		lasts = worst + g.between(0, int((rushRunTime+rushJobs*rushInterval).Milliseconds()))
+	}
+	return fault{name: "freeze " + n.name + " as callers rush in", place: n.name, lasts: lasts, apply: func() func() {
 		n.signal(syscall.SIGSTOP)
 		for i := range rushJobs {
-			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 4, taskSpec{cpu: taskCPU / 8, runTime: 760 * time.Millisecond})}
+			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 2, taskSpec{cpu: taskCPU / 20, runTime: rushRunTime})}
 			c.jobs.Go(func() {
 				if sleep(g.b.ctx, time.Duration(i)*rushInterval) {
 					c.submit(j)
