--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -16,8 +16,8 @@
 	// rushJobs and rushInterval are the jobs of impatient callers that reach a gateway as it
 	// freezes, and the time between them. They are sent again impatientTimeout and resendDelay
 	// later, and run for rushRunTime: a freeze that ends meanwhile is the worst.
-	rushJobs     = 60
-	rushInterval = 15 * time.Millisecond
+	rushJobs     = 300
+	rushInterval = 3 * time.Millisecond
 	rushRunTime  = 1200 * time.Millisecond
 	// lateStopDelay is how late a stop is applied that got no response.
 	lateStopDelay = 3 * time.Second
@@ -114,7 +114,7 @@
 	return fault{name: "freeze " + n.name + " as callers rush in", place: n.name, lasts: lasts, apply: func() func() {
 		n.signal(syscall.SIGSTOP)
 		for i := range rushJobs {
-			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 2, taskSpec{cpu: taskCPU / 20, runTime: rushRunTime})}
+			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 1, taskSpec{cpu: taskCPU / 40, runTime: rushRunTime})}
 			c.jobs.Go(func() {
 				if sleep(g.b.ctx, time.Duration(i)*rushInterval) {
 					c.submit(j)
