--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -234,8 +234,11 @@
 // target may have seen a much higher token, from a delayed request meant for the earlier
 // process; doubling exceeds it within about fifty calls. Only the agent on the target's own
 // instance starts runs, so that no other agent raises the token in competition.
-func (t *targetState) raiseFencingToken() {
-	t.fencingToken = max(uint64(t.clock.Milliseconds()), min(2*t.fencingToken, maxFencingToken)) + 1
+func (t *targetState) raiseFencingToken() { t.fencingToken = nextToken(t.fencingToken, t.clock) }
+
+// nextToken returns the token to use after one that was too low, at a time on the target's clock.
+func nextToken(token uint64, clock time.Duration) uint64 {
+	return max(uint64(clock.Milliseconds()), min(2*token, maxFencingToken)) + 1
 }
 
 // handleTargetRestart processes the first response of a restarted target. Delayed requests
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -77,14 +77,18 @@
 
 // confirm asks the target whether it is the process that a report names, until it answers.
 func (s *Sidecar) confirm(r targets.Report) {
+	token := uint64(0)
 	for range confirmAttempts {
-		request, sentAt := s.confirmationRequest(r)
+		request, sentAt := s.confirmationRequest(r, token)
 		ctx, cancel := context.WithTimeout(context.Background(), s.opts.RequestTimeout)
 		response, err := s.opts.Target.Poll(ctx, request)
 		cancel()
 		if s.handleConfirmation(r, sentAt, response, err) {
 			return
 		}
+		if err == nil && response.Fenced {
+			token = nextToken(request.FencingToken, response.Clock)
+		}
 		select {
 		case <-s.tomb.Dying():
 			return
@@ -93,12 +97,12 @@
 	}
 }
 
-// confirmationRequest returns a poll that changes nothing at the target. A process with another id
-// has not seen the current token, and would refuse lower ones once it had.
-func (s *Sidecar) confirmationRequest(r targets.Report) (targets.PollRequest, time.Time) {
+// confirmationRequest returns a poll that renews and acknowledges nothing. A process with another id
+// has not seen the current token, and would refuse lower ones once it had; it gets the given one.
+func (s *Sidecar) confirmationRequest(r targets.Report, token uint64) (targets.PollRequest, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	request := targets.PollRequest{Target: r.Target}
+	request := targets.PollRequest{Target: r.Target, FencingToken: token}
 	if s.report.Target == "" || s.report.Target == r.Target {
 		request.FencingToken = s.target.fencingToken
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -27,6 +27,10 @@
 	closed chan struct{}
 }
 
+func newPipeListener() *pipeListener {
+	return &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+}
+
 func (p *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-p.accept:
@@ -125,7 +129,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b := &fixture{t: t, runner: standin.NewRunner(o)}
-		listener := &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+		listener := newPipeListener()
 		server := &http.Server{Handler: b.runner.Handler()}
 		go server.Serve(listener)
 		b.client = platform.NewTargetClientWithDialer("target", listener.dial)
