Stand-in: a late request is refused by another incarnation; the model test keeps a trace

Two of 400 cases of the model test showed two runs of a task. Traced in both: the stand-in carried a late start out on the target's next process under another id, although the request names the incarnation, which refuses it.

--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -43,11 +43,12 @@
 	entries []*modelEntry
 	hosts   []*modelHost
 	callers sync.WaitGroup
-	rnd     *rand.Rand
 
 	mu       sync.Mutex
 	running  map[string]map[*modelHost]bool // hosts whose target runs a task
 	problems []string
+	trace    []string // what happened, for the report of a failure
+	began    time.Time
 	stopped  bool
 }
 
@@ -57,6 +58,17 @@
 	m.problems = append(m.problems, fmt.Sprintf(format, values...))
 }
 
+// note adds a line to the trace. It must be called with mu held.
+func (m *model) note(format string, values ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%6d ms ", time.Since(m.began).Milliseconds())+fmt.Sprintf(format, values...))
+}
+
+func (m *model) noteEvent(format string, values ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.note(format, values...)
+}
+
 func (m *model) ended() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -134,18 +146,21 @@
 	for other := range h.m.running[task] {
 		if other != h && time.Now().Before(other.runner.LeaseEnd()) {
 			h.m.problems = append(h.m.problems, fmt.Sprintf("%s starts on %s while it runs on %s", task, h.name, other.name))
+			h.m.note("both at once: %s on %s and %s", task, h.name, other.name)
 		}
 	}
 	if h.m.running[task] == nil {
 		h.m.running[task] = make(map[*modelHost]bool)
 	}
 	h.m.running[task][h] = true
+	h.m.note("%s starts on %s", task, h.name)
 }
 
 // RunEnded implements standin.RunnerObserver.
-func (h *modelHost) RunEnded(_, task, _ string) {
+func (h *modelHost) RunEnded(_, task, how string) {
 	h.m.mu.Lock()
 	defer h.m.mu.Unlock()
+	h.m.note("%s ends on %s: %s", task, h.name, how)
 	delete(h.m.running[task], h)
 }
 
@@ -221,6 +236,7 @@
 	l.gone[which] = true
 	cut := l.cut
 	l.mu.Unlock()
+	l.host.m.noteEvent("link of %s to %s ends at end %d, cut %t", l.host.name, l.entry.name, which, cut)
 	if which == agentEnd {
 		l.process.LinkDown(l, nil)
 	} else {
@@ -360,6 +376,7 @@
 	notices := func(n uint32) time.Duration {
 		return modelPeerTimeout - modelTick + time.Duration(code>>n%2)*modelTick + part*modelTick/time.Second
 	}
+	m.noteEvent("event %d at %s and %s, part %v", code%11, h.name, e.name, part)
 	switch code % 11 {
 	case 0:
 		h.silence(e, 3*part, notices(9), notices(10))
@@ -455,7 +472,7 @@
 func runModel(t *testing.T, events []uint32) (problems []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		m := &model{running: make(map[string]map[*modelHost]bool), rnd: rand.New(rand.NewPCG(uint64(len(events)), 7))}
+		m := &model{running: make(map[string]map[*modelHost]bool), began: time.Now()}
 		closeTargets := m.start()
 		for n := range 40 {
 			time.AfterFunc(time.Duration(n)*modelLength/40, func() {
@@ -473,7 +490,9 @@
 		m.callers.Wait()
 		m.checkIdle()
 		m.stop(closeTargets)
-		problems = m.problems
+		if problems = m.problems; len(problems) > 0 && testing.Verbose() {
+			t.Log(strings.Join(m.trace, "\n"))
+		}
 	})
 	return problems
 }
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -96,8 +96,8 @@
 		if drop, delay := r.takeDrop(dropCount); drop {
 			if delay > 0 {
 				time.AfterFunc(delay, func() {
-					if r.down() {
-						return
+					if r.down() || instance != "" && instance != r.ID() {
+						return // another incarnation refuses it
 					}
 					r.applyingLate.Store(true)
 					defer r.applyingLate.Store(false)
