--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -89,7 +89,8 @@
 		if r.down() {
 			panic(http.ErrAbortHandler)
 		}
-		if instance := req.Header.Get(platform.HeaderTargetInstance); instance != "" && instance != r.ID() {
+		instance := req.Header.Get(platform.HeaderTargetInstance)
+		if instance != "" && instance != r.ID() {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
