--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -105,6 +105,9 @@
 		if woke {
 			e.scheduler.AbandonAll("paused", time.Now())
 			e.scheduler.DropLinks(time.Now())
+			for _, h := range e.m.hosts {
+				h.closeByEntry(e)
+			}
 		}
 		input()
 	}
@@ -307,6 +310,17 @@
 	time.AfterFunc(max(d, agentNotices, entryNotices)+100*time.Millisecond, func() { h.relink(l) })
 }
 
+// closeByEntry ends the link to an entry that closes all of its links; the agent dials again.
+func (h *modelHost) closeByEntry(e *modelEntry) {
+	h.mu.Lock()
+	l := h.links[e]
+	h.mu.Unlock()
+	if l != nil {
+		time.AfterFunc(0, func() { l.end(entryEnd) })
+		time.AfterFunc(modelPeerTimeout+modelTick, func() { h.relink(l) })
+	}
+}
+
 func (h *modelHost) relink(l *modelLink) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
