Model test: links deliver in order

Messages of one link that were sent at the same moment could overtake each other in the model, so that an entry was left with an earlier state of a target (4 of 500 cases). Links are ordered streams. With ordered delivery none of the 500 cases shows a problem.

--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -173,10 +173,16 @@
 	entry   *modelEntry
 	process *sidecar.Sidecar
 
-	mu       sync.Mutex
-	cut      bool // messages are lost in both directions
-	lastSent [2]time.Time
-	gone     [2]bool // by end: the agent's, the entry's
+	mu    sync.Mutex
+	cut   bool              // messages are lost in both directions
+	gone  [2]bool           // by end: the agent's, the entry's
+	queue [2][]modelMessage // by receiving end, in the order in which they were sent
+}
+
+// modelMessage is a message on its way.
+type modelMessage struct {
+	at     time.Time
+	handle func()
 }
 
 const (
@@ -184,21 +190,40 @@
 	entryEnd
 )
 
-// deliver passes a message on after a hop unless the link is cut or the receiving end is gone.
+// deliver passes a message on after a hop, in order, unless the link is cut or the receiving end is gone.
 func (l *modelLink) deliver(to int, handle func()) {
-	time.AfterFunc(modelHop, func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue[to] = append(l.queue[to], modelMessage{time.Now().Add(modelHop), handle})
+	if len(l.queue[to]) == 1 {
+		go l.drain(to)
+	}
+}
+
+func (l *modelLink) drain(to int) {
+	for {
+		l.mu.Lock()
+		next := l.queue[to][0]
+		l.mu.Unlock()
+		time.Sleep(time.Until(next.at))
 		l.mu.Lock()
 		lost := l.cut || l.gone[to]
 		l.mu.Unlock()
-		if lost || l.host.m.ended() {
-			return
+		switch {
+		case lost || l.host.m.ended():
+		case to == entryEnd:
+			l.entry.inputs <- next.handle
+		default:
+			next.handle()
 		}
-		if to == entryEnd {
-			l.entry.inputs <- handle
+		l.mu.Lock()
+		l.queue[to] = l.queue[to][1:]
+		empty := len(l.queue[to]) == 0
+		l.mu.Unlock()
+		if empty {
 			return
 		}
-		handle()
-	})
+	}
 }
 
 // Send implements sidecar.Link: a message to the entry.
