Soak: callers go on to rush in for as long as a gateway is frozen

A gateway reads a backlog of a moment before an agent has linked again. With callers that go on, as the balancer lets them for two seconds, it is busy with the backlog when the links come up.

--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	// rushJobs and rushInterval are the jobs of impatient callers that reach a gateway as it
-	// freezes, and the time between them. They are sent again impatientTimeout and resendDelay
-	// later, and run for rushRunTime: a freeze that ends meanwhile is the worst.
-	rushJobs     = 300
-	rushInterval = 3 * time.Millisecond
+	// rushInterval is the time between the jobs of impatient callers that reach a gateway while it
+	// is frozen. They are sent again impatientTimeout and resendDelay later, and run for
+	// rushRunTime: a freeze that ends meanwhile is the worst.
+	rushInterval = 6 * time.Millisecond
 	rushRunTime  = 1200 * time.Millisecond
 	// lateStopDelay is how late a stop is applied that got no response.
 	lateStopDelay = 3 * time.Second
@@ -29,10 +28,8 @@
 // from the other faults, so that these are the same for a seed with and without.
 func (g *generator) adverse(phase time.Duration, c *callers) []fault {
 	apart := &generator{b: g.b, rnd: rand.New(rand.NewPCG(g.b.seed, 5))}
-	choices := []func() fault{
-		apart.oddReport, apart.oddReport, apart.leavingTarget, apart.unansweredStops,
-		func() fault { return apart.freezeInRush(c) },
-	}
+	rush := func() fault { return apart.freezeInRush(c) }
+	choices := []func() fault{apart.oddReport, apart.oddReport, apart.leavingTarget, apart.unansweredStops, rush, rush}
 	var out []fault
 	for at := apart.between(0, 800); at < phase; at += apart.between(300, 1500) {
 		f := pick(apart.rnd, choices)()
@@ -109,14 +106,14 @@
 	n := g.b.gateways[at]
 	lasts := g.between(300, 4000)
 	if worst := impatientTimeout + resendDelay; g.rnd.IntN(2) == 0 {
-		lasts = worst + g.between(0, int((rushRunTime+rushJobs*rushInterval).Milliseconds()))
+		lasts = worst + g.between(200, int(rushRunTime.Milliseconds()))
 	}
 	return fault{name: "freeze " + n.name + " as callers rush in", place: n.name, lasts: lasts, apply: func() func() {
 		n.signal(syscall.SIGSTOP)
-		for i := range rushJobs {
+		for i := range lasts / rushInterval {
 			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 1, taskSpec{cpu: taskCPU / 40, runTime: rushRunTime})}
 			c.jobs.Go(func() {
-				if sleep(g.b.ctx, time.Duration(i)*rushInterval) {
+				if sleep(g.b.ctx, i*rushInterval) {
 					c.submit(j)
 				}
 			})
