Confirm a start only by the process of the target whose clock is known

A target starts again while its responses to polls are lost, and its next process takes a start. The lease in it is a time on the earlier process's clock; on the new one, which is far behind, it lasts as long as the target grants one, 1 s instead of 0.6. The agent counted the lease on the earlier clock, and reported the run as ended 0.3 s too early.

Responses to starts carry the target's clock. If it is behind that of the process that answered the last poll, the run stays unconfirmed, and is reported only once the target answers.

--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -177,16 +177,25 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.opts.RequestTimeout)
 	defer cancel()
-	result, reason := s.opts.Target.Start(ctx, incarnation, request)
+	sentAt := time.Now()
+	response := s.opts.Target.Start(ctx, incarnation, request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table.Get(r.ID) != r {
 		return // its end has been reported already
 	}
 	now := time.Now()
-	switch result {
+	switch response.Result {
 	case targets.Started:
-		r.State, r.ConfirmedAt = runs.Running, now
+		if s.answersAsPolled(sentAt, response.Clock) {
+			r.State, r.ConfirmedAt = runs.Running, now
+			return
+		}
+		// Its lease ends by the clock of a process that has not answered a poll.
+		if r.State == runs.Starting {
+			r.State = runs.Unconfirmed
+		}
+		signal(s.pollNow)
 		return
 	case targets.StartUnknown:
 		s.opts.Metrics.RequestUnanswered("start")
@@ -209,8 +218,22 @@
 		s.remove(r, wire.EndNotRun, "fenced")
 	default:
 		s.target.backoffUntil = now.Add(refusalBackoff)
-		s.remove(r, wire.EndNotRun, reason)
+		s.remove(r, wire.EndNotRun, response.Reason)
+	}
+}
+
+// answersAsPolled reports whether a response with a time on the target's clock, to a request sent at
+// sentAt, is from the process that answered the last poll. The clock of a process that has started
+// since then is behind.
+func (s *Sidecar) answersAsPolled(sentAt time.Time, clock time.Duration) bool {
+	if s.target.clockAt.IsZero() {
+		return false
+	}
+	passed := sentAt.Sub(s.target.clockAt)
+	if passed > 0 {
+		passed = time.Duration(float64(passed) / clockDriftFactor)
 	}
+	return clock+clockResolution >= s.target.clock+passed
 }
 
 func (s *Sidecar) remove(r *runs.Run, end wire.EndStatus, reason string) {
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -18,11 +18,11 @@
 	requestDelay, responseDelay time.Duration
 }
 
-func (l *delayedStarts) Start(_ context.Context, target string, o targets.StartRequest) (targets.StartResult, string) {
+func (l *delayedStarts) Start(_ context.Context, target string, o targets.StartRequest) targets.StartResponse {
 	time.Sleep(l.requestDelay)
-	result, reason := l.Client.Start(context.Background(), target, o)
+	response := l.Client.Start(context.Background(), target, o)
 	time.Sleep(l.responseDelay)
-	return result, reason
+	return response
 }
 
 // restartDuringStart restarts the target under the same id while a request to start the first
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -292,11 +292,11 @@
 	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
 		l := b.open("a")
 		b.runner.SetFaults(standin.RunnerFaults{DropStops: 2})
-		started, _ := b.client.Start(context.Background(), "i-standin", targets.StartRequest{
+		started := b.client.Start(context.Background(), "i-standin", targets.StartRequest{
 			Run: id(7, 1), Spec: "s", LeaseEnd: time.Hour, FencingToken: 1 << 40,
 		})
-		if started != targets.Started {
-			t.Errorf("start: %v", started)
+		if started.Result != targets.Started {
+			t.Errorf("start: %+v", started)
 		}
 		closed := false
 		for range 1000 {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -51,6 +51,8 @@
 	unresponsiveAfter = 400 * time.Millisecond
 	// clockDriftFactor allows for a target clock that runs up to 2% slow.
 	clockDriftFactor = 1.02
+	// clockResolution is the resolution of the target's clock in responses.
+	clockResolution = time.Millisecond
 	// leaseMargin is added to the time after which a lease counts as expired. It allows for the
 	// target's timers.
 	leaseMargin = 50 * time.Millisecond
--- a/sidecar/silence_test.go
+++ b/sidecar/silence_test.go
@@ -87,3 +87,38 @@
 		}
 	})
 }
+
+// Guards against a run whose lease counts as over on the clock of a process that has ended: the target
+// starts again while its responses to polls are lost, its next process takes the start, and its clock
+// is so far behind that the lease lasts as long as it grants one.
+func TestLeaseCountsOnTheClockOfTheProcessThatTookTheStart(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		if err := b.sidecar.Kill(); err != nil {
+			t.Error(err)
+		}
+		client := &lostResponses{Client: b.client}
+		b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
+		b.sidecar.Start()
+		b.report("ready")
+		l := b.open("a")
+		time.Sleep(3 * time.Second)
+		client.lost.Store(true)
+		b.runner.SetFaults(standin.RunnerFaults{DropPolls: 1 << 20})
+		time.Sleep(350 * time.Millisecond) // the last renewal is sent 400 ms after the last response
+		b.runner.Restart()
+		time.Sleep(20 * time.Millisecond)
+		b.start(l, id(0, 1), 1000)
+		for range 5000 {
+			time.Sleep(time.Millisecond)
+			if left := b.runner.Running(); len(l.ends()) > 0 && len(left) > 0 {
+				t.Fatalf("run ends received: %+v while %v still run", l.ends(), left)
+			}
+		}
+		client.lost.Store(false)
+		b.runner.SetFaults(standin.RunnerFaults{})
+		time.Sleep(2 * time.Second)
+		if ends := l.ends(); len(ends) != 1 || b.runner.Starts(firstTask) != 1 {
+			t.Errorf("run ends received: %+v after %d starts, want one end of one start", ends, b.runner.Starts(firstTask))
+		}
+	})
+}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -49,6 +49,13 @@
 	StartNotRun
 )
 
+// StartResponse is the response to a request to start a run.
+type StartResponse struct {
+	Result StartResult
+	Reason string        // why the run was not started
+	Clock  time.Duration // the target's clock at the response; 0: not known
+}
+
 // StartRequest asks the target to start a run. LeaseEnd is the time on the target's clock at
 // which the lease of all its runs expires.
 type StartRequest struct {
@@ -97,7 +104,7 @@
 // Client sends requests to a target. Errors from Poll wrap ErrNotListening if the target's
 // process has ended.
 type Client interface {
-	Start(ctx context.Context, target string, r StartRequest) (StartResult, string)
+	Start(ctx context.Context, target string, r StartRequest) StartResponse
 	// Stop reports whether the target has acknowledged the stop. The run may not have ended
 	// yet.
 	Stop(ctx context.Context, target string, run workload.RunID, fencingToken uint64) bool
