--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -108,8 +108,8 @@
 // renewedLease returns the lease end to send with a poll, or 0 to renew nothing. A target that
 // has been silent for unresponsiveAfter may still receive the polls; with renewals, its runs
 // would continue for as long as it is silent. While a stop has no response, nothing is renewed
-// either, so that its run ends with the lease before its caller sends the job again. A lease that no process gets would delay the report
-// of its runs' end.
+// either, so that its run ends with the lease before its caller sends the job again. A lease that
+// no process gets would delay the report of its runs' end.
 func (s *Sidecar) renewedLease(now time.Time) time.Duration {
 	if !s.target.answeredAt.IsZero() && (!s.target.reachable || now.Sub(s.target.answeredAt) > unresponsiveAfter) {
 		return 0
