--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
@@ -20,8 +17,6 @@
 	rushRunTime  = 1200 * time.Millisecond
 	// lateStopDelay is how late a stop is applied that got no response.
 	lateStopDelay = 3 * time.Second
-	// deepNesting is a depth at which recursive decoders fail.
-	deepNesting = 20000
 )
 
 // adverse generates what other writers, leaving targets and impatient callers do. It is drawn apart
@@ -43,42 +38,13 @@
 // have no effect, so that it does not count as a fault.
 func (g *generator) oddReport() fault {
 	n := g.anySidecar()
-	kind := g.rnd.IntN(8)
+	kind := g.rnd.IntN(standin.OddReports)
 	return fault{name: "odd report to " + n.name, place: n.name, planned: true, apply: func() func() {
-		path, body := n.oddReport(kind)
-		// An error means that the sidecar does not run.
-		if resp, err := http.Post("http://"+n.reports+path, "application/json", bytes.NewReader([]byte(body))); err == nil {
-			resp.Body.Close()
-		}
+		n.target.SendOddReport(n.reports, service, kind)
 		return func() {}
 	}}
 }
 
-// oddReport returns the path and body of a report that is not from a node's target.
-func (n *node) oddReport(kind int) (path, body string) {
-	const format = `{"service":%q,"address":"127.0.0.1:99999","zone":"a","state":%q,"capacity":{"cpu":%s,"mem_mb":8192,"gpu":0},"labels":["m"],"sequence":%s,"born":%s}`
-	own, foreign := "/instances/"+n.target.ID()+"/heartbeat", "/instances/w-71c0/heartbeat"
-	later := fmt.Sprint(time.Now().Add(-time.Second).UnixMilli())
-	switch kind {
-	case 0:
-		return foreign, fmt.Sprintf(format, service, "ready", "4000", "1", later)
-	case 1:
-		return own, fmt.Sprintf(format, service, "draining", "0", "1000000", later)
-	case 2:
-		return foreign, fmt.Sprintf(format, "another", "ready", "4000", "1", later)
-	case 3:
-		return own, fmt.Sprintf(format, service, "gone", "4000", "1000000", "1")
-	case 4:
-		return foreign, fmt.Sprintf(format, service, "ready", "1e400", "1e400", "1e400")
-	case 5:
-		return foreign, fmt.Sprintf(format, service, "ready", "9223372036854775807", "18446744073709551615", "9223372036854775807")
-	case 6:
-		return own, `{"labels":` + strings.Repeat("[", deepNesting) + strings.Repeat("]", deepNesting) + "}"
-	default:
-		return "/instances/w-71c0/deregister", "{}"
-	}
-}
-
 // leavingTarget has a target leave as planned and take some time to end after it has deregistered,
 // whether its sidecar has acknowledged that or not. Another one takes its place.
 func (g *generator) leavingTarget() fault {
