Soak: a lost request counts the starts since it was sent

The check now counts the starts of the job since the send began; everything else about it is as strict as before.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -100,7 +100,7 @@
 	from, to    time.Time
 	response    platform.JobResponse
 	err         error
-	started     bool // a task of the job had started by the end
+	started     bool // a task of the job has started since from
 }
 
 func (c *callers) randomJob(rnd *rand.Rand) *callerJob {
@@ -160,6 +160,7 @@
 
 func (c *callers) send(ctx context.Context, g *node, prefix string, j *callerJob) send {
 	s := send{gateway: g, incarnation: g.incarnation(), from: time.Now()}
+	startsBefore := c.b.runChecker.startsOf(j.job.ID)
 	budget := callerTimeout
 	if j.impatient {
 		budget = impatientTimeout
@@ -174,7 +175,7 @@
 			s.response, err = platform.ReadJobResponse(resp)
 		}
 	}
-	s.err, s.to, s.started = err, time.Now(), c.b.runChecker.started(j.job.ID)
+	s.err, s.to, s.started = err, time.Now(), c.b.runChecker.startsOf(j.job.ID) > startsBefore
 	return s
 }
 
--- a/soak/run_checker.go
+++ b/soak/run_checker.go
@@ -30,9 +30,10 @@
 // taskHistory is the record of one task's runs.
 type taskHistory struct {
 	running map[string]int64 // CPU in thousandths of a core, by target that runs the task
-	done    int              // runs that ended "done"
-	crashes int              // starts that crashed a target
-	failed  int              // runs that ended "failed"
+	starts  int
+	done    int // runs that ended "done"
+	crashes int // starts that crashed a target
+	failed  int // runs that ended "failed"
 }
 
 // MaxAttempts is the number of failed runs of a task that fail its job, on every route.
@@ -125,6 +126,7 @@
 			c.addViolation("TWICE", "%s starts on %s while it runs on %s", task, target, other)
 		}
 	}
+	t.starts++
 	s := parseSpec(spec)
 	if s.crashes {
 		c.checkCrashes(t, task)
@@ -192,6 +194,17 @@
 	return append([]string(nil), c.violations...)
 }
 
+// startsOf returns the number of starts of a job's tasks.
+func (c *runChecker) startsOf(job string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, t := range c.byJob[job] {
+		n += t.starts
+	}
+	return n
+}
+
 // started reports whether a task of a job has started.
 func (c *runChecker) started(job string) bool {
 	c.mu.Lock()
