--- a/sidecar/poll_test.go
+++ b/sidecar/poll_test.go
@@ -34,13 +34,8 @@
 // useEditedPolls replaces the sidecar by one whose poll responses can be changed.
 func (b *fixture) useEditedPolls() *editedPolls {
 	b.t.Helper()
-	if err := b.sidecar.Kill(); err != nil {
-		b.t.Fatal(err)
-	}
 	client := &editedPolls{Client: b.client}
-	b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
-	b.sidecar.Start()
-	b.report("ready")
+	b.useClient(client)
 	return client
 }
 
