--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -73,6 +73,13 @@
 	f.placers.peers[l] = &peerState{}
 }
 
+// linked reports whether a link to a peer is in use.
+func (f *forwarder) linked(l peerLink) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.peers[l] != nil
+}
+
 // handleState records what a peer says of itself.
 func (f *forwarder) handleState(l peerLink, m *wire.PlacerState, now time.Time) {
 	f.mu.Lock()
@@ -278,6 +285,9 @@
 // forwardTo sends a job to a peer and returns its answer, and whether the peer accepted the
 // job.
 func (g *Gateway) forwardTo(ctx context.Context, link peerLink, r placement.Request, lastChoice bool) (placement.Answer, bool) {
+	if reason := g.outdated(ctx, r); reason != "" {
+		return g.refuse(r, reason), true
+	}
 	f, started := g.forwarder, time.Now()
 	j, err := f.send(link, r, lastChoice, started)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,8 @@
 		configured:  make(chan struct{}),
 		forwarder:   newForwarder(),
 		created:     time.Now(),
+
+		pauseDetector: pausedetect.New(maxPause),
 	}
 	g.servers = httpserve.New(&g.tomb, o.Log)
 	g.scheduler = placement.New(placement.Options{
@@ -111,6 +113,7 @@
 		Observer:       observer{log: o.Log, metrics: o.Metrics},
 		LostRunTimeout: LostRunTimeout,
 		Entries:        func() int { return o.Topology.LinksPerTarget(len(g.entries())) },
+		Paused:         g.pauseDetector.Watch(),
 	})
 	return g, nil
 }
@@ -118,7 +121,7 @@
 // Run serves until ctx is cancelled, which begins a planned stop, and returns
 // when that stop has ended.
 func (g *Gateway) Run(ctx context.Context) error {
-	g.pauseDetector = pausedetect.Start(maxPause)
+	g.pauseDetector.Start()
 	defer g.pauseDetector.Stop()
 	if err := g.start(); err != nil {
 		return err
@@ -203,12 +206,12 @@
 	g.requests.Add(1)
 	defer g.requests.Add(-1)
 	if g.refusing.Load() {
-		g.log.Info("job refused", zap.String("job", r.Job.ID), zap.String("route", r.Route.Name), zap.Uint64("version", r.Version), zap.String("reason", "the entry is stopping"))
-		return placement.Answer{Outcome: placement.Refused, Reason: "the entry is stopping", RetryAfter: time.Second}
+		return g.refuse(r, "the entry is stopping")
 	}
 	if stopAt := g.stopAt.Load(); stopAt != nil {
 		r.StopAt = *stopAt
 	}
+	g.checkPause()
 	if a, accepted := g.submitToPlacer(ctx, r); accepted {
 		return a
 	}
@@ -217,6 +220,9 @@
 			return a
 		}
 	}
+	if reason := g.outdated(ctx, r); reason != "" {
+		return g.refuse(r, reason)
+	}
 	ticket, refusal := g.scheduler.Submit(r, time.Now())
 	if refusal != nil {
 		return *refusal
@@ -230,6 +236,26 @@
 	}
 }
 
+// outdated returns why a request may not start a job any more, or an empty string. Its caller may
+// have sent the job elsewhere.
+func (g *Gateway) outdated(ctx context.Context, r placement.Request) string {
+	switch {
+	case ctx.Err() != nil:
+		return "the caller has left"
+	case !time.Now().Before(r.Deadline):
+		return "the caller's time is over"
+	case !r.ReadAt.IsZero() && g.pauseDetector.PausedSince(r.ReadAt):
+		return "the entry process was paused"
+	}
+	return ""
+}
+
+// refuse logs the refusal of a job of which nothing has run here and returns it.
+func (g *Gateway) refuse(r placement.Request, reason string) placement.Answer {
+	g.log.Info("job refused", zap.String("job", r.Job.ID), zap.String("route", r.Route.Name), zap.Uint64("version", r.Version), zap.String("reason", reason))
+	return placement.Answer{Outcome: placement.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
+}
+
 // RecordRejection logs and counts a request that was answered before it became a job.
 func (g *Gateway) RecordRejection(host, path string, version uint64, reason string) {
 	g.opts.Metrics.Add(metrics.JobsRefused, 1, metrics.TagCode, "rejected")
@@ -276,9 +302,9 @@
 	}
 }
 
-// checkPause abandons all jobs after a pause of the process: the agents have stopped their
-// runs, and callers may have sent the jobs to other entries. No message is handled in the
-// meantime.
+// checkPause abandons all jobs and links after a pause of the process: the agents have stopped
+// their runs, callers may have sent the jobs to other entries, and what is left in the links'
+// buffers is out of date. No message is handled in the meantime.
 func (g *Gateway) checkPause() {
 	g.pauseMu.Lock()
 	defer g.pauseMu.Unlock()
@@ -288,4 +314,5 @@
 	g.log.Warn("this process stood still", zap.Duration("longer_than", maxPause))
 	g.scheduler.AbandonAll("the entry process was paused", time.Now())
 	g.forwarder.abandonAll("the entry process was paused")
+	g.closeLinks("this process was paused")
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -96,6 +97,23 @@
 	}
 }
 
+// closeLinks closes all links. Messages that arrived on them are not handled any more, so that
+// those of later links are the only ones that are.
+func (g *Gateway) closeLinks(reason string) {
+	now := time.Now()
+	g.mu.Lock()
+	agents := slices.Collect(maps.Keys(g.agents))
+	g.mu.Unlock()
+	g.scheduler.DropLinks(now)
+	for _, l := range agents {
+		_ = l.Close(Error.New("%s", reason)) // never fails
+	}
+	for _, l := range g.forwarder.links() {
+		g.endForwarded(l)
+		_ = l.Close(Error.New("%s", reason)) // never fails
+	}
+}
+
 // entries returns this entry and the peers that it knows from the store or a link.
 func (g *Gateway) entries() []wire.Peer {
 	return append([]wire.Peer{g.self()}, g.members.Snapshot().Direct...)
@@ -117,13 +135,21 @@
 
 func (g *Gateway) peerDown(l *transport.Link, err error) {
 	g.log.Info("peer link ended", zap.String("peer", l.Name()), zap.Error(err))
+	g.endForwarded(l)
+}
+
+// endForwarded ends the jobs that were sent and received over a link that has ended.
+func (g *Gateway) endForwarded(l peerLink) {
 	now := time.Now()
 	for _, t := range g.forwarder.linkDown(l) {
 		t.Cancel(now)
 	}
 }
 
-func (g *Gateway) handlePeer(l *transport.Link, m wire.Message) {
+func (g *Gateway) handlePeer(l peerLink, m wire.Message) {
+	if !g.forwarder.linked(l) {
+		return // closed after a pause of this process
+	}
 	switch m := m.(type) {
 	case *wire.Heartbeat:
 		if known := g.version(); m.Revision > known {
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -30,9 +30,10 @@
 // the target.
 const runStopTimeout = 100 * time.Millisecond
 
-// maxPause is the longest pause of the process after which jobs continue. It is below the time
-// after which callers send their jobs again.
-const maxPause = time.Second
+// maxPause is the longest pause of the process after which jobs and links continue. The runs of a
+// job that a peer had sent have to end before its caller sends it again, 1.3 s after the peer is
+// gone: maxPause, the peer timeout and the time to stop runs are less than that.
+const maxPause = 600 * time.Millisecond
 
 const (
 	// maxMemberBackoff bounds the delay between attempts to register while the store fails: a
@@ -41,6 +42,9 @@
 	// gaugeInterval is the interval at which gauges are updated; they are scraped every few
 	// seconds.
 	gaugeInterval = time.Second
+	// refusalRetryAfter is the delay after which callers may send a refused job again, to this entry
+	// or another one.
+	refusalRetryAfter = time.Second
 	// agentListInterval is the shortest interval between two lists of entries to the agents, and
 	// the one at which links to peers that are no longer needed are closed. Agents reach their
 	// other placer meanwhile.
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/internal/connstate"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/settings"
 )
@@ -49,6 +50,7 @@
 	}
 	server := &http.Server{
 		Handler:           h,
+		ConnContext:       connstate.NewContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          settings.ServerLogger(s.log),
--- a/internal/pausedetect/pausedetect.go
+++ b/internal/pausedetect/pausedetect.go
@@ -18,20 +18,30 @@
 type Detector struct {
 	limit     time.Duration
 	clock     func() int64
-	lastCheck atomic.Int64 // clock reading at the last check
-	pauses    atomic.Int64 // pauses detected
-	reported  atomic.Int64 // value of pauses at the last call of Paused
+	lastCheck atomic.Int64              // clock reading at the last check
+	pauses    atomic.Int64              // pauses detected
+	resumed   atomic.Pointer[time.Time] // when the last pause was detected; nil: none
+	reported  atomic.Int64              // value of pauses at the last call of Paused
 	stop      chan struct{}
 }
 
 // Start returns a running detector of pauses longer than limit, which must exceed
 // the 20 ms between checks. Stop ends it.
 func Start(limit time.Duration) *Detector {
-	d := newDetector(limit, bootTimeNanos)
-	go d.run()
+	d := New(limit)
+	d.Start()
 	return d
 }
 
+// New returns a detector like Start, whose periodic check does not run before its Start is called.
+func New(limit time.Duration) *Detector { return newDetector(limit, bootTimeNanos) }
+
+// Start starts the periodic check.
+func (d *Detector) Start() {
+	d.lastCheck.Store(d.clock())
+	go d.run()
+}
+
 func newDetector(limit time.Duration, clock func() int64) *Detector {
 	d := &Detector{limit: limit, clock: clock, stop: make(chan struct{})}
 	d.lastCheck.Store(clock())
@@ -57,6 +67,8 @@
 func (d *Detector) check() {
 	now := d.clock()
 	if time.Duration(now-d.lastCheck.Swap(now)) > d.limit {
+		resumed := time.Now()
+		d.resumed.Store(&resumed)
 		d.pauses.Add(1)
 	}
 }
@@ -70,6 +82,25 @@
 	return d.reported.Swap(pauses) != pauses
 }
 
+// Watch returns a function that reports whether the process was paused since its last call, or
+// since Watch was called. Each function reports each pause once, independently of the others and of Paused.
+func (d *Detector) Watch() func() bool {
+	var reported atomic.Int64
+	reported.Store(d.pauses.Load())
+	return func() bool {
+		d.check()
+		pauses := d.pauses.Load()
+		return reported.Swap(pauses) != pauses
+	}
+}
+
+// PausedSince reports whether a pause has ended after t.
+func (d *Detector) PausedSince(t time.Time) bool {
+	d.check()
+	resumed := d.resumed.Load()
+	return resumed != nil && t.Before(*resumed)
+}
+
 // bootTimeNanos returns the nanoseconds since boot, including suspension.
 func bootTimeNanos() int64 {
 	var t unix.Timespec
--- a/placement/place.go
+++ b/placement/place.go
@@ -128,6 +128,9 @@
 // changed since the last pass, no other has free capacity for the waiting tasks; looking
 // at all targets on each message of a large fleet would use most of an entry's CPU time.
 func (s *Scheduler) scheduleOn(changed []*target, now time.Time) {
+	if s.opts.Paused != nil && s.opts.Paused() {
+		s.abandonAll("the entry process was paused", now)
+	}
 	if len(s.queue) > 0 {
 		s.placeQueue(s.candidates(changed, now), now)
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -47,6 +47,9 @@
 	LostRunTimeout time.Duration
 	// Entries returns the number of live entries, including this one. Nil means one.
 	Entries func() int
+	// Paused reports whether this process was paused since the last call, so that callers may have
+	// been served elsewhere. It is asked before any task starts. Nil means that it never is.
+	Paused func() bool
 }
 
 // DefaultLostRunTimeout covers the agents' default peer timeout and lease.
@@ -109,6 +112,7 @@
 	Route    routing.Route
 	Version  uint64 // of the routing table that selected Route
 	Deadline time.Time
+	ReadAt   time.Time // when the entry that received the job read the request; zero: not known
 	StopAt   time.Time // when the entry that received the job ends a planned stop; zero: no stop
 }
 
@@ -295,6 +299,10 @@
 func (s *Scheduler) AbandonAll(reason string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.abandonAll(reason, now)
+}
+
+func (s *Scheduler) abandonAll(reason string, now time.Time) {
 	for _, j := range s.selectJobs(func(*activeJob) bool { return true }) {
 		s.endJob(j, s.unfinishedAnswer(j, reason), now)
 	}
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -379,3 +379,39 @@
 		}
 	}
 }
+
+// Guards against an entry that starts tasks after a pause of its process: the callers may have been
+// served elsewhere, and whichever message it reads first must not start what waited before.
+func TestPausedEntryStartsNothing(t *testing.T) {
+	for name, event := range map[string]func(*placement.Scheduler, *recordingLink){
+		"room": func(s *placement.Scheduler, l *recordingLink) {
+			s.HandleRoom("a", l, &wire.Room{Free: capacity(8000)}, after(time.Second))
+		},
+		"state": func(s *placement.Scheduler, l *recordingLink) {
+			s.HandleState("a", l, state("a", 8000, 8000), after(time.Second))
+		},
+		"tick": func(s *placement.Scheduler, _ *recordingLink) { s.Tick(after(time.Second)) },
+		"submit": func(s *placement.Scheduler, _ *recordingLink) {
+			s.Submit(request("other", 1, 1000), after(time.Second))
+		},
+		"end": func(s *placement.Scheduler, l *recordingLink) {
+			s.HandleRunEnd("a", l, &wire.RunEnd{Run: l.starts()[0].Run, Status: wire.EndDone, Room: wire.Room{Free: capacity(8000)}}, after(time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			paused := false
+			s := placement.New(placement.Options{Paused: func() bool { p := paused; paused = false; return p }})
+			l := join(s, "a", 1, begin)
+			submit(t, s, request("full", 1, 8000), begin)
+			waiting := submit(t, s, request("waits", 1, 8000), begin)
+			before := len(l.starts())
+			paused = true
+			event(s, l)
+			a, ok := answered(waiting)
+			if len(l.starts()) != before || !ok || a.Outcome != placement.Refused {
+				t.Errorf("%d starts after the pause, answer %+v (%t); want none and a refusal", len(l.starts())-before, a, ok)
+			}
+			submit(t, s, request("later", 1, 1000), after(1100*time.Millisecond))
+		})
+	}
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -131,10 +131,24 @@
 func (s *Scheduler) LinkDown(name string, link Sender, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targetOnLink(name, link)
-	if t == nil {
-		return
+	if t := s.targetOnLink(name, link); t != nil {
+		s.dropLink(t, now)
 	}
+}
+
+// DropLinks handles the end of all agents' links, as LinkDown does. Messages that arrive on them
+// later are ignored.
+func (s *Scheduler) DropLinks(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.ordered {
+		if t.link != nil {
+			s.dropLink(t, now)
+		}
+	}
+}
+
+func (s *Scheduler) dropLink(t *target, now time.Time) {
 	t.link, t.stateKnown = nil, false
 	t.linkLostAt = now
 	s.updateSandbox(now)
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
 )
 
 // Guards against a run that continues after the link to its entry was lost: the entry starts
@@ -77,3 +78,33 @@
 		}
 	})
 }
+
+// Guards against a start that was admitted before a pause of the process and is sent after it: its
+// task may run elsewhere by then.
+func TestStartAdmittedBeforePauseIsNotSent(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		b.paused = true // before the request is sent: nothing has blocked since
+		time.Sleep(50 * time.Millisecond)
+		if n := b.runner.Starts(firstTask); n != 0 || !l.closed {
+			t.Errorf("%d starts after the pause, link closed %t; want none and a closed link", n, l.closed)
+		}
+		if ends := l.ends(); len(ends) != 1 || ends[0].Status != wire.EndNotRun {
+			t.Errorf("run ends received: %+v, want one run that was not started", ends)
+		}
+	})
+}
+
+// Guards against a run that starts after its stop was requested, before its start was sent.
+func TestStartStoppedBeforeItIsSent(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		b.sidecar.Handle(l, &wire.RunStop{Runs: []workload.RunID{id(0, 1)}})
+		time.Sleep(50 * time.Millisecond)
+		if n := b.runner.Starts(firstTask); n != 0 || len(l.ends()) != 1 {
+			t.Errorf("%d starts and run ends %+v, want no start and one end", n, l.ends())
+		}
+	})
+}
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -131,8 +131,30 @@
 // room.
 const refusalBackoff = 20 * time.Millisecond
 
+// isStillWanted reports whether a run that was admitted may be started now. If not, it reports the
+// run as not started.
+func (s *Sidecar) isStillWanted(r *runs.Run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opts.Paused() {
+		s.closeStaleLinks()
+	}
+	if s.table.Get(r.ID) != r {
+		return false
+	}
+	state := s.links[r.Owner.Name]
+	if state != nil && ownerOf(state.link) == r.Owner && !state.stale && !r.StopRequested {
+		return true
+	}
+	s.remove(r, wire.EndNotRun, "given up before the start was sent")
+	return false
+}
+
 // sendStart sends a start request and processes its result.
 func (s *Sidecar) sendStart(r *runs.Run, incarnation string, request targets.StartRequest) {
+	if !s.isStillWanted(r) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.opts.RequestTimeout)
 	defer cancel()
 	result, reason := s.opts.Target.Start(ctx, incarnation, request)
