--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -415,3 +415,33 @@
 		})
 	}
 }
+
+// Guards against runs that stay in the books after their agent's link was lost for a moment: the agent
+// stops them, and their ends are lost with the link. Their jobs would wait for nothing, and the target
+// would be distrusted for good as its runs are overdue.
+func TestRunsThatReturnedAgentDoesNotHaveHaveEnded(t *testing.T) {
+	s := placement.New(placement.Options{LostRunTimeout: 1200 * time.Millisecond})
+	l := join(s, "a", 1, begin)
+	submit(t, s, request("lost", 1, 1000), begin)
+	submit(t, s, request("kept", 1, 1000), begin)
+	kept := l.starts()[1].Run
+	s.LinkDown("a", l, after(100*time.Millisecond))
+	next := &recordingLink{}
+	s.LinkUp("a", 1, next)
+	tickUntil(s, 100*time.Millisecond, 200*time.Millisecond)
+	if n := len(next.starts()); n != 0 {
+		t.Fatalf("%d starts before the agent has reported what it has", n)
+	}
+	m := state("a", 8000, 7000)
+	m.Runs = []workload.RunID{kept}
+	s.HandleState("a", next, m, after(200*time.Millisecond))
+	starts := next.starts()
+	if len(starts) != 1 || starts[0].Run.Task.Job != "lost" || starts[0].Run.Attempt != 2 {
+		t.Fatalf("starts after the agent has reported: %+v, want the second attempt of the lost one", starts)
+	}
+	// Later states name no runs, which proves nothing.
+	s.HandleState("a", next, state("a", 8000, 6000), after(300*time.Millisecond))
+	if n := len(next.starts()); n != 1 || s.Load().Runs != 2 {
+		t.Errorf("%d starts and %+v after a later state, want one start and two runs", n, s.Load())
+	}
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -175,7 +175,8 @@
 }
 
 // HandleState handles an agent's report of its target's state. The first report on a link
-// also means that no run of an earlier incarnation of the agent or the target is left. It returns
+// also means that no run of an earlier incarnation of the agent or the target is left, and of the
+// runs that were started on earlier links those that it names only. It returns
 // the crash of the target that follows from the report and that no agent has seen, or nil.
 func (s *Scheduler) HandleState(name string, link Sender, m *wire.TargetState, now time.Time) *crash.Record {
 	s.mu.Lock()
@@ -196,7 +197,10 @@
 	}
 	crashed := s.inferCrash(t, before, now)
 	s.updateSandbox(now)
-	s.endLostRuns(t, now, func(r *run) bool { return r.incarnation != t.incarnation })
+	s.endLostRuns(t, now, func(r *run) bool {
+		return r.incarnation != t.incarnation || first && r.seq == 0 && !slices.Contains(m.Runs, r.id)
+	})
+	t.state.Runs = nil
 	s.schedule(now)
 	return crashed
 }
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -94,6 +94,15 @@
 	return false
 }
 
+// RunsOf returns the ids of the runs of an entry process, in the order of their start requests.
+func (t *Table) RunsOf(owner Owner) []workload.RunID {
+	var ids []workload.RunID
+	for _, r := range t.Select(func(r *Run) bool { return r.Owner == owner }) {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
 // Get returns the run with the given id, or nil. The run belongs to the table, and
 // callers may change its state.
 func (t *Table) Get(id workload.RunID) *Run { return t.runs[id] }
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -108,3 +109,29 @@
 		}
 	})
 }
+
+// Guards against an entry that does not learn which of its runs are left when its link returns.
+func TestFirstStateOnLinkNamesItsRuns(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		l, other := b.open("a"), b.open("b")
+		b.start(l, id(0, 1), 1000)
+		b.start(other, id(1, 1), 1000)
+		time.Sleep(10 * time.Millisecond)
+		b.runner.SetFaults(standin.RunnerFaults{DropStops: 1})
+		b.sidecar.LinkDown(l, nil)
+		again := b.link("a")
+		synctest.Wait()
+		if s := again.state(); s == nil || len(s.Runs) != 1 || s.Runs[0] != id(0, 1) {
+			t.Errorf("first state on the link that returned: %+v, want the run whose stop has no response", s)
+		}
+		time.Sleep(time.Second)
+		if ends := again.ends(); len(ends) != 1 || ends[0].Status != wire.EndStopped {
+			t.Errorf("run ends received: %+v, want the end of the run", ends)
+		}
+		after := b.link("a")
+		synctest.Wait()
+		if s := after.state(); s == nil || len(s.Runs) != 0 {
+			t.Errorf("first state after the run's end: %+v, want no runs", s)
+		}
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -349,9 +349,9 @@
 }
 
 func (s *Sidecar) sendState(state *linkState) {
-	state.announced, state.advertised = true, s.roomFor(state)
+	state.advertised = s.roomFor(state)
 	s.saidStale = s.capacityStale(time.Now())
-	s.send(state, &wire.TargetState{
+	m := &wire.TargetState{
 		Target:        s.report.Target,
 		Service:       s.report.Service,
 		FailureDomain: s.opts.FailureDomain,
@@ -361,7 +361,12 @@
 		Closed:        !s.acceptsRuns() || state.retiring,
 		Born:          s.target.born,
 		CapacityStale: s.saidStale,
-	})
+	}
+	if !state.announced {
+		state.announced = true
+		m.Runs = s.table.RunsOf(ownerOf(state.link))
+	}
+	s.send(state, m)
 }
 
 func (s *Sidecar) send(state *linkState, m wire.Message) {
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -27,6 +27,9 @@
 	// CapacityStale says that the target has not reported its capacity for a while. Targets that
 	// do not guard it get no runs then.
 	CapacityStale bool `cbor:"9,keyasint,omitempty"`
+	// Runs are the runs of the receiving entry process that the agent has. It is complete in the
+	// first state on a link, and empty in others: what it leaves out has ended or never began.
+	Runs []workload.RunID `cbor:"10,keyasint,omitempty"`
 }
 
 // Room is a target's free capacity. StartsReceived is the number of RunStarts that
