Take a closed address for a crash only of a target that stays

Callers could see a task run twice: a leaving target closes its address and works on until its process has ended, and its agent took the refused connection for a crash if the announcement had not reached it. That was so after the agent's restart, with no report for a while (the agent or the report was held up), and when a report that had been sent before the deregistration arrived after it, which revoked it.

A refused connection now ends runs at once only if the target reported ready to this agent process within 1.8 s and its process has announced no end; reports do not revoke one.

--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -32,7 +32,7 @@
 func (s *Sidecar) recordCrash(now time.Time) {
 	suspects := s.suspects(now)
 	s.target.silentRuns = nil
-	if len(suspects) == 0 || s.target.born == 0 || s.report.Draining || s.report.Left {
+	if len(suspects) == 0 || s.target.born == 0 || s.leaves() {
 		return
 	}
 	r := crash.Record{Target: s.report.Target, Born: s.target.born, At: now, Suspects: suspects}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -133,7 +133,7 @@
 // continues whose start the target had confirmed. A start request without a response may still
 // be in transit, and a target that restarts under its id would execute it; these runs stay in
 // the table until the target responds. A target that leaves may close its address before its runs
-// have ended, so that nothing listening there only proves that a crashed one has none.
+// have ended, so that nothing listening there proves the end of the runs of one that stays only.
 func (s *Sidecar) handlePollFailure(err error) {
 	notListening := errors.Is(err, targets.ErrNotListening)
 	if !notListening {
@@ -149,11 +149,12 @@
 	s.target.reachable = false
 	now := time.Now()
 	switch {
-	case notListening && !s.leaves():
+	case notListening && !s.mayLeave(now):
 		s.recordCrash(now)
 		s.endLostRuns(now, wire.EndCrashed, "the target's process has ended")
 	case notListening && s.leaseExpired(now):
-		s.endLostRuns(now, wire.EndStopped, "the target has left, and its lease has ended")
+		s.recordCrash(now)
+		s.endLostRuns(now, s.endWithProcess(), "nothing listens at the target's address, and its lease has ended")
 	case s.leaseExpired(now):
 		s.target.silentRuns = s.suspects(now)
 		s.endLostRuns(now, wire.EndStopped, "the target was unreachable for longer than its lease")
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -169,6 +169,7 @@
 	before, wasAccepting, wasUsable := s.report, s.acceptsRuns(), s.reportUsable
 	s.report, s.reportUsable, s.restored = r, true, false
 	s.reportedAt = time.Now()
+	s.target.leaves = s.target.leaves || r.Draining
 	s.saveReport(r)
 	s.table.SetCapacity(r.Capacity)
 	if !wasUsable || wasAccepting != s.acceptsRuns() || describesOtherwise(before, r) {
@@ -193,8 +194,15 @@
 	return wire.EndCrashed
 }
 
-// leaves reports whether the target has announced its planned end.
-func (s *Sidecar) leaves() bool { return s.report.Draining || s.report.Left }
+// leaves reports whether the target's process has announced its planned end. Its later reports do not
+// revoke that: they may have been delayed.
+func (s *Sidecar) leaves() bool { return s.target.leaves || s.report.Draining || s.report.Left }
+
+// mayLeave reports whether the target's process may be ending as planned: it has announced that, or it
+// may have announced it to an earlier process of this agent, or while this one stood still.
+func (s *Sidecar) mayLeave(now time.Time) bool {
+	return s.leaves() || s.reportedAt.IsZero() || now.Sub(s.reportedAt) > maxReadyAge
+}
 
 // HandleDeregistration processes the announcement that the target's process is about to end. The
 // process may take a while, or go on for some seconds if it gets no acknowledgement; its runs are
@@ -205,7 +213,7 @@
 	if target != s.report.Target {
 		return
 	}
-	s.report.Left, s.restored = true, false
+	s.report.Left, s.target.leaves, s.restored = true, true, false
 	s.saveReport(s.report)
 	s.log.Info("target leaves", zap.String("target", target), zap.Int("runs", s.table.Len()))
 	s.broadcastState()
--- a/sidecar/restore.go
+++ b/sidecar/restore.go
@@ -8,14 +8,13 @@
 	"github.com/catkinline/catkinline/targets"
 )
 
-// restoredReportTTL bounds the use of a saved report before the target reports again. Targets
-// report every 1.5 s, and a target that has started draining in the meantime must get no run
-// from 2 s after it told the earlier process.
-const restoredReportTTL = 1800 * time.Millisecond
+// maxReadyAge is how long after a report the target is known not to be ending as planned. Targets
+// report every 1.5 s, and go on for 2 s at least after they have announced their end.
+const maxReadyAge = 1800 * time.Millisecond
 
 // RestoreReport loads the report that an earlier process of this agent saved. It is used once
 // the target has responded as the incarnation that the report names, until the target reports
-// itself or restoredReportTTL has passed.
+// itself or maxReadyAge has passed.
 func (s *Sidecar) RestoreReport(r targets.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -28,7 +27,7 @@
 	s.report, s.restored = r, true
 	s.table.SetCapacity(r.Capacity)
 	signal(s.pollNow)
-	time.AfterFunc(restoredReportTTL, s.expireRestored)
+	time.AfterFunc(maxReadyAge, s.expireRestored)
 }
 
 // confirmRestored compares the restored report with the response to a poll for its
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -143,6 +143,7 @@
 	ackedEnd     uint64        // number of the last processed end
 	synced       bool          // the table holds every run that may be on the target
 	reachable    bool
+	leaves       bool // the process has announced its planned end
 	replaced     bool // the target answered that it is another incarnation; its runs were ended
 	answeredAt   time.Time
 	// answeredPolls is the number of polls that had been sent when the last response was processed.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -144,14 +144,7 @@
 	})
 }
 
-func (b *fixture) newSidecar() *sidecar.Sidecar {
-	s := sidecar.New(sidecar.Options{
-		FailureDomain: "a", Target: b.client, Log: zap.NewNop(), Metrics: discardMetrics{},
-		Paused: func() bool { return b.paused },
-	})
-	s.Start()
-	return s
-}
+func (b *fixture) newSidecar() *sidecar.Sidecar { return b.sidecarWith(b.client) }
 
 // useClient replaces the sidecar by one that calls its target through a client.
 func (b *fixture) useClient(client targets.Client) {
@@ -159,11 +152,20 @@
 	if err := b.sidecar.Kill(); err != nil {
 		b.t.Fatal(err)
 	}
-	b.sidecar = sidecar.New(sidecar.Options{FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{}})
-	b.sidecar.Start()
+	b.sidecar = b.sidecarWith(client)
 	b.report("ready")
 }
 
+// sidecarWith returns a running sidecar that calls its target through a client.
+func (b *fixture) sidecarWith(client targets.Client) *sidecar.Sidecar {
+	s := sidecar.New(sidecar.Options{
+		FailureDomain: "a", Target: client, Log: zap.NewNop(), Metrics: discardMetrics{},
+		Paused: func() bool { return b.paused },
+	})
+	s.Start()
+	return s
+}
+
 func (b *fixture) report(state string) { b.reportAs("i-standin", state) }
 
 func (b *fixture) reportAs(target, state string) {
