A new agent waits for the earlier lease if its target has closed its address

A new agent process took a refused connection for the proof that nothing is left of its predecessor's runs, and announced its target, upon which entries ended these runs and started their tasks elsewhere. A leaving target closes its address first, and its runs go on until the lease ends.

The agent now waits until every lease has expired that its earlier process may have renewed, and then tells the entries.

TestNewAgentOfClosedTargetAwaitsEarlierLease failed before: announced 50 ms after the restart, with a run that went on for 0.5 s.

--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -1,9 +1,13 @@
 package sidecar_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/catkinline/catkinline/standin"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -69,3 +73,46 @@
 		b.awaitEndAfterRuns(l, wire.EndCrashed)
 	})
 }
+
+// closedTarget is a client of a target that closes its address once closed is set.
+type closedTarget struct {
+	targets.Client
+	closed atomic.Bool
+}
+
+func (c *closedTarget) Poll(ctx context.Context, q targets.PollRequest) (targets.PollResponse, error) {
+	if c.closed.Load() {
+		return targets.PollResponse{}, targets.ErrNotListening
+	}
+	return c.Client.Poll(ctx, q)
+}
+
+// Guards against a new agent process that says that nothing is left of the earlier one's runs because the
+// target has closed its address: a leaving target still works on them, and entries start them elsewhere.
+func TestNewAgentOfClosedTargetAwaitsEarlierLease(t *testing.T) {
+	runFixture(t, withRunTime(20*time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(100 * time.Millisecond)
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		b.runner.SetFaults(standin.RunnerFaults{DropStops: 1000})
+		client := &closedTarget{Client: b.client}
+		b.sidecar = b.sidecarWith(client)
+		next := b.link("a")
+		b.report("ready")
+		time.Sleep(150 * time.Millisecond) // the report is confirmed
+		client.closed.Store(true)
+		for range 3000 {
+			time.Sleep(time.Millisecond)
+			if left := b.runner.Running(); next.state() != nil && len(left) > 0 {
+				t.Errorf("the target was announced while %v of the earlier agent process still run", left)
+				return
+			}
+		}
+		if next.state() == nil {
+			t.Error("the target was never announced, so that entries keep the runs of the earlier agent process in their books")
+		}
+	})
+}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -129,6 +129,12 @@
 	return now.Sub(s.target.clockAt) > left+leaseMargin
 }
 
+// earlierLeasesExpired reports whether every lease has expired that an earlier process of this agent may
+// have renewed.
+func (s *Sidecar) earlierLeasesExpired(now time.Time) bool {
+	return now.Sub(s.startedAt) > time.Duration(clockDriftFactor*float64(s.opts.Lease))+leaseMargin
+}
+
 // handlePollFailure records that a poll got no response. Once the lease has expired, no run
 // continues whose start the target had confirmed. A start request without a response may still
 // be in transit, and a target that restarts under its id would execute it; these runs stay in
@@ -145,7 +151,7 @@
 	if s.target.reachable {
 		s.log.Warn("target does not answer", zap.String("target", s.report.Target), zap.Error(err))
 	}
-	wasReachable := s.target.reachable
+	wasReachable, wasReady := s.target.reachable, s.ready()
 	s.target.reachable = false
 	now := time.Now()
 	switch {
@@ -159,8 +165,8 @@
 		s.target.silentRuns = s.suspects(now)
 		s.endLostRuns(now, wire.EndStopped, "the target was unreachable for longer than its lease")
 	}
-	s.target.synced = s.target.synced || notListening
-	if wasReachable {
+	s.target.synced = s.target.synced || notListening && s.earlierLeasesExpired(now)
+	if wasReachable || wasReady != s.ready() {
 		s.broadcastState()
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -126,7 +126,8 @@
 	// is when the last one was confirmed.
 	confirmations int
 	confirmedAt   time.Time
-	polls         uint64 // number of polls sent
+	startedAt     time.Time // of this process of the agent
+	polls         uint64    // number of polls sent
 	stopping      bool
 	killed        bool // Kill was called
 	target        targetState
@@ -176,6 +177,7 @@
 		table:       runs.New(),
 		links:       make(map[string]*linkState),
 		crashes:     crash.NewHistory(),
+		startedAt:   time.Now(),
 	}
 }
 
