Renew no lease while the target has runs that the agent does not know

A new agent process stops the runs of its predecessor. If these stops got no response, its polls kept the runs alive, while entries start their tasks elsewhere 1.2 s after they lost the earlier process.

The lease is now renewed only once a list without unknown runs has been seen. TestUnknownRunsGetNoRenewals failed before: the run went on for as long as stops had no response.

--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -116,3 +116,24 @@
 		}
 	})
 }
+
+// Guards against runs of an earlier agent process that a new one keeps alive with its polls while their
+// stops get no response: entries start them elsewhere 1.2 s after they lost the earlier process.
+func TestUnknownRunsGetNoRenewals(t *testing.T) {
+	runFixture(t, withRunTime(20*time.Second), func(b *fixture) {
+		l := b.open("a")
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(100 * time.Millisecond)
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		b.runner.SetFaults(standin.RunnerFaults{DropStops: 1000, ApplyDelay: 5 * time.Second})
+		b.sidecar = b.newSidecar()
+		b.link("a")
+		b.report("ready")
+		time.Sleep(resendAfter / 2)
+		if left := b.runner.Running(); len(left) > 0 {
+			t.Errorf("%v of the earlier agent process still run %v after the start of the new one", left, resendAfter/2)
+		}
+	})
+}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -107,19 +107,23 @@
 
 // renewedLease returns the lease end to send with a poll, or 0 to renew nothing. A target that
 // has been silent for unresponsiveAfter may still receive the polls; with renewals, its runs
-// would continue for as long as it is silent. While a stop has no response, nothing is renewed
-// either, so that its run ends with the lease before its caller sends the job again. A lease that
-// no process gets would delay the report of its runs' end.
+// would continue for as long as it is silent. While a stop has no response or there are runs of an
+// earlier process of this agent, nothing is renewed either, so that these runs end with the lease before
+// their tasks start elsewhere. A lease that no process gets would delay the report of its runs' end.
 func (s *Sidecar) renewedLease(now time.Time) time.Duration {
 	if !s.target.answeredAt.IsZero() && (!s.target.reachable || now.Sub(s.target.answeredAt) > unresponsiveAfter) {
 		return 0
 	}
-	if s.table.HasUnansweredStop() {
+	if s.table.HasUnansweredStop() || s.hasUnknownRuns() {
 		return 0
 	}
 	return s.leaseEnd(now)
 }
 
+// hasUnknownRuns reports whether the target may have runs of an earlier process of this agent, which
+// are being stopped.
+func (s *Sidecar) hasUnknownRuns() bool { return !s.target.synced || s.target.orphans > 0 }
+
 // leaseExpired reports whether every lease that was sent to the target has ended on its clock.
 func (s *Sidecar) leaseExpired(now time.Time) bool {
 	if s.target.clockAt.IsZero() {
