Keep the fencing token over a restart of the agent

The token of a new agent process was read from the target's clock. A target that has started again as well has a clock that is behind, so that a start request of the earlier agent process, executed 2 to 12 s later, had the higher token and was accepted, while the task ran elsewhere.

The agent saves its token with the target's report, and the next process begins above it. What remains: a start that is executed before the next process has read the report or polled the target, or while the store is away.

TestTokenSurvivesTheAgent failed before: executed once, 3 s after the target had been announced.

--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -69,9 +69,10 @@
 	}
 }
 
-// saveReport saves a report of the target together with the recent crashes.
+// saveReport saves a report of the target together with the recent crashes and the fencing token.
 func (s *Sidecar) saveReport(r targets.Report) {
 	now := time.Now()
+	r.FencingToken, s.savedToken = s.target.fencingToken, s.target.fencingToken
 	s.crashes.Refresh(now)
 	r.Crashes = s.crashes.Records(now)
 	s.opts.SaveReport(r)
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -181,6 +181,9 @@
 	wasAccepting := s.acceptsRuns()
 	again := s.updateFromPoll(p, response)
 	s.updateStaleness(time.Now())
+	if s.reportUsable && s.target.fencingToken > s.savedToken {
+		s.saveReport(s.report)
+	}
 	if wasAccepting != s.acceptsRuns() {
 		if s.acceptsRuns() {
 			s.log.Info("target accepts runs", zap.String("target", s.report.Target), zap.Int64("born", s.target.born), zap.Uint64("fence", s.target.fencingToken))
--- a/sidecar/restore.go
+++ b/sidecar/restore.go
@@ -14,11 +14,15 @@
 
 // RestoreReport loads the report that an earlier process of this agent saved. It is used once
 // the target has responded as the incarnation that the report names, until the target reports
-// itself or maxReadyAge has passed.
+// itself or maxReadyAge has passed. The fencing token rises above that of the earlier process in any
+// case: a target that has started again, and whose clock is behind, might execute a delayed request.
 func (s *Sidecar) RestoreReport(r targets.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.restoreCrashes(r.Crashes)
+	if r.FencingToken != 0 && r.FencingToken < maxFencingToken {
+		s.target.fencingToken = max(s.target.fencingToken, r.FencingToken+1)
+	}
 	if s.reportUsable || r.Left || r.Target == "" {
 		return
 	}
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -311,3 +311,38 @@
 		}
 	})
 }
+
+// Guards against a second run of a task after its agent and its target have both started again: a start
+// request of the agent's earlier process is executed seconds later, and carries a higher token than those of its
+// next process, which are read from the clock of the target's next one.
+func TestTokenSurvivesTheAgent(t *testing.T) {
+	runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+		time.Sleep(time.Minute)
+		var saved targets.Report
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		b.sidecar = sidecar.New(sidecar.Options{
+			FailureDomain: "a", Target: b.client, Log: zap.NewNop(), Metrics: discardMetrics{},
+			SaveReport: func(r targets.Report) { saved = r },
+		})
+		b.sidecar.Start()
+		b.report("ready")
+		l := b.open("a")
+		b.runner.SetFaults(standin.RunnerFaults{DropStarts: 1, ApplyDelay: 3 * time.Second})
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(10 * time.Millisecond)
+		if err := b.sidecar.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		b.runner.Restart()
+		b.sidecar = b.newSidecar()
+		b.sidecar.RestoreReport(saved)
+		b.report("ready")
+		b.open("a")
+		time.Sleep(3 * time.Second)
+		if n := b.runner.Starts(firstTask); n != 0 {
+			t.Errorf("the request of the earlier agent process was executed %d times after the target had been announced", n)
+		}
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,6 +128,7 @@
 	confirmedAt   time.Time
 	startedAt     time.Time // of this process of the agent
 	polls         uint64    // number of polls sent
+	savedToken    uint64    // fencing token in the last saved report
 	stopping      bool
 	killed        bool // Kill was called
 	target        targetState
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -25,6 +25,9 @@
 	Left          bool   // the target has ended as planned
 	Born          int64  // start of the target process, Unix milliseconds; 0: unknown
 	Sequence      uint64 // increases with each report of one process
+	// FencingToken is the highest token that the agent has sent to the target, which the agent adds
+	// before it saves the report; targets do not report it.
+	FencingToken uint64 `json:",omitempty"`
 	// Crashes are the recent crashes of the agent's targets, which the agent adds before it saves
 	// the report; targets do not report them.
 	Crashes []crash.Record `json:",omitempty"`
