Model test: stops without a response, closed addresses, agents and targets that start again together

It now plays spells in which no stop gets a response, and every eighth job takes 4 s, longer than its caller waits. Targets that leave close their address and work on for up to 5 s, announced or not; agents restore the report that they saved, are killed as their target leaves, and start again with it while requests are late.

--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -130,8 +130,8 @@
 	notices := func(n uint32) time.Duration {
 		return modelPeerTimeout - modelTick + time.Duration(code>>n%2)*modelTick + part*modelTick/time.Second
 	}
-	m.noteEvent("event %d at %s and %s, part %v", code%11, h.name, e.name, part)
-	switch code % 11 {
+	m.noteEvent("event %d at %s and %s, part %v", code%15, h.name, e.name, part)
+	switch code % 15 {
 	case 0:
 		h.silence(e, 3*part, notices(9), notices(10))
 	case 1:
@@ -144,11 +144,11 @@
 	case 2:
 		h.restartProcess(part / 2)
 	case 3:
-		h.runner.Restart()
+		h.crash()
 	case 4:
 		h.replace()
 	case 5:
-		h.leave(part / 4)
+		h.leave(part/4, part/4, true)
 	case 6:
 		h.runner.SetFaults(standin.RunnerFaults{DropStarts: int(code >> 9 % 4), DropStops: int(code >> 11 % 16), DropPolls: int(code >> 15 % 4), ApplyDelay: 3 * part})
 	case 7:
@@ -158,6 +158,20 @@
 		h.current().HandleReport(targets.Report{Target: "w-71c0", Service: "frames", Capacity: workload.Resources{CPU: 1000}, Born: time.Now().UnixMilli(), Sequence: 1})
 	case 9:
 		h.current().HandleReport(targets.Report{Target: h.runner.ID(), Service: "frames", Capacity: workload.Resources{CPU: 1000}, Born: 1, Sequence: 1 << 40})
+	case 10:
+		h.runner.SetFaults(standin.RunnerFaults{DropStops: 1 << 20, ApplyDelay: 2*time.Second + part})
+		time.AfterFunc(time.Second+2*part, func() { h.runner.SetFaults(standin.RunnerFaults{}) })
+	case 11:
+		h.leave(part/8, 5*part, code>>9%2 == 0)
+	case 12: // the agent is killed as its target leaves
+		h.leave(part/4, 5*part, true)
+		h.restartProcess(part / 4)
+	case 13: // the agent and its target start again while requests are late
+		h.runner.SetFaults(standin.RunnerFaults{DropStarts: 6, ApplyDelay: time.Second + 2*part})
+		time.AfterFunc(part/2, func() {
+			h.crash()
+			h.restartProcess(part / 4)
+		})
 	default:
 		h.current().HandleDeregistration("w-71c0")
 	}
@@ -208,6 +222,15 @@
 	}()
 }
 
+// modelRunTime returns the run time of a job's tasks. Every eighth job cannot be done within its caller's time, so
+// that its runs would go on when the job is sent again.
+func modelRunTime(n int) time.Duration {
+	if n%8 == 7 {
+		return 4 * time.Second
+	}
+	return time.Duration(50+n*37%900) * time.Millisecond
+}
+
 // runModel plays events that come at even distances while callers send jobs, and returns what went
 // wrong.
 func runModel(t *testing.T, events []uint32) (problems []string) {
@@ -217,7 +240,7 @@
 		closeTargets := m.start()
 		for n := range 40 {
 			time.AfterFunc(time.Duration(n)*modelLength/40, func() {
-				m.callers.Go(func() { m.call(n, 1+n%3, time.Duration(50+n*37%900)*time.Millisecond) })
+				m.callers.Go(func() { m.call(n, 1+n%3, modelRunTime(n)) })
 			})
 		}
 		for i, code := range events {
@@ -264,7 +287,7 @@
 		listener := newPipeListener()
 		server := &http.Server{Handler: h.runner.Handler()}
 		go server.Serve(listener)
-		h.client = platform.NewTargetClientWithDialer("target", listener.dial)
+		h.client = &modelAddress{TargetClient: platform.NewTargetClientWithDialer("target", listener.dial)}
 		closers = append(closers, func() { h.client.Close(); server.Close() })
 		m.hosts = append(m.hosts, h)
 		h.startProcess()
