Soak: stops without a response under jobs that outlive their callers, targets that close their address and work on

Leaving targets may close their address when they deregister and work on for up to 5 s; some could announce nothing for 2 s before. The relay can stop listening for that.

--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -29,12 +29,14 @@
 type TCP struct {
 	relayState
 	upstream string
-	listener net.Listener
+	address  string
 	done     sync.WaitGroup
 	quit     chan struct{}
 
-	connMu sync.Mutex
-	conns  map[*tcpFlow]struct{}
+	connMu   sync.Mutex
+	listener net.Listener
+	stopped  bool // StopListening was called, and Listen has not been since
+	conns    map[*tcpFlow]struct{}
 }
 
 type tcpFlow struct {
@@ -61,9 +63,9 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	t.listener = listener
+	t.listener, t.address = listener, listener.Addr().String()
 	t.init(options.Faults)
-	t.done.Go(t.accept)
+	t.done.Go(func() { t.accept(listener) })
 	return t, nil
 }
 
@@ -75,7 +77,7 @@
 }
 
 // Address implements Relay.
-func (t *TCP) Address() string { return t.listener.Addr().String() }
+func (t *TCP) Address() string { return t.address }
 
 // SetFaults implements Relay.
 func (t *TCP) SetFaults(f Faults) error {
@@ -109,10 +111,43 @@
 	return len(t.conns)
 }
 
+// StopListening ends the existing connections and refuses new ones until Listen, as a server does that has
+// closed its address.
+func (t *TCP) StopListening() {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	t.listener.Close()
+	t.stopped = true
+	for flow := range t.conns {
+		flow.close(false)
+	}
+}
+
+// Listen listens again at the same address after StopListening, and does nothing while the relay listens.
+func (t *TCP) Listen() error {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	select {
+	case <-t.quit:
+		return nil
+	default:
+	}
+	if !t.stopped {
+		return nil
+	}
+	listener, err := net.Listen("tcp", t.address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	t.listener, t.stopped = listener, false
+	t.done.Go(func() { t.accept(listener) })
+	return nil
+}
+
 // Close implements Relay.
 func (t *TCP) Close() {
-	t.listener.Close()
 	t.connMu.Lock()
+	t.listener.Close()
 	close(t.quit)
 	for flow := range t.conns {
 		flow.close(true)
@@ -121,9 +156,9 @@
 	t.done.Wait()
 }
 
-func (t *TCP) accept() {
+func (t *TCP) accept(listener net.Listener) {
 	for {
-		conn, err := t.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/faultproxy/tcp_test.go
+++ b/internal/faultproxy/tcp_test.go
@@ -142,3 +142,27 @@
 		t.Errorf("faults are %+v", f)
 	}
 }
+
+// Guards against a relay that keeps connections or accepts new ones after it has stopped listening, and against
+// one that does not listen at its address again.
+func TestTCPStopsListening(t *testing.T) {
+	relay := startTCP(t)
+	conn := dialTCP(t, relay)
+	relay.StopListening()
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection goes on")
+	}
+	if _, err := net.Dial("tcp", relay.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("dialling got %v, want a refused connection", err)
+	}
+	if err := relay.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	conn = dialTCP(t, relay)
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		t.Errorf("no echo after the relay listens again: %v", err)
+	}
+}
--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -15,8 +15,13 @@
 	// rushRunTime: a freeze that ends meanwhile is the worst.
 	rushInterval = 6 * time.Millisecond
 	rushRunTime  = 1200 * time.Millisecond
-	// lateStopDelay is how late a stop is applied that got no response.
-	lateStopDelay = 3 * time.Second
+	// lateStopDelay is how late a stop is applied that got no response. Runs of lateStopRunTime, one started in each
+	// lateStopInterval, outlive their callers' time and the delay before these send the job again.
+	lateStopDelay    = 3 * time.Second
+	lateStopInterval = 50 * time.Millisecond
+	lateStopRunTime  = impatientTimeout + resendDelay + time.Second
+	// announceTime is how long a target reports nothing that could not announce its end.
+	announceTime = 2 * time.Second
 )
 
 // adverse generates what other writers, leaving targets and impatient callers do. It is drawn apart
@@ -24,8 +29,13 @@
 func (g *generator) adverse(phase time.Duration, c *callers) []fault {
 	apart := &generator{b: g.b, rnd: rand.New(rand.NewPCG(g.b.seed, 5))}
 	rush := func() fault { return apart.freezeInRush(c) }
-	choices := []func() fault{apart.oddReport, apart.oddReport, apart.leavingTarget, apart.unansweredStops, rush, rush}
+	choices := []func() fault{apart.oddReport, apart.oddReport, apart.leavingTarget, apart.leavingTarget, rush, rush}
 	var out []fault
+	if apart.rnd.IntN(2) == 0 {
+		f := apart.unansweredStops(c)
+		f.at = apart.between(0, 2000)
+		out = append(out, f)
+	}
 	for at := apart.between(0, 800); at < phase; at += apart.between(300, 1500) {
 		f := pick(apart.rnd, choices)()
 		f.at = at
@@ -46,22 +56,50 @@
 }
 
 // leavingTarget has a target leave as planned and take some time to end after it has deregistered,
-// whether its sidecar has acknowledged that or not. Another one takes its place.
+// whether its sidecar has acknowledged that or not. Another one takes its place. Some close their address first and
+// work on; some of these could announce nothing.
 func (g *generator) leavingTarget() fault {
 	n, drains, ends := g.anySidecar(), g.between(300, 1500), g.between(20, 400)
-	return fault{name: fmt.Sprintf("target of %s leaves and ends %v after it has deregistered", n.name, ends), place: n.name, lasts: drains + ends, apply: func() func() {
-		n.target.Drain()
-		time.AfterFunc(drains, func() { n.target.Deregister(n.reports) })
-		return func() { g.b.replace(n, 0) }
+	closes, announces := g.rnd.IntN(2) == 0, true
+	if closes {
+		ends, announces = g.between(0, 5000), g.rnd.IntN(2) == 0
+	}
+	if !announces {
+		drains += announceTime
+	}
+	name := fmt.Sprintf("target of %s leaves and ends %v later, address closed before %t, announced %t", n.name, ends, closes, announces)
+	return fault{name: name, place: n.name, lasts: drains + ends, apply: func() func() {
+		if announces {
+			n.target.Drain()
+		} else {
+			n.target.Silence()
+		}
+		time.AfterFunc(drains, func() {
+			if announces {
+				n.target.Deregister(n.reports)
+			}
+			if closes {
+				n.inbound.StopListening()
+			}
+		})
+		return func() {
+			g.b.replace(n, 0)
+			if closes {
+				g.b.listenAgain(n)
+			}
+		}
 	}}
 }
 
-// unansweredStops has the next stops at a target get no response; they are applied much later.
-func (g *generator) unansweredStops() fault {
-	n, stops := g.anySidecar(), 2+g.rnd.IntN(20)
-	return fault{name: fmt.Sprintf("%d stops at the target of %s get no response", stops, n.name), place: n.name, lasts: g.between(500, 3000), apply: func() func() {
-		n.target.SetFaults(standin.RunnerFaults{DropStops: stops, ApplyDelay: lateStopDelay})
-		return func() { n.target.SetFaults(standin.RunnerFaults{}) }
+// unansweredStops has the stops at all targets get no response, which are applied much later or never, while
+// callers hand in jobs that cannot be done in their time, leave, and send them again elsewhere.
+func (g *generator) unansweredStops(c *callers) fault {
+	first, sends := g.rnd.IntN(len(g.b.gateways)), g.between(1000, 3000)
+	lasts := sends + lateStopRunTime
+	return fault{name: "stops get no response", place: everywhere, lasts: lasts, apply: func() func() {
+		g.b.setTargetFaults(standin.RunnerFaults{DropStops: 1 << 20, ApplyDelay: lateStopDelay})
+		c.rush(sends, lateStopInterval, lateStopRunTime, first)
+		return func() { g.b.setTargetFaults(standin.RunnerFaults{}) }
 	}}
 }
 
@@ -76,14 +114,19 @@
 	}
 	return fault{name: "freeze " + n.name + " as callers rush in", place: n.name, lasts: lasts, apply: func() func() {
 		n.signal(syscall.SIGSTOP)
-		for i := range lasts / rushInterval {
-			j := &callerJob{impatient: true, firstGateway: at, job: newJob(c.nextID(), 1, taskSpec{cpu: taskCPU / 40, runTime: rushRunTime})}
-			c.jobs.Go(func() {
-				if sleep(g.b.ctx, i*rushInterval) {
-					c.submit(j)
-				}
-			})
-		}
+		c.rush(lasts, rushInterval, rushRunTime, at)
 		return func() { n.signal(syscall.SIGCONT) }
 	}}
 }
+
+// rush has an impatient caller send a small job to a gateway in each interval.
+func (c *callers) rush(lasts, interval, runTime time.Duration, firstGateway int) {
+	for i := range lasts / interval {
+		j := &callerJob{impatient: true, firstGateway: firstGateway, job: newJob(c.nextID(), 1, taskSpec{cpu: taskCPU / 40, runTime: runTime})}
+		c.jobs.Go(func() {
+			if sleep(c.b.ctx, i*interval) {
+				c.submit(j)
+			}
+		})
+	}
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -63,6 +63,7 @@
 	downUntil     time.Time      // nothing answers before
 	applyingLate  atomic.Bool
 	draining      atomic.Bool // its reports say that it is about to leave
+	silent        atomic.Bool // it sends no reports
 }
 
 // RunnerFaults are the fault switches of a Runner. Zero fields are off.
@@ -175,11 +176,15 @@
 	r.opts.ID = id
 	r.clockLag = clockLag
 	r.draining.Store(false)
+	r.silent.Store(false)
 }
 
 // Drain makes the target report that it is about to leave, until Replace.
 func (r *Runner) Drain() { r.draining.Store(true) }
 
+// Silence stops the target's reports until Replace.
+func (r *Runner) Silence() { r.silent.Store(true) }
+
 // bornMS is the start time of the process by its own wall clock, in Unix ms.
 func (r *Runner) bornMS() int64 { return r.born.Add(-r.clockLag).UnixMilli() }
 
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -32,7 +32,7 @@
 // errors and goes on with the next heartbeat.
 func (r *Runner) SendReports(ctx context.Context, agent, service string) {
 	for n := uint64(1); ctx.Err() == nil; n++ {
-		if r.down() {
+		if r.down() || r.silent.Load() {
 			sleepUntilReport(ctx)
 			continue
 		}
