Log what decides whether a closed address ends a target's runs

The line "target does not answer" could not tell a crash from a target that may leave. It now has whether the target has announced its end, the age of its last report and the number of runs. No change of behaviour.

--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -153,7 +153,8 @@
 		}
 	}
 	if s.target.reachable {
-		s.log.Warn("target does not answer", zap.String("target", s.report.Target), zap.Error(err))
+		s.log.Warn("target does not answer", zap.String("target", s.report.Target), zap.Bool("leaves", s.leaves()),
+			zap.Duration("report_age", s.reportAge(time.Now())), zap.Int("runs", s.table.Len()), zap.Error(err))
 	}
 	wasReachable, wasReady := s.target.reachable, s.ready()
 	s.target.reachable = false
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -201,7 +201,16 @@
 // mayLeave reports whether the target's process may be ending as planned: it has announced that, or it
 // may have announced it to an earlier process of this agent, or while this one stood still.
 func (s *Sidecar) mayLeave(now time.Time) bool {
-	return s.leaves() || s.reportedAt.IsZero() || now.Sub(s.reportedAt) > maxReadyAge
+	age := s.reportAge(now)
+	return s.leaves() || age < 0 || age > maxReadyAge
+}
+
+// reportAge returns the age of the last report to this process, or a negative duration without one.
+func (s *Sidecar) reportAge(now time.Time) time.Duration {
+	if s.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.reportedAt)
 }
 
 // HandleDeregistration processes the announcement that the target's process is about to end. The
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -107,7 +107,8 @@
 
 // capacityStale reports whether the target may have shrunk without this process knowing.
 func (s *Sidecar) capacityStale(now time.Time) bool {
-	return s.reportedAt.IsZero() || now.Sub(s.reportedAt) > maxCapacityAge
+	age := s.reportAge(now)
+	return age < 0 || age > maxCapacityAge
 }
 
 // updateStaleness tells the entries when the capacity begins or ceases to be stale.
--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -130,3 +130,17 @@
 		})
 	}
 }
+
+// listenAgain has the address of a node's target listen again. A connection of another process may use the
+// port for a moment.
+func (b *testbed) listenAgain(n *node) {
+	for n.inbound.Listen() != nil && sleep(b.ctx, pollInterval) {
+	}
+}
+
+// setTargetFaults sets the fault switches of all targets.
+func (b *testbed) setTargetFaults(f standin.RunnerFaults) {
+	for _, n := range b.sidecars {
+		n.target.SetFaults(f)
+	}
+}
