Cancel a job wherever it is, and keep it cancelled

A cancelling that reached another gateway than the job was answered 410, and the job ran on; a copy of the request that came after the cancelling ran the job again; a job that waited for a placer in a gateway that had just started was not found. Cause: a gateway looked only among the jobs that it had forwarded or placed, kept no ids of cancelled jobs, and told nobody.

A gateway now tells all entries the id, through two placers if it places nothing itself. At most 2, 27 and 70 messages a cancelling at 3, 14 and 35 gateways.

TestCancellingReachesEveryEntry, TestCancelledJobEndsAndStaysCancelled and TestCancellingReachesWaitingJob cover the parts without a network.

--- /dev/null
+++ b/gateway/cancel_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/wire"
+)
+
+// directLink is one end of a link between two gateways without a network: messages are handled at once.
+type directLink struct {
+	silentLink
+	to   *Gateway
+	back *directLink
+	sent *int // messages over all links
+}
+
+func (l *directLink) Send(m wire.Message) error {
+	*l.sent++
+	l.to.handlePeer(l.back, m)
+	return nil
+}
+
+// linkedGateways returns gateways without their loops that are linked as those of a deployment are: each
+// to the placers, and these to all.
+func linkedGateways(t *testing.T, n int) (all []*Gateway, sent *int) {
+	t.Helper()
+	sent = new(int)
+	for i := range n {
+		node := settings.Node{Name: fmt.Sprintf("edge-%02d", i), FailureDomain: string(rune('a' + i%3)), IP: "127.0.0.1", CPU: 400}
+		g, err := New(Options{Node: node, Log: zap.NewNop(), Metrics: metrics.New(nil)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.members = member.New(nil, g.self(), member.Options{Log: zap.NewNop()})
+		all = append(all, g)
+	}
+	for _, g := range all {
+		for _, other := range all {
+			if other != g {
+				g.members.AddLinked(other.self())
+			}
+		}
+	}
+	for i, g := range all {
+		for _, other := range all[i+1:] {
+			if placers := g.placers(); slices.Contains(placers, g.node.Name) || slices.Contains(placers, other.node.Name) {
+				linkDirectly(g, other, sent)
+			}
+		}
+	}
+	return all, sent
+}
+
+func linkDirectly(a, b *Gateway, sent *int) {
+	there := &directLink{silentLink: silentLink{name: b.node.Name}, to: b, sent: sent}
+	back := &directLink{silentLink: silentLink{name: a.node.Name}, to: a, back: there, sent: sent}
+	there.back = back
+	a.forwarder.linkUp(there)
+	b.forwarder.linkUp(back)
+}
+
+// Guards against a cancelling that reaches another entry than the job and is not passed on: the job runs
+// to its end. The messages of one cancelling are bounded.
+func TestCancellingReachesEveryEntry(t *testing.T) {
+	for n, most := range map[int]int{3: 2, 14: 27, 35: 70} {
+		for at := range n {
+			all, sent := linkedGateways(t, n)
+			all[at].Cancel("5c0e7a21d94b36f8")
+			for _, g := range all {
+				if g.cancelledAnswer("5c0e7a21d94b36f8") == nil {
+					t.Fatalf("%d entries, cancelled at %s: %s does not know", n, all[at].node.Name, g.node.Name)
+				}
+			}
+			if *sent > most {
+				t.Errorf("%d entries, cancelled at %s: %d messages, want at most %d", n, all[at].node.Name, *sent, most)
+			}
+		}
+	}
+}
+
+// Guards against a job that runs on at the placer that a peer has handed it to, and against a copy of its
+// request that runs it again.
+func TestCancelledJobEndsAndStaysCancelled(t *testing.T) {
+	g := newPlacer(t)
+	l := &recordingLink{silentLink: silentLink{name: "peer"}}
+	g.forwarder.linkUp(l)
+	g.handlePeer(l, &wire.JobForward{RequestID: 1, Job: smallJob("1"), TimeLeft: time.Second})
+	if known, _ := g.scheduler.Status("1"); !known {
+		t.Fatal("the job was not accepted")
+	}
+	g.handlePeer(l, &wire.JobsCancelled{IDs: []string{"1"}})
+	if known, _ := g.scheduler.Status("1"); known {
+		t.Error("the job goes on after its cancelling")
+	}
+	g.handlePeer(l, &wire.JobForward{RequestID: 2, Job: smallJob("1"), TimeLeft: time.Second})
+	if a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer); !ok || a.RequestID != 2 || placement.Outcome(a.Outcome) != placement.Cancelled {
+		t.Errorf("a copy of the request gets %+v, want cancelled", l.sent[len(l.sent)-1])
+	}
+}
+
+// Guards against a cancelling that a job escapes which waits for a placer, as after the start of its gateway.
+func TestCancellingReachesWaitingJob(t *testing.T) {
+	all, _ := linkedGateways(t, 1)
+	g := all[0]
+	answered := make(chan placement.Answer, 1)
+	go func() {
+		answered <- g.Submit(context.Background(), placement.Request{Job: smallJob("1"), Deadline: time.Now().Add(time.Minute)})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	g.Cancel("1")
+	select {
+	case a := <-answered:
+		if a.Outcome != placement.Cancelled {
+			t.Errorf("the waiting job is answered %+v, want cancelled", a)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the waiting job is not answered")
+	}
+}
+
+// Guards against an entry that learns nothing of a cancelling since it was cut off.
+func TestNewLinkBeginsWithRecentCancellings(t *testing.T) {
+	g := newPlacer(t)
+	g.cancelHere("1", "test")
+	l := &recordingLink{silentLink: silentLink{name: "peer"}}
+	g.sendCancelled(l)
+	if m, ok := l.sent[0].(*wire.JobsCancelled); !ok || !slices.Equal(m.IDs, []string{"1"}) || m.Relay {
+		t.Errorf("sent %+v, want the cancelled job", l.sent)
+	}
+}
+
+// Guards against ids that are kept for ever, or of which a flood takes the memory.
+func TestCancelledIDsAreBounded(t *testing.T) {
+	c, now := newCancelledJobs(), time.Now()
+	for i := range maxCancelled + 10 {
+		c.add(fmt.Sprint(i), now)
+	}
+	if n := len(c.recent(now)); n != maxCancelled || c.has("9", now) || !c.has("10", now) {
+		t.Errorf("%d ids are kept, want the last %d", n, maxCancelled)
+	}
+	if later := now.Add(cancelledTTL); len(c.recent(later)) != 0 || c.has("10", later) {
+		t.Error("ids are kept after their time")
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -285,6 +285,9 @@
 // forwardTo sends a job to a peer and returns its answer, and whether the peer accepted the
 // job.
 func (g *Gateway) forwardTo(ctx context.Context, link peerLink, r placement.Request, lastChoice bool) (placement.Answer, bool) {
+	if a := g.cancelledAnswer(r.Job.ID); a != nil {
+		return *a, true
+	}
 	if reason := g.outdated(ctx, r); reason != "" {
 		return g.refuse(r, reason), true
 	}
@@ -324,10 +327,12 @@
 }
 
 // awaitPlacement waits until a placer or a target of this entry can be reached, and reports
-// whether there is one. It gives up when this entry counts as isolated, or with ctx.
-func (g *Gateway) awaitPlacement(ctx context.Context) bool {
+// whether there is one. It gives up when this entry counts as isolated, when the job is cancelled, or with ctx.
+func (g *Gateway) awaitPlacement(ctx context.Context, id string) bool {
 	for {
 		switch {
+		case g.cancelled.has(id, time.Now()):
+			return false
 		case g.scheduler.HasTargets() || g.forwarder.reachable(g.placers()):
 			return true
 		case g.isolated(time.Now()):
--- a/gateway/forward_receive.go
+++ b/gateway/forward_receive.go
@@ -25,7 +25,7 @@
 	if m.StopIn > 0 {
 		r.StopAt = now.Add(m.StopIn)
 	}
-	ticket, refusal := g.scheduler.Submit(r, now)
+	ticket, refusal := g.submitHere(r, now)
 	if refusal != nil {
 		g.sendForwardAnswer(l, m.RequestID, *refusal)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 
 	loopLag       lagMeter
 	forwarder     *forwarder
+	cancelled     *cancelledJobs
 	chosenPlacers atomic.Pointer[placerChoice]
 	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
@@ -102,6 +103,7 @@
 		dials:       make(map[string]context.CancelFunc),
 		configured:  make(chan struct{}),
 		forwarder:   newForwarder(),
+		cancelled:   newCancelledJobs(),
 		created:     time.Now(),
 
 		pauseDetector: pausedetect.New(maxPause),
@@ -215,7 +217,7 @@
 	if a, accepted := g.submitToPlacer(ctx, r); accepted {
 		return a
 	}
-	if !g.scheduler.HasTargets() && g.awaitPlacement(ctx) {
+	if !g.scheduler.HasTargets() && g.awaitPlacement(ctx, r.Job.ID) {
 		if a, accepted := g.submitToPlacer(ctx, r); accepted {
 			return a
 		}
@@ -223,7 +225,7 @@
 	if reason := g.outdated(ctx, r); reason != "" {
 		return g.refuse(r, reason)
 	}
-	ticket, refusal := g.scheduler.Submit(r, time.Now())
+	ticket, refusal := g.submitHere(r, time.Now())
 	if refusal != nil {
 		return *refusal
 	}
@@ -262,11 +264,6 @@
 	g.log.Info("request rejected", zap.String("host", host), zap.String("path", path), zap.Uint64("version", version), zap.String("reason", reason))
 }
 
-// Cancel cancels a job and reports whether it was known.
-func (g *Gateway) Cancel(id string) bool {
-	return g.forwarder.cancel(id) || g.scheduler.Cancel(id, time.Now())
-}
-
 // JobState reports whether a job is known and whether a task of it has started.
 func (g *Gateway) JobState(id string) (known, started bool) {
 	if g.forwarder.linkOf(id) != nil {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -130,6 +130,7 @@
 	g.forwarder.linkUp(l)
 	_ = l.Send(&wire.Heartbeat{Revision: g.version()})
 	g.sendCrashes(l)
+	g.sendCancelled(l)
 	_ = l.Send(g.placerState())
 }
 
@@ -165,6 +166,8 @@
 		g.forwarder.handleState(l, m, time.Now())
 	case *wire.CrashReport:
 		g.handlePeerCrash(m)
+	case *wire.JobsCancelled:
+		g.handleCancelled(l, m)
 	case *wire.JobForward:
 		g.handleForward(l, m)
 	case *wire.JobAnswer:
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -70,6 +70,7 @@
 	TypeJobCancel:       func() Message { return &JobCancel{} },
 	TypePlacerState:     func() Message { return &PlacerState{} },
 	TypeCrashReport:     func() Message { return &CrashReport{} },
+	TypeJobsCancelled:   func() Message { return &JobsCancelled{} },
 }
 
 func (*Hello) Type() Type           { return TypeHello }
@@ -102,6 +103,7 @@
 func (*JobCancel) Type() Type       { return TypeJobCancel }
 func (*PlacerState) Type() Type     { return TypePlacerState }
 func (*CrashReport) Type() Type     { return TypeCrashReport }
+func (*JobsCancelled) Type() Type   { return TypeJobsCancelled }
 
 // Encode returns the frame of a message: the body's length in four bytes, the
 // type in one, then the body in CBOR.
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -51,3 +51,10 @@
 type JobCancel struct {
 	RequestID uint64 `cbor:"1,keyasint"`
 }
+
+// JobsCancelled tells a peer which jobs callers have cancelled. The receiver ends those that it has, and starts
+// none with these ids for a while.
+type JobsCancelled struct {
+	IDs   []string `cbor:"1,keyasint"`
+	Relay bool     `cbor:"2,keyasint,omitempty"` // pass it on to the entries that place no jobs
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -42,6 +42,7 @@
 	TypeJobCancel
 	TypePlacerState
 	TypeCrashReport
+	TypeJobsCancelled
 )
 
 // typeNames holds the names of message types in metrics and logs.
@@ -53,7 +54,7 @@
 	TypePeerState: "peer_state", TypeDocument: "document", TypeDocumentRequest: "document_request",
 	TypeTargetState: "target_state", TypeRoom: "room", TypeRunStart: "run_start", TypeRunEnd: "run_end", TypeRunStop: "run_stop",
 	TypeBacklog: "backlog", TypeJobForward: "job_forward", TypeJobAnswer: "job_answer", TypeJobCancel: "job_cancel",
-	TypePlacerState: "placer_state", TypeCrashReport: "crash_report",
+	TypePlacerState: "placer_state", TypeCrashReport: "crash_report", TypeJobsCancelled: "jobs_cancelled",
 }
 
 // String returns the type's name in metrics and logs.
