Cancel jobs whose route has been removed

DELETE was answered 404 once the route was gone, and the job ran on until its end, for longer than the time in which a cancelling must be answered.

A gateway keeps the last four tables of routes that were replaced within a minute. DELETE finds the route there, cancels the job and is answered 410: a removed route serves no request with success. A gateway that has started since the removal still answers 404.

The second half of TestPlatformCancellingReachesItsJob failed before (404); TestFormerRouteIsFound.

--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -33,6 +33,8 @@
 		if g.routes.CompareAndSwap(current, table) {
 			if current == nil {
 				close(g.configured)
+			} else {
+				g.formerRoutes.add(current, time.Now())
 			}
 			break
 		}
