--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -74,6 +74,17 @@
 	})
 }
 
+// killAgentWithRun starts a run, kills the agent's process, and sets the target's faults.
+func (b *fixture) killAgentWithRun(faults standin.RunnerFaults) {
+	b.t.Helper()
+	b.start(b.open("a"), id(0, 1), 1000)
+	time.Sleep(100 * time.Millisecond)
+	if err := b.sidecar.Kill(); err != nil {
+		b.t.Fatal(err)
+	}
+	b.runner.SetFaults(faults)
+}
+
 // closedTarget is a client of a target that closes its address once closed is set.
 type closedTarget struct {
 	targets.Client
@@ -91,13 +102,7 @@
 // target has closed its address: a leaving target still works on them, and entries start them elsewhere.
 func TestNewAgentOfClosedTargetAwaitsEarlierLease(t *testing.T) {
 	runFixture(t, withRunTime(20*time.Second), func(b *fixture) {
-		l := b.open("a")
-		b.start(l, id(0, 1), 1000)
-		time.Sleep(100 * time.Millisecond)
-		if err := b.sidecar.Kill(); err != nil {
-			t.Fatal(err)
-		}
-		b.runner.SetFaults(standin.RunnerFaults{DropStops: 1000})
+		b.killAgentWithRun(standin.RunnerFaults{DropStops: 1000})
 		client := &closedTarget{Client: b.client}
 		b.sidecar = b.sidecarWith(client)
 		next := b.link("a")
@@ -121,13 +126,7 @@
 // stops get no response: entries start them elsewhere 1.2 s after they lost the earlier process.
 func TestUnknownRunsGetNoRenewals(t *testing.T) {
 	runFixture(t, withRunTime(20*time.Second), func(b *fixture) {
-		l := b.open("a")
-		b.start(l, id(0, 1), 1000)
-		time.Sleep(100 * time.Millisecond)
-		if err := b.sidecar.Kill(); err != nil {
-			t.Fatal(err)
-		}
-		b.runner.SetFaults(standin.RunnerFaults{DropStops: 1000, ApplyDelay: 5 * time.Second})
+		b.killAgentWithRun(standin.RunnerFaults{DropStops: 1000, ApplyDelay: 5 * time.Second})
 		b.sidecar = b.newSidecar()
 		b.link("a")
 		b.report("ready")
