Soak: jobs that are cancelled at another gateway, before they arrive, or before a copy of their request

The soak cancelled nothing. A job of 12 s is now handed in each 0.4 s and cancelled at the next gateway, up to 0.1 s before or 0.5 s after it; a copy of its request follows at a third, 1.3 to 3.8 s after the answer. Nothing of it may run 3.05 s after the acknowledgement, with no unplanned fault near.

--- a/soak/run_checker.go
+++ b/soak/run_checker.go
@@ -205,6 +205,20 @@
 	return n
 }
 
+// runs reports whether a task of a job runs.
+func (c *runChecker) runs(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.byJob[job] {
+		for target := range t.running {
+			if time.Now().Before(c.targets[target].LeaseEnd()) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // started reports whether a task of a job has started.
 func (c *runChecker) started(job string) bool {
 	c.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -107,6 +107,9 @@
 	load, end := context.WithCancel(ctx)
 	var clients sync.WaitGroup
 	clients.Go(func() { s.callers.run(load, rand.New(rand.NewPCG(s.o.Seed, 2)), s.o.Rate) })
+	if !s.o.Plain {
+		clients.Go(func() { s.callers.cancelJobs(load, rand.New(rand.NewPCG(s.o.Seed, 7))) })
+	}
 	for _, g := range s.b.gateways {
 		p := &prober{callers: s.callers, gateway: g}
 		clients.Go(func() { p.run(load) })
