--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -15,6 +16,8 @@
 	queueChunks = 256   // in one direction of one connection
 	maxConns    = 16384 // 10,000 jobs that are cancelled together may pass through one relay
 	dialTimeout = 10 * time.Second
+	// acceptRetryDelay is the delay after a connection could not be accepted.
+	acceptRetryDelay = 5 * time.Millisecond
 )
 
 // TCPOptions configures NewTCP.
@@ -159,9 +162,13 @@
 func (t *TCP) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // too many open files: the next connections may find some
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		flow := &tcpFlow{client: conn.(*net.TCPConn), closed: make(chan struct{})}
 		if !t.add(flow) {
 			t.overflow.Add(1)
