Soak: a planned end is over when its target is replaced

Traced: the target of side-1 was to leave unannounced; 1 s later another fault replaced it, and the new process, i-1-1, reported ready. The first fault then closed that one's address, 52 ms after a ready report. The stand-in's runs went on. The rest of the planned end now applies only to the target that it began with.

--- a/soak/adverse.go
+++ b/soak/adverse.go
@@ -69,12 +69,16 @@
 	}
 	name := fmt.Sprintf("target of %s leaves and ends %v later, address closed before %t, announced %t", n.name, ends, closes, announces)
 	return fault{name: name, place: n.name, lasts: drains + ends, apply: func() func() {
+		leaving := n.target.ID()
 		if announces {
 			n.target.Drain()
 		} else {
 			n.target.Silence()
 		}
 		time.AfterFunc(drains, func() {
+			if n.target.ID() != leaving {
+				return // replaced meanwhile: the next process reports that it is ready
+			}
 			if announces {
 				n.target.Deregister(n.reports)
 			}
