--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -188,7 +188,7 @@
 		return false
 	default:
 	}
-	if len(t.conns) >= maxConns {
+	if t.stopped || len(t.conns) >= maxConns { // accepted just before StopListening
 		return false
 	}
 	t.conns[flow] = struct{}{}
