review: a gateway that was cut off starts a cancelled job again

When the cut ends, the gateway starts the waiting tasks of its jobs with the first sidecar's link. If no peer's link is back by then, it has not heard of the cancellings that other gateways have acknowledged (rule UNASKED).

--- a/review/standin-2/cancel.go
+++ b/review/standin-2/cancel.go
@@ -10,18 +10,23 @@
 
 func init() {
 	cases["cancelled-while-cut"] = cancelledWhileCut
+	cases["home-cut-off"] = homeCutOff
 	cases["cancelled-before-kill"] = cancelledBeforeKill
 	cases["cancelled-after-storm"] = cancelledAfterStorm
 }
 
 const (
-	sidecars   = 4
-	readyLimit = 20 * time.Second
+	// allSidecars is the number of the site; fewSidecars is for cases where it does not matter.
+	allSidecars = 11
+	fewSidecars = 4
+	readyLimit  = 20 * time.Second
+	// cutTime is how long a machine is cut off.
+	cutTime = 5500 * time.Millisecond
 )
 
-// deploy starts three gateways and the sidecars with their runners, waits until all are ready, and
+// deploy starts three gateways and some sidecars with their runners, waits until all are ready, and
 // lets steady state begin. The last gateway can be cut off.
-func deploy(f *fleet, lastCanBeCut bool) (gateways []*node, err error) {
+func deploy(f *fleet, sidecars int, lastCanBeCut bool) (gateways []*node, err error) {
 	for i, name := range []string{"edge-a", "edge-b", "edge-c"} {
 		n, err := f.addGateway(name, 11+i, lastCanBeCut && i == 2)
 		if err != nil {
@@ -62,8 +67,7 @@
 // cancelledWhileCut cancels a job of one gateway at another one that is cut off from all other
 // machines of the system, and not from the clients.
 func cancelledWhileCut(f *fleet, trouble bool) ([]string, error) {
-	const cutTime = 5500 * time.Millisecond
-	gateways, err := deploy(f, true)
+	gateways, err := deploy(f, fewSidecars, true)
 	if err != nil {
 		return nil, err
 	}
@@ -100,10 +104,62 @@
 	return startsAfter(f, j, cancel.at), nil
 }
 
+// homeCutOff cancels a job at another gateway than the one that has it, while that one is cut off from
+// all other machines of the system. Whether the job is started again after the cut depends on the
+// order in which links come back, so there are some rounds.
+func homeCutOff(f *fleet, trouble bool) ([]string, error) {
+	const rounds = 5
+	gateways, err := deploy(f, allSidecars, true)
+	if err != nil {
+		return nil, err
+	}
+	for round := 1; round <= rounds; round++ {
+		f.record.printf("round %d", round)
+		violations, err := cutOffRound(f, gateways[2], gateways[0], trouble)
+		if len(violations) > 0 || err != nil {
+			return violations, err
+		}
+		time.Sleep(contactBound + time.Second)
+	}
+	return nil, nil
+}
+
+func cutOffRound(f *fleet, home, other *node, trouble bool) ([]string, error) {
+	j := newJob(16, 8, 400*time.Millisecond, 8*time.Second)
+	answered := make(chan response, 1)
+	go func() { answered <- f.send(home, http.MethodPost, j) }()
+	time.Sleep(500 * time.Millisecond)
+	if len(f.startsOf(j.id)) == 0 {
+		return nil, errors.New("no task of the job has started")
+	}
+	begun := time.Now()
+	if trouble {
+		f.record.printf("%s is cut off from the other machines and the store for %s", home.name, cutTime)
+		if err := home.cut(true); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	cancel := f.send(other, http.MethodDelete, job{id: j.id, waits: 1500 * time.Millisecond})
+	if cancel.status/100 != 2 && cancel.status != http.StatusGone {
+		return nil, fmt.Errorf("the cancelling was not acknowledged: %s", cancel)
+	}
+	time.Sleep(time.Until(begun.Add(cutTime)))
+	if trouble {
+		f.record.printf("the cut is over")
+		if err := home.cut(false); err != nil {
+			return nil, err
+		}
+	}
+	<-answered
+	time.Sleep(500 * time.Millisecond)
+	return startsAfter(f, j, cancel.at), nil
+}
+
 // cancelledBeforeKill cancels a job, kills all gateways at once after that, and sends a late copy of
 // the job's request to one of them when all are back in touch.
 func cancelledBeforeKill(f *fleet, trouble bool) ([]string, error) {
-	gateways, err := deploy(f, false)
+	gateways, err := deploy(f, fewSidecars, false)
 	if err != nil {
 		return nil, err
 	}
@@ -151,7 +207,7 @@
 // configurations in quick succession.
 func cancelledAfterStorm(f *fleet, trouble bool) ([]string, error) {
 	const stormTime, stormGap = 1500 * time.Millisecond, 60 * time.Millisecond
-	gateways, err := deploy(f, false)
+	gateways, err := deploy(f, fewSidecars, false)
 	if err != nil {
 		return nil, err
 	}
