review: runs of a killed gateway outlast the time after which clients send again

A sidecar takes up to 0.75 s to notice that a gateway has gone whose link was idle before its last start, and renews the lease of the runs until then. Where stops get no answer, the runs end up to 1.36 s after the kill, while clients send their jobs to another gateway after 1.3 s (rule TWICE).

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/catkinline ] && [ -x target/review-2/standin-2 ] || exit 2
-exec target/review-2/standin-2 cancelled-while-cut review/6/record.txt
+exec target/review-2/standin-2 killed-with-late-stops review/6/record.txt
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -21,7 +21,11 @@
 
 // newJob returns a job of steps that follow each other, each of a number of tasks with a run time.
 func newJob(steps, tasks int, work, waits time.Duration) job {
-	const cpu = 3100
+	return newSizedJob(steps, tasks, 3100, work, waits)
+}
+
+// newSizedJob is newJob with the need of a task in thousandths of a core.
+func newSizedJob(steps, tasks, cpu int, work, waits time.Duration) job {
 	spec := fmt.Sprintf("work_ms=%d cpu=%d", work.Milliseconds(), cpu)
 	var list []map[string]any
 	for i := range steps {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,9 @@
 	maxHold           = time.Second
 	maxHoldWait       = 2 * time.Second
 	runnerCPU         = 32000 // thousandths of a core
+	minLate           = 2 * time.Second
+	maxLate           = 12 * time.Second
+	slowClock         = 0.98
 	runnerMemory      = 131072
 )
 
@@ -44,10 +48,24 @@
 	sequence  uint64
 	server    *http.Server
 	cancelled context.CancelFunc
+
+	late     float64       // share of the orders that get no answer and are carried out late
+	stopTime time.Duration // from the acknowledgement of a stop to the end of the run
+	slow     bool          // the steady clock, which leases are measured on, runs 2% slow
+	history  []interval
+}
+
+// interval is the time that a run was at work, until its end or the end of its lease.
+type interval struct {
+	task       string
+	run        int
+	on         string
+	begun, end time.Time
 }
 
 type activeRun struct {
 	run   int
+	begun time.Time
 	cpu   int64
 	timer *time.Timer
 }
@@ -130,6 +148,11 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if req.URL.Path != "/hold" && r.isLate() {
+			time.AfterFunc(minLate+rand.N(maxLate-minLate), func() { apply(context.Background(), c) })
+			<-req.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		status, a := apply(req.Context(), c)
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
@@ -137,8 +160,33 @@
 	}
 }
 
+// isLate reports whether the next order gets no answer and is carried out late.
+func (r *runner) isLate() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rand.Float64() < r.late
+}
+
+func (r *runner) setLate(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = share
+}
+
+// clock returns the runner's steady clock in milliseconds.
+func (r *runner) clock() int64 {
+	return time.Duration(float64(time.Since(r.born)) * r.clockRate()).Milliseconds()
+}
+
+func (r *runner) clockRate() float64 {
+	if r.slow {
+		return slowClock
+	}
+	return 1
+}
+
 func (r *runner) answer(reason string) answer {
-	return answer{Clock: time.Since(r.born).Milliseconds(), Born: r.born.UnixMilli(), Reason: reason}
+	return answer{Clock: r.clock(), Born: r.born.UnixMilli(), Reason: reason}
 }
 
 // checkFence reports whether a call may be carried out, and keeps the highest token.
@@ -151,8 +199,8 @@
 }
 
 func (r *runner) extendLease(deadline int64) {
-	end := r.born.Add(time.Duration(deadline) * time.Millisecond)
-	if latest := time.Now().Add(maxHold); end.After(latest) {
+	end := r.born.Add(time.Duration(float64(deadline) / r.clockRate() * float64(time.Millisecond)))
+	if latest := time.Now().Add(time.Duration(float64(maxHold) / r.clockRate())); end.After(latest) {
 		end = latest
 	}
 	if end.After(r.leaseEnd) {
@@ -166,7 +214,7 @@
 	if !r.checkFence(c.Fence) {
 		return http.StatusConflict, r.answer("fence")
 	}
-	if c.Deadline < time.Since(r.born).Milliseconds() {
+	if c.Deadline < r.clock() {
 		return http.StatusConflict, r.answer("late")
 	}
 	r.extendLease(c.Deadline)
@@ -185,7 +233,7 @@
 	if r.usedCPU+cpu > runnerCPU {
 		return http.StatusConflict, r.answer("room")
 	}
-	run := &activeRun{run: c.Run, cpu: cpu}
+	run := &activeRun{run: c.Run, begun: time.Now(), cpu: cpu}
 	r.runs[c.Task] = run
 	r.usedCPU += cpu
 	run.timer = time.AfterFunc(time.Duration(work)*time.Millisecond, func() {
@@ -208,7 +256,17 @@
 	}
 	r.highest[c.Task] = max(r.highest[c.Task], c.Run)
 	if run := r.runs[c.Task]; run != nil && run.run <= c.Run {
-		r.end(c.Task, "stopped")
+		if r.stopTime == 0 {
+			r.end(c.Task, "stopped")
+			return http.StatusOK, r.answer("")
+		}
+		time.AfterFunc(r.stopTime, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.runs[c.Task] == run {
+				r.end(c.Task, "stopped")
+			}
+		})
 	}
 	return http.StatusOK, r.answer("")
 }
@@ -220,6 +278,11 @@
 	delete(r.runs, task)
 	r.usedCPU -= run.cpu
 	r.highest[task] = max(r.highest[task], run.run)
+	ended := time.Now()
+	if ended.After(r.leaseEnd) {
+		ended = r.leaseEnd
+	}
+	r.history = append(r.history, interval{task, run.run, r.id, run.begun, ended})
 	r.lastEnd++
 	r.ended = append(r.ended, endedRun{r.lastEnd, task, run.run, how})
 	r.record.printf("%s ends task %s run %d: %s", r.id, task, run.run, how)
@@ -281,7 +344,7 @@
 		body, _ := json.Marshal(map[string]any{
 			"service": r.service, "address": r.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 			"capacity": map[string]any{"cpu": runnerCPU, "mem_mb": runnerMemory, "gpu": 0}, "labels": []string{"a", rack},
-			"clock_ms": time.Since(r.born).Milliseconds(), "sequence": r.sequence, "born": r.born.UnixMilli(),
+			"clock_ms": r.clock(), "sequence": r.sequence, "born": r.born.UnixMilli(),
 		}) // plain values always encode
 		pause := heartbeatInterval
 		response, err := client.Post("http://"+r.control+"/instances/"+r.id+"/heartbeat", "application/json", strings.NewReader(string(body)))
