Heartbeat policy of links in a package of its own

The policy takes the time as an argument and needs no network. In a package of its own, tests of other packages can drive both ends of a link in virtual time, which a test of the whole delay until the runs of a lost entry have ended needs.

No change of behaviour: the tests of the policy and of transport pass as before.

--- a/transport/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -1,4 +1,4 @@
-package transport
+package heartbeat
 
 import (
 	"testing"
@@ -7,36 +7,38 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
+var testTiming = Timing{Interval: time.Second, PeerTimeout: 3500 * time.Millisecond}
+
 // linkEnd is one end of a link in virtual time.
 type linkEnd struct {
-	heartbeatState
+	*State
 	idle                   bool
 	lastReceived, lastSent time.Duration
 	heartbeats             int
 }
 
 func newLinkEnd(idle bool) *linkEnd {
-	return &linkEnd{heartbeatState: heartbeatState{timing: Timing{}.withDefaults()}, idle: idle}
+	return &linkEnd{State: New(testTiming), idle: idle}
 }
 
 // tick sends a heartbeat to the peer if one is due and reports whether the peer has
 // timed out. On a cut link the heartbeat is lost.
 func (s *linkEnd) tick(now time.Duration, peer *linkEnd, cut bool) (timedOut bool) {
-	if h, ok := s.due(now, s.lastSent, s.idle, false); ok {
+	if h, ok := s.Due(now, s.lastSent, s.idle, false); ok {
 		s.lastSent = now
 		s.heartbeats++
 		if !cut {
 			peer.lastReceived = now
-			peer.recordReceived(h)
+			peer.RecordReceived(h)
 		}
 	}
-	return s.peerTimedOut(now, s.lastReceived)
+	return s.PeerTimedOut(now, s.lastReceived)
 }
 
 // firstTimeout ticks both ends at each heartbeat interval and returns when the first of
 // them timed out, or 0.
 func firstTimeout(a, b *linkEnd, from, to time.Duration, cut bool) time.Duration {
-	for now := from; now < to; now += HeartbeatInterval {
+	for now := from; now < to; now += testTiming.Interval {
 		if a.tick(now, b, cut) || b.tick(now, a, cut) {
 			return now
 		}
@@ -74,15 +76,15 @@
 	firstTimeout(a, b, 0, 100*time.Second, false)
 	start := 101 * time.Second
 	a.idle = false
-	a.markBusy(start)
+	a.MarkBusy(start)
 	at := start
 	for !a.tick(at, b, true) {
-		at += HeartbeatInterval
-		if want := start + PeerTimeout + HeartbeatInterval; at > want {
+		at += testTiming.Interval
+		if want := start + testTiming.PeerTimeout + testTiming.Interval; at > want {
 			t.Fatalf("not timed out by %s", want)
 		}
 	}
-	if at <= start+HeartbeatInterval {
+	if at <= start+testTiming.Interval {
 		t.Errorf("timed out at %s, before the peer could respond", at)
 	}
 }
@@ -92,7 +94,7 @@
 	a, b := newLinkEnd(true), newLinkEnd(true)
 	firstTimeout(a, b, 0, 100*time.Second, false)
 	at := firstTimeout(a, b, 100*time.Second, 200*time.Second, true)
-	if want := 100*time.Second + IdleHeartbeatInterval + PeerTimeout; at == 0 || at > want {
+	if want := 100*time.Second + testTiming.Idle() + testTiming.PeerTimeout; at == 0 || at > want {
 		t.Errorf("timed out at %s, want by %s", at, want)
 	}
 }
@@ -100,9 +102,9 @@
 // Guards against the idle interval towards a peer of an earlier release, whose
 // heartbeats announce neither idleness nor an interval.
 func TestPeerWithoutIntervalGetsShortInterval(t *testing.T) {
-	p := heartbeatState{timing: Timing{}.withDefaults()}
-	p.recordReceived(&wire.Heartbeat{Revision: 1})
-	if h, ok := p.due(time.Minute, 59*time.Second, true, false); !ok || h.Interval != HeartbeatInterval {
+	p := New(testTiming)
+	p.RecordReceived(&wire.Heartbeat{Revision: 1})
+	if h, ok := p.Due(time.Minute, 59*time.Second, true, false); !ok || h.Interval != testTiming.Interval {
 		t.Errorf("got %v", h)
 	}
 }
--- a/transport/connect.go
+++ b/transport/connect.go
@@ -14,7 +14,7 @@
 	t = t.withDefaults()
 	return &quic.Config{
 		HandshakeIdleTimeout:  t.Handshake,
-		MaxIdleTimeout:        2 * (t.idleHeartbeat() + t.slack()),
+		MaxIdleTimeout:        2 * (t.heartbeats().Idle() + t.heartbeats().Slack()),
 		MaxIncomingUniStreams: maxLargeStreams,
 		MaxIncomingStreams:    1,
 	}
--- a/transport/link.go
+++ b/transport/link.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/catkinline/catkinline/internal/heartbeat"
 	defaults "github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/quic-go/quic-go"
@@ -33,6 +34,10 @@
 	PeerTimeout       = 3500 * time.Millisecond
 )
 
+// IdleHeartbeatInterval is the time between heartbeats on a link that neither side has
+// work on.
+const IdleHeartbeatInterval = heartbeat.IdleFactor * HeartbeatInterval
+
 // Timing holds the intervals and timeouts of links. Zero fields take the defaults
 // HeartbeatInterval, PeerTimeout and handshakeTimeout. Both ends of a link need the
 // same values.
@@ -49,11 +54,9 @@
 	return t
 }
 
-// idleHeartbeat is the interval of a link that neither side has work on.
-func (t Timing) idleHeartbeat() time.Duration { return idleFactor * t.Heartbeat }
-
-// slack is how late a heartbeat may arrive before the link is closed.
-func (t Timing) slack() time.Duration { return t.PeerTimeout - t.Heartbeat }
+func (t Timing) heartbeats() heartbeat.Timing {
+	return heartbeat.Timing{Interval: t.Heartbeat, PeerTimeout: t.PeerTimeout}
+}
 
 // protocolName is the ALPN protocol name of links.
 const protocolName = "catkinline/1"
@@ -105,7 +108,7 @@
 	wake         chan struct{} // wakes writeLoop
 	largeStreams chan struct{} // semaphore of the streams for large messages
 
-	heartbeat    heartbeatState
+	heartbeat    *heartbeat.State
 	opened       time.Time
 	lastReceived atomic.Int64 // nanoseconds from opened to the last message received
 	lastSent     atomic.Int64 // nanoseconds from opened to the last message sent
@@ -114,7 +117,7 @@
 func newLink(opts Options, conn *quic.Conn, control *quic.Stream) *Link {
 	opts.Timing = opts.Timing.withDefaults()
 	l := &Link{
-		heartbeat:    heartbeatState{timing: opts.Timing},
+		heartbeat:    heartbeat.New(opts.Timing.heartbeats()),
 		opts:         opts,
 		conn:         conn,
 		control:      control,
@@ -179,7 +182,7 @@
 	now := l.age()
 	l.lastSent.Store(int64(now))
 	if m.Type() != wire.TypeHeartbeat {
-		l.heartbeat.markBusy(now)
+		l.heartbeat.MarkBusy(now)
 	}
 	if l.opts.Counter != nil {
 		l.opts.Counter.CountMessage(m.Type(), len(frame), true)
@@ -234,7 +237,7 @@
 
 func (l *Link) handle(m wire.Message, bytes int) {
 	l.lastReceived.Store(int64(l.age()))
-	l.heartbeat.recordReceived(m)
+	l.heartbeat.RecordReceived(m)
 	if l.opts.Counter != nil {
 		l.opts.Counter.CountMessage(m.Type(), bytes, false)
 	}
@@ -326,12 +329,12 @@
 			lastReceived := time.Duration(l.lastReceived.Load())
 			idle := l.opts.Idle != nil && l.opts.Idle(l)
 			current := l.opts.Revision()
-			if h, ok := l.heartbeat.due(now, time.Duration(l.lastSent.Load()), idle, current != revision); ok {
+			if h, ok := l.heartbeat.Due(now, time.Duration(l.lastSent.Load()), idle, current != revision); ok {
 				revision = current
 				h.Revision = current
 				_ = l.Send(h)
 			}
-			if l.heartbeat.peerTimedOut(now, lastReceived) {
+			if l.heartbeat.PeerTimedOut(now, lastReceived) {
 				return Error.New("%s has sent nothing for %s", l.peer.Name, (now - lastReceived).Round(time.Millisecond))
 			}
 		}
