Renew a run's lease only by proof that its entry is alive

Cause: delays in a row whose sum nobody had worked out. An agent renewed the lease until it had lost the link: 0.5 s of silence, looked at every 0.15 s, and up to 0.15 s until a link that had been idle counted as busy. The lease then had 0.6 s left, 0.612 s on a clock that is 2% slow. For jobs that a gateway forwards to a placer there were two such links in a row.

In virtual time, over all phases of heartbeats and polls, the runs of a dead entry go on for up to 1.357 s; of forwarded jobs for 1.337 s, and for up to 1.877 s if the placer dies within 0.7 s; 1.337 s after an entry's last message over a link that is cut, for which it waits 1.2 s.

Change: heartbeats return the time in the other side's last one, with how long ago it arrived, which proves since when the peer is alive, however late they are read. Agents renew a lease only while the entries of all runs were alive within the last 0.5 s. A placer's heartbeats and starts say how long ago the entries were alive whose jobs it runs. Busy links send heartbeats whatever else they send, and one before the first message on an idle link.

Why it works: the bound is 0.5 s and the lease, 1.12 s with a slow clock; link timeouts, ticks, polls and their phases do not enter it, nor a second link.

--- a/gateway/forward_receive.go
+++ b/gateway/forward_receive.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/sidecar"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -13,15 +14,15 @@
 // targets or is overloaded.
 func (g *Gateway) handleForward(l peerLink, m *wire.JobForward) {
 	now := time.Now()
-	if reason := g.declineReason(m); reason != "" {
-		g.log.Info("job of a peer declined", zap.String("job", m.Job.ID), zap.String("peer", l.Name()),
+	if reason := g.declineReason(l, m); reason != "" {
+		g.log.Info("job of a peer declined", zap.String("job", m.Job.ID), zap.String("peer", l.Name()), zap.Duration("peer_age", l.SinceAlive()),
 			zap.String("reason", reason), zap.Duration("lag", g.loopLag.meanLag()))
 		// Sending fails only on a closed link; the peer answers its caller when it notices that.
 		_ = l.Send(&wire.JobAnswer{RequestID: m.RequestID, Declined: true, WaitingCPU: g.scheduler.WaitingCPU()})
 		return
 	}
 	g.requests.Add(1)
-	r := placement.Request{Job: m.Job, Route: m.Route, Version: m.RoutesVersion, Deadline: now.Add(m.TimeLeft)}
+	r := placement.Request{Job: m.Job, Route: m.Route, Version: m.RoutesVersion, Deadline: now.Add(m.TimeLeft), Origin: l}
 	if m.StopIn > 0 {
 		r.StopAt = now.Add(m.StopIn)
 	}
@@ -40,11 +41,13 @@
 }
 
 // declineReason returns why a job of a peer is declined, or an empty string.
-func (g *Gateway) declineReason(m *wire.JobForward) string {
+func (g *Gateway) declineReason(l peerLink, m *wire.JobForward) string {
 	if err := m.Job.Validate(); err != nil {
 		return "malformed: " + err.Error()
 	}
 	switch {
+	case l.SinceAlive() > sidecar.MaxEntrySilence:
+		return "the peer may have died since it sent the job"
 	case g.stopping.Load():
 		return "a planned stop has begun"
 	case !g.scheduler.HasTargets():
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/sidecar"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -65,3 +68,26 @@
 		t.Errorf("outcome 200 is named %q", name)
 	}
 }
+
+// Guards against tasks of a peer's job that start although the peer may have died since it sent the job, and
+// against heartbeats to agents that vouch for the runs of a dead peer.
+func TestJobOfSilentPeer(t *testing.T) {
+	g := newPlacer(t)
+	l := &recordingLink{silentLink: silentLink{name: "peer", quiet: 300 * time.Millisecond}}
+	g.forwarder.linkUp(l)
+	forward := func(number uint64) {
+		g.handleForward(l, &wire.JobForward{
+			RequestID: number, TimeLeft: 10 * time.Second, Route: routing.Route{Name: "r", MaxAttempts: 1, Stretch: 2, TargetDuration: time.Second},
+			Job: workload.Job{ID: fmt.Sprintf("%016x", number), Steps: []workload.Step{{Tasks: 1, Need: workload.Resources{CPU: 100}, Estimate: 100 * time.Millisecond}}},
+		})
+	}
+	forward(1)
+	if got := g.scheduler.OriginAge("agent"); len(l.sent) != 0 || got != l.quiet {
+		t.Errorf("sent %+v, origin age %s; want the job to run, and %s", l.sent, got, l.quiet)
+	}
+	l.quiet = sidecar.MaxEntrySilence + time.Millisecond
+	forward(2)
+	if a, ok := l.sent[0].(*wire.JobAnswer); !ok || a.RequestID != 2 || !a.Declined {
+		t.Errorf("answer to a job of a peer that may have died: %+v, want declined", l.sent[0])
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -24,9 +24,19 @@
 		Counter:     metrics.MessageCounter{Registry: g.opts.Metrics},
 		Timing:      LinkTiming,
 		Idle:        g.idle,
+		OriginAge:   g.originAge,
 	}
 }
 
+// originAge returns how long ago the peers whose jobs have runs at an agent were all known to be
+// alive. Jobs that are forwarded over a link to a peer are those of this entry's callers.
+func (g *Gateway) originAge(l *transport.Link) time.Duration {
+	if l.Role() == wire.RoleEntry {
+		return 0
+	}
+	return g.scheduler.OriginAge(l.Name())
+}
+
 // idle reports whether it does no harm to detect the loss of a link late: the link leads to a
 // peer without forwarded jobs, or to an agent without a run of this entry.
 func (g *Gateway) idle(l *transport.Link) bool {
@@ -128,7 +138,7 @@
 func (g *Gateway) peerUp(l *transport.Link) {
 	g.log.Info("peer linked", zap.String("peer", l.Name()))
 	g.forwarder.linkUp(l)
-	_ = l.Send(&wire.Heartbeat{Revision: g.version()})
+	_ = l.SendHeartbeat()
 	g.sendCrashes(l)
 	g.sendCancelled(l)
 	_ = l.Send(g.placerState())
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -29,6 +29,7 @@
 	Send(m wire.Message) error
 	Close(err error) error
 	SinceReceived() time.Duration // time since the last message from the peer
+	SinceAlive() time.Duration    // time since the peer was last known to be alive
 }
 
 // peerState is what is known about a linked peer.
--- a/gateway/placers_test.go
+++ b/gateway/placers_test.go
@@ -21,6 +21,7 @@
 func (l *silentLink) Send(wire.Message) error       { return nil }
 func (l *silentLink) Close(error) error             { l.closed = true; return nil }
 func (l *silentLink) SinceReceived() time.Duration  { return l.quiet }
+func (l *silentLink) SinceAlive() time.Duration     { return l.quiet }
 
 // tableOf returns a table with a number of placers, p0 and so on, and their links.
 func tableOf(n int) (t placerTable, names []string, links []*silentLink) {
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -12,27 +12,24 @@
 // different systems; it does not protect against an attacker on the network.
 const LinkSecret = "catkinline-links"
 
-// LinkTiming sets the heartbeats and timeouts of links. A caller whose connection broke sends
-// its job again, to another entry, after 1.3 s at the earliest; by then the agents must have
-// dropped the link to this entry and stopped its runs. The peer timeout spans three
-// heartbeats, so that one lost packet does not end a link.
+// LinkTiming sets the heartbeats and timeouts of links. The peer timeout spans three heartbeats,
+// so that one lost packet does not end a link. How long runs outlast their entry does not depend
+// on it, but on sidecar.MaxEntrySilence.
 var LinkTiming = transport.Timing{
 	Heartbeat:   150 * time.Millisecond,
 	PeerTimeout: 500 * time.Millisecond,
 	Handshake:   400 * time.Millisecond,
 }
 
-// LostRunTimeout is how long the runs of an agent may continue after the link to it ended:
-// either the agent's peer timeout ends the link and it stops them, or their lease expires.
-const LostRunTimeout = 500*time.Millisecond + sidecar.DefaultLease + runStopTimeout
+// LostRunTimeout is how long the runs of an agent may continue after the link to it ended: the
+// agent renews their lease until this entry has been silent for sidecar.MaxEntrySilence.
+const LostRunTimeout = sidecar.MaxEntrySilence + sidecar.DefaultLease + leaseMargin
 
-// runStopTimeout allows for the time that an agent needs to stop runs, and for a slow clock of
-// the target.
-const runStopTimeout = 100 * time.Millisecond
+// leaseMargin allows for the clock of a target, which may be 2% slow, and for its timers.
+const leaseMargin = 100 * time.Millisecond
 
-// maxPause is the longest pause of the process after which jobs and links continue. The runs of a
-// job that a peer had sent have to end before its caller sends it again, 1.3 s after the peer is
-// gone: maxPause, the peer timeout and the time to stop runs are less than that.
+// maxPause is the longest pause of the process after which jobs and links continue. Agents renew no
+// lease of this entry's runs during a longer one, or for a peer that dies meanwhile.
 const maxPause = 600 * time.Millisecond
 
 const (
--- a/placement/job.go
+++ b/placement/job.go
@@ -78,9 +78,15 @@
 	timeliness timeliness
 	key        float64 // position in the queue, see orderKey
 	firstRun   time.Time
-	runs       int           // runs sent
-	noRoom     int           // runs refused for lack of free capacity
-	callers    []chan Answer // one channel for each caller that waits for the answer
+	runs       int      // runs sent
+	noRoom     int      // runs refused for lack of free capacity
+	callers    []caller // those that wait for the answer
+}
+
+// caller is a caller of a job, or another entry that passes its answer on.
+type caller struct {
+	answer chan Answer
+	origin Origin // nil: this entry
 }
 
 func newJob(r Request, now time.Time) *activeJob {
@@ -101,9 +107,9 @@
 
 // addCaller returns a new channel that delivers the job's answer to one caller. Its buffer
 // keeps the scheduler from blocking on a caller.
-func (j *activeJob) addCaller() chan Answer {
+func (j *activeJob) addCaller(origin Origin) chan Answer {
 	c := make(chan Answer, 1)
-	j.callers = append(j.callers, c)
+	j.callers = append(j.callers, caller{c, origin})
 	return c
 }
 
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -128,7 +128,7 @@
 	s.stopRuns(j)
 	s.reportJob(j, a, now)
 	for _, c := range j.callers {
-		c <- a
+		c.answer <- a
 	}
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -141,6 +141,7 @@
 // pendingStart is a start that the current scheduling pass has decided on.
 type pendingStart struct {
 	target  *target
+	job     *activeJob
 	message *wire.RunStart
 }
 
@@ -154,8 +155,10 @@
 	if s.sentBacklog.tasks > 0 {
 		waiting = s.backlog().message(now)
 	}
+	ages := make(originAges)
 	for _, p := range s.starts {
 		p.message.Backlog = waiting
+		p.message.OriginAge = ages.of(p.job)
 		s.send(p.target, p.message)
 	}
 	s.starts = s.starts[:0]
@@ -266,7 +269,7 @@
 	if j.firstRun.IsZero() {
 		j.firstRun = now
 	}
-	s.starts = append(s.starts, pendingStart{t, &wire.RunStart{
+	s.starts = append(s.starts, pendingStart{t, j, &wire.RunStart{
 		Run:       r.id,
 		Spec:      j.request.Job.Spec,
 		Need:      r.need,
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -117,6 +117,7 @@
 	Deadline time.Time
 	ReadAt   time.Time // when the entry that received the job read the request; zero: not known
 	StopAt   time.Time // when the entry that received the job ends a planned stop; zero: no stop
+	Origin   Origin    // the entry that received the job; nil: this one
 }
 
 // Submit accepts a job and returns a ticket, or returns the refusal of a job of which
@@ -129,7 +130,7 @@
 		if r.Deadline.After(j.request.Deadline) {
 			j.request.Deadline = r.Deadline
 		}
-		return &Ticket{s: s, j: j, answer: j.addCaller()}, nil
+		return &Ticket{s: s, j: j, answer: j.addCaller(r.Origin)}, nil
 	}
 	j := newJob(r, now)
 	s.estimate(j)
@@ -141,7 +142,7 @@
 	s.jobs[j] = struct{}{}
 	s.byID[r.Job.ID] = j
 	s.enqueue(j)
-	answer := j.addCaller()
+	answer := j.addCaller(r.Origin)
 	s.schedule(now)
 	return &Ticket{s: s, j: j, answer: answer}, nil
 }
@@ -170,7 +171,7 @@
 		t.s.schedule(now)
 		return
 	}
-	t.j.callers = slices.DeleteFunc(t.j.callers, func(c chan Answer) bool { return c == t.answer })
+	t.j.callers = slices.DeleteFunc(t.j.callers, func(c caller) bool { return c.answer == t.answer })
 	t.answer <- cancelled
 }
 
--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -15,6 +15,9 @@
 	Name() string
 	Incarnation() wire.Incarnation
 	Close(error) error
+	// SinceAlive returns the time since the entry, and the entries whose jobs it has runs of here, were
+	// last known to be alive.
+	SinceAlive() time.Duration
 }
 
 // linkState is a link and what was sent and received on it.
@@ -105,3 +108,14 @@
 	defer s.mu.Unlock()
 	return !s.table.HasRunsOf(ownerOf(l))
 }
+
+// silentEntry returns the link of an entry with runs here that may have died, or nil. The link
+// itself is lost only later.
+func (s *Sidecar) silentEntry() *linkState {
+	for _, state := range s.links {
+		if state.link.SinceAlive() > MaxEntrySilence && s.table.HasRunsOf(ownerOf(state.link)) {
+			return state
+		}
+	}
+	return nil
+}
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/catkinline/catkinline/sidecar"
 	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
@@ -135,3 +136,41 @@
 		}
 	})
 }
+
+// Guards against a lease that is renewed, by polls or by starts of other entries, for the runs of an entry
+// that may have died, and against runs that are lost although their entry was only silent for a while.
+func TestLeaseIsNotRenewedForSilentEntry(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"short": 400 * time.Millisecond, "long": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, withRunTime(10*time.Second), func(b *fixture) {
+				silent, other := b.open("silent"), b.open("other")
+				b.start(silent, id(0, 1), 1000)
+				time.Sleep(time.Second)
+				silent.setSinceAlive(sidecar.MaxEntrySilence + time.Millisecond)
+				for i := range uint32(10) {
+					b.start(other, id(1+i, 1), 100)
+					time.Sleep(silence / 10)
+				}
+				silent.setSinceAlive(0)
+				time.Sleep(time.Second)
+				_, running := b.runner.Running()[firstTask]
+				if survives := silence < sidecar.DefaultLease-sidecar.DefaultRenewInterval; running != survives {
+					t.Errorf("after a silence of %s: the entry's run continues %t, want %t", silence, running, survives)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a start that was on its way, or in a buffer of this process, while its entry died.
+func TestStartOfSilentEntryIsRefused(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		l.setSinceAlive(sidecar.MaxEntrySilence + time.Millisecond)
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(50 * time.Millisecond)
+		if ends := l.ends(); len(ends) != 1 || ends[0].Status != wire.EndNotRun || b.runner.Starts(firstTask) != 0 {
+			t.Errorf("run ends received: %+v after %d starts, want one run that was not started", ends, b.runner.Starts(firstTask))
+		}
+	})
+}
--- a/sidecar/model_link_test.go
+++ b/sidecar/model_link_test.go
@@ -18,6 +18,7 @@
 	cut   bool              // messages are lost in both directions
 	gone  [2]bool           // by end: the agent's, the entry's
 	queue [2][]modelMessage // by receiving end, in the order in which they were sent
+	alive time.Time         // the agent knows that the entry was alive then
 }
 
 // modelMessage is a message on its way.
@@ -86,6 +87,33 @@
 // Name implements sidecar.Link.
 func (l *modelLink) Name() string { return l.entry.name }
 
+// SinceAlive implements sidecar.Link.
+func (l *modelLink) SinceAlive() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.alive)
+}
+
+// heartbeats tells the agent at each tick that the entry is alive, until the link ends.
+func (l *modelLink) heartbeats() {
+	for !l.host.m.ended() {
+		l.mu.Lock()
+		gone, sent := l.gone[agentEnd] || l.gone[entryEnd], time.Now()
+		l.mu.Unlock()
+		if gone {
+			return
+		}
+		if !l.entry.paused() {
+			l.deliver(agentEnd, func() {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				l.alive = sent
+			})
+		}
+		time.Sleep(modelTick)
+	}
+}
+
 // Incarnation implements sidecar.Link.
 func (l *modelLink) Incarnation() wire.Incarnation { return 1 }
 
@@ -128,7 +156,8 @@
 
 // link links a host to an entry. It must be called with the host's mu held.
 func (h *modelHost) link(e *modelEntry) {
-	l := &modelLink{host: h, entry: e, process: h.sidecar}
+	l := &modelLink{host: h, entry: e, process: h.sidecar, alive: time.Now()}
+	go l.heartbeats()
 	h.links[e] = l
 	incarnation := h.incarnation
 	time.AfterFunc(modelHop, func() {
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -107,19 +107,42 @@
 
 // renewedLease returns the lease end to send with a poll, or 0 to renew nothing. A target that
 // has been silent for unresponsiveAfter may still receive the polls; with renewals, its runs
-// would continue for as long as it is silent. While a stop has no response or there are runs of an
-// earlier process of this agent, nothing is renewed either, so that these runs end with the lease before
-// their tasks start elsewhere. A lease that no process gets would delay the report of its runs' end.
+// would continue for as long as it is silent. While there are runs of an earlier process of this agent, or
+// the lease must not be extended for another reason, nothing is renewed either, so that these runs end with
+// the lease before their tasks start elsewhere. A lease that no process gets would delay the report of its
+// runs' end.
 func (s *Sidecar) renewedLease(now time.Time) time.Duration {
 	if !s.target.answeredAt.IsZero() && (!s.target.reachable || now.Sub(s.target.answeredAt) > unresponsiveAfter) {
 		return 0
 	}
-	if s.table.HasUnansweredStop() || s.hasUnknownRuns() {
+	if s.leaseHeld() || s.hasUnknownRuns() {
 		return 0
 	}
 	return s.leaseEnd(now)
 }
 
+// leaseHeld reports whether the lease must not be extended, since a run has to end with it: a stop has no
+// response, or an entry with runs here may have died. A target has one lease for all of its runs.
+func (s *Sidecar) leaseHeld() bool {
+	silent := s.silentEntry()
+	s.logSilence(silent)
+	return silent != nil || s.table.HasUnansweredStop()
+}
+
+// logSilence logs when an entry is silent for too long to renew the lease, and when none is any more.
+func (s *Sidecar) logSilence(silent *linkState) {
+	if s.saidSilent == (silent != nil) {
+		return
+	}
+	s.saidSilent = silent != nil
+	if silent == nil {
+		s.log.Info("lease is renewed again", zap.Duration("left", s.leaseLeft(time.Now())))
+		return
+	}
+	s.log.Warn("lease is not renewed: an entry may have died", zap.String("entry", silent.link.Name()),
+		zap.Duration("silent", silent.link.SinceAlive()), zap.Duration("left", s.leaseLeft(time.Now())))
+}
+
 // hasUnknownRuns reports whether the target may have runs of an earlier process of this agent, which
 // are being stopped.
 func (s *Sidecar) hasUnknownRuns() bool { return !s.target.synced || s.target.orphans > 0 }
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -94,8 +94,10 @@
 		return wire.EndNotRun, "the target has not reported its capacity recently"
 	case now.Before(s.target.backoffUntil):
 		return wire.EndNotRun, "the target refused a run a moment ago"
-	case s.table.HasUnansweredStop() && s.leaseLeft(now) < minStartLease:
-		return wire.EndNotRun, "a stop has no response, and the lease ends soon"
+	case state.link.SinceAlive() > MaxEntrySilence:
+		return wire.EndNotRun, "the entry may have died since it sent the start"
+	case s.leaseHeld() && s.leaseLeft(now) < minStartLease:
+		return wire.EndNotRun, "the lease is not renewed at present, and ends soon"
 	}
 	switch end := s.table.Admit(r); end {
 	case wire.EndNotRun:
@@ -118,10 +120,9 @@
 	}
 }
 
-// startLease returns the lease end to send with a start. A target has one lease for all of its
-// runs, which must not be extended while a stop has no response.
+// startLease returns the lease end to send with a start, which extends the lease of all runs.
 func (s *Sidecar) startLease(now time.Time) time.Duration {
-	if s.table.HasUnansweredStop() {
+	if s.leaseHeld() {
 		return s.target.leaseSent
 	}
 	return s.leaseEnd(now)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -65,9 +65,22 @@
 	name        string
 	incarnation wire.Incarnation
 
-	mu     sync.Mutex
-	sent   []wire.Message
-	closed bool
+	mu         sync.Mutex
+	sent       []wire.Message
+	closed     bool
+	sinceAlive time.Duration
+}
+
+func (l *fakeLink) SinceAlive() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sinceAlive
+}
+
+func (l *fakeLink) setSinceAlive(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sinceAlive = d
 }
 
 func (l *fakeLink) Send(m wire.Message) error {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -14,6 +14,9 @@
 	ID       string
 	CPU      int64         // thousandths of a core; default 32000
 	MaxLease time.Duration // longest lease that the target accepts; default 1 s
+	// ClockRate is the rate of the target's clock, on which leases are measured, against this
+	// process's clock; default 1.
+	ClockRate float64
 	// Work returns the run time of a task and whether the task fails after it. The
 	// default is 50 ms without a failure.
 	Work func(task, spec string) (time.Duration, bool)
@@ -99,6 +102,9 @@
 	if o.MaxLease == 0 {
 		o.MaxLease = time.Second
 	}
+	if o.ClockRate == 0 {
+		o.ClockRate = 1
+	}
 	if o.Work == nil {
 		o.Work = func(string, string) (time.Duration, bool) { return 50 * time.Millisecond, false }
 	}
@@ -224,11 +230,21 @@
 	}
 }
 
-func (r *Runner) clockMS() int64 { return time.Since(r.born).Milliseconds() }
+// clock is the time since the start of the process on the target's clock.
+func (r *Runner) clock() time.Duration {
+	return time.Duration(float64(time.Since(r.born)) * r.opts.ClockRate)
+}
+
+// timeAt returns when the target's clock shows a time.
+func (r *Runner) timeAt(clock time.Duration) time.Time {
+	return r.born.Add(time.Duration(float64(clock) / r.opts.ClockRate))
+}
+
+func (r *Runner) clockMS() int64 { return r.clock().Milliseconds() }
 
 func (r *Runner) response(reason string) platform.TargetResponse {
 	a := platform.TargetResponse{Reason: reason}
-	a.SetClock(time.Since(r.born))
+	a.SetClock(r.clock())
 	return a
 }
 
@@ -244,7 +260,7 @@
 // extendLease renews the lease until a time on the target's own clock, but for no
 // longer than MaxLease from now.
 func (r *Runner) extendLease(deadlineMS int64) {
-	r.RenewLease(r.born.Add(min(time.Duration(deadlineMS)*time.Millisecond, time.Since(r.born)+r.opts.MaxLease)))
+	r.RenewLease(r.timeAt(min(time.Duration(deadlineMS)*time.Millisecond, r.clock()+r.opts.MaxLease)))
 }
 
 // RenewLease extends the lease to end. An earlier end than the current one has no
--- a/transport/link.go
+++ b/transport/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinline/catkinline/internal/heartbeat"
 	defaults "github.com/catkinline/catkinline/internal/options"
+	"github.com/catkinline/catkinline/internal/pausedetect"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/quic-go/quic-go"
 	tomb "gopkg.in/tomb.v2"
@@ -90,6 +91,9 @@
 	// started, queued or has an unacknowledged outcome. With nil, heartbeats are sent
 	// at the shortest interval on every link.
 	Idle func(l *Link) bool
+	// OriginAge returns how long ago the processes for which this one has work on a link were all
+	// known to be alive. Nil: it acts for itself only.
+	OriginAge func(l *Link) time.Duration
 }
 
 // Link is a connection to a peer process. Its methods are safe for concurrent use.
@@ -102,6 +106,7 @@
 	incarnation wire.Incarnation
 	tomb        tomb.Tomb
 
+	sending      sync.Mutex // keeps a heartbeat before the message that it is sent for
 	mu           sync.Mutex
 	outbox       [][]byte      // frames that writeLoop has not taken yet
 	queued       atomic.Int64  // bytes of frames that are not written yet
@@ -109,9 +114,8 @@
 	largeStreams chan struct{} // semaphore of the streams for large messages
 
 	heartbeat    *heartbeat.State
-	opened       time.Time
-	lastReceived atomic.Int64 // nanoseconds from opened to the last message received
-	lastSent     atomic.Int64 // nanoseconds from opened to the last message sent
+	opened       time.Duration // time since boot
+	lastReceived atomic.Int64  // nanoseconds from opened to the last message received
 }
 
 func newLink(opts Options, conn *quic.Conn, control *quic.Stream) *Link {
@@ -124,14 +128,14 @@
 		reader:       bufio.NewReaderSize(control, readBufferBytes),
 		wake:         make(chan struct{}, 1),
 		largeStreams: make(chan struct{}, maxLargeStreams),
-		opened:       time.Now(),
+		opened:       pausedetect.BootTime(),
 	}
 	return l
 }
 
-// age returns the time since the link was opened, by the monotonic clock: a step of
-// the wall clock must not close links.
-func (l *Link) age() time.Duration { return time.Since(l.opened) }
+// age returns the time since the link was opened. Time for which the machine was suspended counts:
+// the peer's work may have been done elsewhere meanwhile.
+func (l *Link) age() time.Duration { return pausedetect.BootTime() - l.opened }
 
 // Name returns the peer's name, as its certificate states it.
 func (l *Link) Name() string { return l.peer.Name }
@@ -145,6 +149,11 @@
 // SinceReceived returns the time since the last message from the peer.
 func (l *Link) SinceReceived() time.Duration { return l.age() - time.Duration(l.lastReceived.Load()) }
 
+// SinceAlive returns the time since the peer, and the processes that it acts for, were last known to be
+// alive. It is at most one round trip longer than the time since the peer sent its last heartbeat, and does
+// not depend on when that was read.
+func (l *Link) SinceAlive() time.Duration { return l.age() - l.heartbeat.AliveAt() }
+
 // Traffic counts the QUIC packets of a link, including acknowledgements and
 // retransmissions, and their bytes without the headers of UDP and IP.
 type Traffic struct {
@@ -167,6 +176,28 @@
 // encoded, if the link is closed, or if the peer reads too slowly, in which case Send
 // closes the link.
 func (l *Link) Send(m wire.Message) error {
+	if m.Type() == wire.TypeHeartbeat {
+		return l.queue(m)
+	}
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	if h := l.heartbeat.MarkBusy(l.age()); h != nil {
+		if err := l.sendHeartbeat(h); err != nil {
+			return err
+		}
+	}
+	return l.queue(m)
+}
+
+// SendHeartbeat sends a heartbeat with the current revision at once.
+func (l *Link) SendHeartbeat() error { return l.sendHeartbeat(l.heartbeat.Next(l.age())) }
+
+func (l *Link) sendHeartbeat(h *wire.Heartbeat) error {
+	h.Revision = l.opts.Revision()
+	return l.queue(h)
+}
+
+func (l *Link) queue(m wire.Message) error {
 	if !l.tomb.Alive() {
 		return Error.New("link to %s is closed", l.peer.Name)
 	}
@@ -179,11 +210,6 @@
 		l.Close(err)
 		return err
 	}
-	now := l.age()
-	l.lastSent.Store(int64(now))
-	if m.Type() != wire.TypeHeartbeat {
-		l.heartbeat.MarkBusy(now)
-	}
 	if l.opts.Counter != nil {
 		l.opts.Counter.CountMessage(m.Type(), len(frame), true)
 	}
@@ -236,8 +262,9 @@
 }
 
 func (l *Link) handle(m wire.Message, bytes int) {
-	l.lastReceived.Store(int64(l.age()))
-	l.heartbeat.RecordReceived(m)
+	now := l.age()
+	l.lastReceived.Store(int64(now))
+	l.heartbeat.RecordReceived(m, now)
 	if l.opts.Counter != nil {
 		l.opts.Counter.CountMessage(m.Type(), bytes, false)
 	}
@@ -313,9 +340,9 @@
 	return Error.Wrap(s.Close())
 }
 
-// heartbeatLoop sends a heartbeat when nothing else was sent for an interval or when
-// the revision changed, and closes the link when the peer has timed out. A changed
-// revision is sent within the shorter interval on idle links too.
+// heartbeatLoop sends the heartbeats that are due and one when the revision changed, and closes
+// the link when the peer has timed out. A changed revision is sent within the shorter interval on
+// idle links too.
 func (l *Link) heartbeatLoop() error {
 	ticker := time.NewTicker(l.opts.Timing.Heartbeat)
 	defer ticker.Stop()
@@ -329,10 +356,10 @@
 			lastReceived := time.Duration(l.lastReceived.Load())
 			idle := l.opts.Idle != nil && l.opts.Idle(l)
 			current := l.opts.Revision()
-			if h, ok := l.heartbeat.Due(now, time.Duration(l.lastSent.Load()), idle, current != revision); ok {
+			if h, ok := l.heartbeat.Due(now, idle, current != revision); ok {
 				revision = current
-				h.Revision = current
-				_ = l.Send(h)
+				h.OriginAge = l.originAge()
+				_ = l.sendHeartbeat(h)
 			}
 			if l.heartbeat.PeerTimedOut(now, lastReceived) {
 				return Error.New("%s has sent nothing for %s", l.peer.Name, (now - lastReceived).Round(time.Millisecond))
@@ -340,3 +367,11 @@
 		}
 	}
 }
+
+// originAge returns the value for a heartbeat, rounded up.
+func (l *Link) originAge() uint64 {
+	if l.opts.OriginAge == nil {
+		return 0
+	}
+	return uint64((max(0, l.opts.OriginAge(l)) + time.Millisecond - 1) / time.Millisecond)
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -274,12 +274,21 @@
 
 // Heartbeat shows that the sender is alive and which revision of the
 // configuration it knows. Idle says that the sender has no work on the link.
-// Interval is the longest time to the sender's next message; 0 stands for the
-// shortest interval.
+// Interval is the longest time to the sender's next heartbeat; 0 stands for the
+// shortest interval. Other times are in milliseconds.
 type Heartbeat struct {
 	Revision uint64        `cbor:"1,keyasint"`
 	Idle     bool          `cbor:"2,keyasint,omitempty"`
 	Interval time.Duration `cbor:"3,keyasint,omitempty"`
+	// Sent is the age of the link at the sender. Echo is Sent of the receiver's last heartbeat,
+	// and EchoAge is how long before this heartbeat it arrived: the sender was alive that long
+	// after Echo, by the receiver's own clock. 0: none.
+	Sent    uint64 `cbor:"4,keyasint,omitempty"`
+	Echo    uint64 `cbor:"5,keyasint,omitempty"`
+	EchoAge uint64 `cbor:"6,keyasint,omitempty"`
+	// OriginAge is how long ago the entries from which the sender has the runs at the receiver were
+	// all known to be alive.
+	OriginAge uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Leave announces that the sender is about to shut down.
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -56,6 +56,8 @@
 	// Unguarded says that the target starts what does not fit, so that its capacity has to be
 	// known for certain.
 	Unguarded bool `cbor:"9,keyasint,omitempty"`
+	// OriginAge is how long ago the entry from which the sender has the job was known to be alive.
+	OriginAge time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // EndStatus is how a run ended.
