Links: ask for no revision while a message is sent

A heartbeat before the first message on an idle link asked Options.Revision, for which an agent of the product's own interface takes the lock under which it sends. The heartbeat now carries the revision that was sent last; a newer one follows with the next tick, as before. Gateways and sidecars read theirs without a lock.

TestMessageOnIdleLinkProvesItsSender hangs without the change; integration passes with it (50 s).

--- a/transport/link.go
+++ b/transport/link.go
@@ -116,6 +116,7 @@
 	heartbeat    *heartbeat.State
 	opened       time.Duration // time since boot
 	lastReceived atomic.Int64  // nanoseconds from opened to the last message received
+	sentRevision atomic.Uint64 // in the last heartbeat; before the first one, at the start
 }
 
 func newLink(opts Options, conn *quic.Conn, control *quic.Stream) *Link {
@@ -182,7 +183,8 @@
 	l.sending.Lock()
 	defer l.sending.Unlock()
 	if h := l.heartbeat.MarkBusy(l.age()); h != nil {
-		if err := l.sendHeartbeat(h); err != nil {
+		h.Revision = l.sentRevision.Load() // Options.Revision may need a lock that the caller holds
+		if err := l.queue(h); err != nil {
 			return err
 		}
 	}
@@ -190,10 +192,13 @@
 }
 
 // SendHeartbeat sends a heartbeat with the current revision at once.
-func (l *Link) SendHeartbeat() error { return l.sendHeartbeat(l.heartbeat.Next(l.age())) }
+func (l *Link) SendHeartbeat() error {
+	return l.sendHeartbeat(l.heartbeat.Next(l.age()), l.opts.Revision())
+}
 
-func (l *Link) sendHeartbeat(h *wire.Heartbeat) error {
-	h.Revision = l.opts.Revision()
+func (l *Link) sendHeartbeat(h *wire.Heartbeat, revision uint64) error {
+	h.Revision = revision
+	l.sentRevision.Store(revision)
 	return l.queue(h)
 }
 
@@ -346,7 +351,7 @@
 func (l *Link) heartbeatLoop() error {
 	ticker := time.NewTicker(l.opts.Timing.Heartbeat)
 	defer ticker.Stop()
-	revision := l.opts.Revision()
+	l.sentRevision.Store(l.opts.Revision())
 	for {
 		select {
 		case <-l.tomb.Dying():
@@ -356,10 +361,9 @@
 			lastReceived := time.Duration(l.lastReceived.Load())
 			idle := l.opts.Idle != nil && l.opts.Idle(l)
 			current := l.opts.Revision()
-			if h, ok := l.heartbeat.Due(now, idle, current != revision); ok {
-				revision = current
+			if h, ok := l.heartbeat.Due(now, idle, current != l.sentRevision.Load()); ok {
 				h.OriginAge = l.originAge()
-				_ = l.sendHeartbeat(h)
+				_ = l.sendHeartbeat(h, current)
 			}
 			if l.heartbeat.PeerTimedOut(now, lastReceived) {
 				return Error.New("%s has sent nothing for %s", l.peer.Name, (now - lastReceived).Round(time.Millisecond))
--- a/transport/link_test.go
+++ b/transport/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,3 +132,42 @@
 		t.Errorf("revision %d, want 7", h.Revision)
 	}
 }
+
+// Guards against a sender that blocks on its own lock: a heartbeat before the first message on an idle link
+// needs the revision, which takes that lock. And against work on an idle link whose sender is not known to be alive.
+func TestMessageOnIdleLinkProvesItsSender(t *testing.T) {
+	entry, agent := newRecordingHandler(), newRecordingHandler()
+	timing := Timing{Heartbeat: 20 * time.Millisecond, PeerTimeout: time.Second}
+	idle := func(*Link) bool { return true }
+	var lock sync.Mutex
+	entryOptions, agentOptions := options(t, wire.RoleEntry, "a", entry), options(t, wire.RoleAgent, "a", agent)
+	entryOptions.Timing, entryOptions.Idle = timing, idle
+	agentOptions.Timing, agentOptions.Idle = timing, idle
+	agentOptions.Revision = func() uint64 {
+		lock.Lock()
+		defer lock.Unlock()
+		return 7
+	}
+	l, err := Listen("127.0.0.1:0", entryOptions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go Dial(t.Context(), l.Address().String(), agentOptions)
+	up, peer := <-agent.up, <-entry.up
+	time.Sleep(15 * timing.Heartbeat)
+	sent := peer.age()
+	lock.Lock()
+	err = up.Send(&wire.Room{})
+	lock.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry.next(wire.TypeRoom)
+	if alive := peer.heartbeat.AliveAt(); alive < sent-50*time.Millisecond {
+		t.Errorf("the sender is known to have been alive %s before it sent the message", sent-alive)
+	}
+	if age := peer.SinceAlive(); age < 0 || age > time.Second {
+		t.Errorf("the sender was last known to be alive %s ago", age)
+	}
+}
