Tests: runs end in time when an agent or a placer stands still

The virtual links can freeze an end: what arrives is handled afterwards, and its own requests and ticks wait.

--- a/sidecar/entry_loss_test.go
+++ b/sidecar/entry_loss_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/routing"
 	"github.com/catkinline/catkinline/standin"
+	"github.com/catkinline/catkinline/targets"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -22,14 +24,15 @@
 	cut       bool          // the links of the entry are cut, and it lives
 	forwarded bool          // another entry, the placer, runs the job for the entry
 	thenDies  time.Duration // the placer dies that long after the entry; 0: it lives
+	frozen    time.Duration // the agent, or the placer if there is one, stands still that long, around the loss
 	phase     time.Duration // of the loss, against the polls
 	agentTick time.Duration // phases of the heartbeats
 	entryTick time.Duration
 }
 
 func (c entryLoss) String() string {
-	return fmt.Sprintf("busy %t, cut %t, forwarded %t, placer dies after %s, phases %s, %s, %s",
-		c.busy, c.cut, c.forwarded, c.thenDies, c.phase, c.agentTick, c.entryTick)
+	return fmt.Sprintf("busy %t, cut %t, forwarded %t, placer dies after %s, frozen for %s, phases %s, %s, %s",
+		c.busy, c.cut, c.forwarded, c.thenDies, c.frozen, c.phase, c.agentTick, c.entryTick)
 }
 
 // lossFleet is a target with its agent, the entry that places jobs on it, and, if jobs are
@@ -57,8 +60,27 @@
 	o.at = time.Now()
 }
 
+// frozenClient holds up the requests to a target while the agent is frozen.
+type frozenClient struct {
+	targets.Client
+	agent *virtualEnd
+}
+
+func (c frozenClient) Poll(ctx context.Context, q targets.PollRequest) (targets.PollResponse, error) {
+	time.Sleep(c.agent.frozenFor())
+	response, err := c.Client.Poll(ctx, q)
+	time.Sleep(c.agent.frozenFor())
+	return response, err
+}
+
+func (c frozenClient) Stop(ctx context.Context, target string, run workload.RunID, token uint64) bool {
+	time.Sleep(c.agent.frozenFor())
+	return c.Client.Stop(ctx, target, run, token)
+}
+
 func (b *fixture) newLossFleet(c entryLoss) *lossFleet {
 	f := &lossFleet{fixture: b, agentLink: newVirtualLink()}
+	b.useClient(frozenClient{b.client, f.agentLink.ends[0]})
 	f.scheduler = placement.New(placement.Options{LostRunTimeout: gateway.LostRunTimeout, Random: rand.New(rand.NewPCG(1, 1))})
 	agent, placer := f.agentLink.ends[0], f.agentLink.ends[1]
 	agent.handle = func(m wire.Message) { b.sidecar.Handle(agent, m) }
@@ -131,6 +153,16 @@
 	_ = f.peerLink.ends[1].Send(&wire.JobForward{RequestID: n})
 }
 
+// freeze stops the agent, or the placer if there is one, for a while.
+func (f *lossFleet) freeze(c entryLoss) {
+	if f.peerLink == nil {
+		f.agentLink.ends[0].freeze(c.frozen)
+		return
+	}
+	f.agentLink.ends[1].freeze(c.frozen)
+	f.peerLink.ends[0].freeze(c.frozen)
+}
+
 // lose loses the entry.
 func (f *lossFleet) lose(c entryLoss) {
 	link := f.agentLink
@@ -168,6 +200,8 @@
 		time.Sleep(c.phase)
 		f.hand(2)
 		time.Sleep(5 * time.Millisecond)
+		f.freeze(c)
+		time.Sleep(c.frozen / 2)
 		lostAt := time.Now()
 		if n := len(b.runner.Running()); n == 0 || c.busy && n != 2 {
 			t.Errorf("%d runs on the target", n)
@@ -248,6 +282,21 @@
 	}
 }
 
+// Guards against a placer that vouches for a dead entry after it stood still.
+func TestRunsEndAfterFreezeOfPlacerBeforeCallersSendAgain(t *testing.T) {
+	for _, d := range []time.Duration{150, 300, 450, 590} {
+		eachPhase(t, entryLoss{forwarded: true, frozen: d * time.Millisecond}, 5, 2, checkResend(t))
+	}
+}
+
+// Guards against an agent that renews a lease as it wakes from a freeze, before it has read what it was sent
+// meanwhile, and against one that takes for alive who sent that.
+func TestRunsEndAfterFreezeOfAgentBeforeCallersSendAgain(t *testing.T) {
+	for _, d := range []time.Duration{150, 300, 450, 590} {
+		eachPhase(t, entryLoss{frozen: d * time.Millisecond}, 5, 3, checkResend(t))
+	}
+}
+
 // Guards against an entry that starts tasks of a lost agent elsewhere while their runs go on: each end of
 // a link that is cut notices in its own time.
 func TestEntryOutwaitsRunsOfCutOffAgent(t *testing.T) {
--- a/sidecar/virtual_link_test.go
+++ b/sidecar/virtual_link_test.go
@@ -34,6 +34,8 @@
 	lastReceived time.Duration
 	lostAt       time.Time // zero: not lost
 	dead         bool
+	frozenUntil  time.Time
+	buffered     []wire.Message // received while the process was frozen
 }
 
 func newVirtualLink() *virtualLink {
@@ -67,8 +69,32 @@
 	return !e.dead && e.lostAt.IsZero()
 }
 
+// freeze stops the process at this end for d. What arrives meanwhile is handled afterwards.
+func (e *virtualEnd) freeze(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frozenUntil = time.Now().Add(d)
+	time.AfterFunc(d, func() {
+		e.mu.Lock()
+		messages := e.buffered
+		e.buffered = nil
+		e.mu.Unlock()
+		for _, m := range messages {
+			e.receive(m)
+		}
+	})
+}
+
+// frozenFor returns how long the process at this end remains frozen.
+func (e *virtualEnd) frozenFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, time.Until(e.frozenUntil))
+}
+
 // tick does what a link does at each interval.
 func (e *virtualEnd) tick() {
+	time.Sleep(e.frozenFor())
 	now := e.link.age()
 	if h, ok := e.pulse.Due(now, e.idle(), false); ok {
 		if e.originAge != nil {
@@ -141,6 +167,11 @@
 	}
 	now := e.link.age()
 	e.mu.Lock()
+	if time.Now().Before(e.frozenUntil) {
+		e.buffered = append(e.buffered, m)
+		e.mu.Unlock()
+		return
+	}
 	e.lastReceived = now
 	e.mu.Unlock()
 	e.pulse.RecordReceived(m, now)
