--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/placement"
-	"github.com/catkinline/catkinline/routing"
 	"github.com/catkinline/catkinline/wire"
 )
 
@@ -22,10 +21,6 @@
 	// cancelRelays is the number of placers that are asked to pass a cancelling on. One that has died and is
 	// still linked passes nothing on.
 	cancelRelays = 2
-	// formerRoutesTTL is how long removed routes are kept for the cancelling of their jobs, and
-	// maxFormerTables bounds the tables that are kept.
-	formerRoutesTTL = time.Minute
-	maxFormerTables = 4
 )
 
 // cancelledJobs holds the ids of the jobs that were cancelled lately. It is safe for concurrent use.
@@ -154,36 +149,3 @@
 	}
 	return &placement.Answer{Outcome: placement.Cancelled, Reason: "cancelled by a request"}
 }
-
-// formerRoutes holds the tables of routes that were replaced lately.
-type formerRoutes struct {
-	mu     sync.Mutex
-	tables []formerTable // the last replaced one last
-}
-
-type formerTable struct {
-	table    *routing.Table
-	replaced time.Time
-}
-
-func (f *formerRoutes) add(t *routing.Table, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.tables = append(f.tables, formerTable{t, now})
-	if len(f.tables) > maxFormerTables {
-		f.tables = slices.Delete(f.tables, 0, 1)
-	}
-}
-
-// FindFormerRoute returns the route that a request had until lately.
-func (g *Gateway) FindFormerRoute(host, path string) (routing.Route, bool) {
-	f := &g.formerRoutes
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, t := range slices.Backward(f.tables) {
-		if route, ok := t.table.Find(host, path); ok && time.Since(t.replaced) < formerRoutesTTL {
-			return route, true
-		}
-	}
-	return routing.Route{}, false
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,7 +81,6 @@
 	loopLag       lagMeter
 	forwarder     *forwarder
 	cancelled     *cancelledJobs
-	formerRoutes  formerRoutes
 	chosenPlacers atomic.Pointer[placerChoice]
 	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -33,8 +33,6 @@
 		if g.routes.CompareAndSwap(current, table) {
 			if current == nil {
 				close(g.configured)
-			} else {
-				g.formerRoutes.add(current, time.Now())
 			}
 			break
 		}
