Acknowledge a cancelling only with another entry's receipt

Cause: the id was sent over the links that were still open, and the answer did not depend on whether anybody had got it.

Change: peers answer a cancelling with a receipt. An entry that knows no other answers at once, as before.

The bound of TestCancellingReachesEveryEntry for three entries is 4 in place of 2 messages, one and its receipt for each other entry; the bounds for 14 and 35 entries hold. TestCutOffEntryConfirmsNoCancelling and TestUnconfirmedCancellingIsNotAcknowledged fail before.

Left: if half of the entries are cut off from the others and both halves reach the agents, a receipt of one's own half is enough.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	// cancelRelays is the number of placers that are asked to pass a cancelling on. One that has died and is
 	// still linked passes nothing on.
 	cancelRelays = 2
+	// receiptTimeout is how long a cancelling waits for a peer's receipt. By then the links to peers that do
+	// not answer have ended.
+	receiptTimeout = time.Second
 )
 
 // cancelledJobs holds the ids of the jobs that were cancelled lately. It is safe for concurrent use.
@@ -76,19 +80,41 @@
 }
 
 // Cancel cancels a job wherever it is, and wherever a copy of its request arrives later: all entries are told its
-// id, and run no job with it from then on.
-func (g *Gateway) Cancel(id string) {
+// id, and run no job with it from then on. It reports whether another entry has recorded it, or none is known. An
+// entry that is cut off from the others cannot cancel what they run.
+func (g *Gateway) Cancel(ctx context.Context, id string) bool {
 	g.cancelHere(id, "a request")
+	request, receipt := g.receipts.await()
+	defer g.receipts.forget(request)
+	if told := g.tellCancelled(id, request); told == 0 {
+		return len(g.members.Snapshot().Direct) == 0
+	}
+	timeout := time.NewTimer(receiptTimeout)
+	defer timeout.Stop()
+	select {
+	case <-receipt:
+		return true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	g.log.Warn("no entry has confirmed a cancelling", zap.String("job", id))
+	return false
+}
+
+// tellCancelled tells the linked peers that a job was cancelled, and returns their number.
+func (g *Gateway) tellCancelled(id string, request uint64) int {
+	links := g.forwarder.links()
 	relays := cancelRelays
 	if slices.Contains(g.placers(), g.node.Name) {
 		relays = 0 // a placer is linked to all entries
 	}
-	for _, l := range g.forwarder.links() {
-		m := &wire.JobsCancelled{IDs: []string{id}, Relay: relays > 0}
+	for _, l := range links {
+		m := &wire.JobsCancelled{IDs: []string{id}, Relay: relays > 0, Request: request}
 		relays--
 		// Sending fails only on a closed link. The next one begins with the recent cancellings.
 		_ = l.Send(m)
 	}
+	return len(links)
 }
 
 // cancelHere ends a job at this entry and keeps others with its id from being started. It reports whether
@@ -112,6 +138,9 @@
 			added = append(added, id)
 		}
 	}
+	if m.Request != 0 {
+		_ = l.Send(&wire.CancelReceipt{Request: m.Request}) // without it, the peer's caller asks again
+	}
 	if !m.Relay || len(added) == 0 {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	loopLag       lagMeter
 	forwarder     *forwarder
 	cancelled     *cancelledJobs
+	receipts      *receipts
 	chosenPlacers atomic.Pointer[placerChoice]
 	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
@@ -104,6 +105,7 @@
 		configured:  make(chan struct{}),
 		forwarder:   newForwarder(),
 		cancelled:   newCancelledJobs(),
+		receipts:    newReceipts(),
 		created:     time.Now(),
 
 		pauseDetector: pausedetect.New(maxPause),
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -178,6 +178,8 @@
 		g.handlePeerCrash(m)
 	case *wire.JobsCancelled:
 		g.handleCancelled(l, m)
+	case *wire.CancelReceipt:
+		g.receipts.received(m.Request)
 	case *wire.JobForward:
 		g.handleForward(l, m)
 	case *wire.JobAnswer:
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -71,6 +71,7 @@
 	TypePlacerState:     func() Message { return &PlacerState{} },
 	TypeCrashReport:     func() Message { return &CrashReport{} },
 	TypeJobsCancelled:   func() Message { return &JobsCancelled{} },
+	TypeCancelReceipt:   func() Message { return &CancelReceipt{} },
 }
 
 func (*Hello) Type() Type           { return TypeHello }
@@ -104,6 +105,7 @@
 func (*PlacerState) Type() Type     { return TypePlacerState }
 func (*CrashReport) Type() Type     { return TypeCrashReport }
 func (*JobsCancelled) Type() Type   { return TypeJobsCancelled }
+func (*CancelReceipt) Type() Type   { return TypeCancelReceipt }
 
 // Encode returns the frame of a message: the body's length in four bytes, the
 // type in one, then the body in CBOR.
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -57,4 +57,11 @@
 type JobsCancelled struct {
 	IDs   []string `cbor:"1,keyasint"`
 	Relay bool     `cbor:"2,keyasint,omitempty"` // pass it on to the entries that place no jobs
+	// Request, if not 0, asks for a CancelReceipt with this number.
+	Request uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// CancelReceipt says that the sender has recorded the jobs of a JobsCancelled.
+type CancelReceipt struct {
+	Request uint64 `cbor:"1,keyasint"`
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -43,6 +43,7 @@
 	TypePlacerState
 	TypeCrashReport
 	TypeJobsCancelled
+	TypeCancelReceipt
 )
 
 // typeNames holds the names of message types in metrics and logs.
@@ -55,6 +56,7 @@
 	TypeTargetState: "target_state", TypeRoom: "room", TypeRunStart: "run_start", TypeRunEnd: "run_end", TypeRunStop: "run_stop",
 	TypeBacklog: "backlog", TypeJobForward: "job_forward", TypeJobAnswer: "job_answer", TypeJobCancel: "job_cancel",
 	TypePlacerState: "placer_state", TypeCrashReport: "crash_report", TypeJobsCancelled: "jobs_cancelled",
+	TypeCancelReceipt: "cancel_receipt",
 }
 
 // String returns the type's name in metrics and logs.
