Give jobs up on an entry that is cut off from all others

Cause: the job waited at the gateway while its links were down. When they came back, an agent's link could be the first, and the scheduler started the job's tasks before a peer's link had brought the cancelling.

Change: an entry without any link for 1.5 s gives its jobs up: their runs were stopped with the links, and their callers can send them to another entry. Until a peer has told it which jobs were cancelled, or for a second after the first agent's link, it refuses jobs and declines those of peers. An entry that knows no other one, or has not had a link yet, is not cut off.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	forwarder     *forwarder
 	cancelled     *cancelledJobs
 	receipts      *receipts
+	contact       contact
 	chosenPlacers atomic.Pointer[placerChoice]
 	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
@@ -216,6 +217,9 @@
 		r.StopAt = *stopAt
 	}
 	g.checkPause()
+	if g.contact.isOutdated() {
+		return g.refuse(r, "the entry was cut off, and does not know which jobs were cancelled")
+	}
 	if a, accepted := g.submitToPlacer(ctx, r); accepted {
 		return a
 	}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -173,6 +173,7 @@
 	case *wire.Document:
 		g.applyRoutes(m.Body, "peer "+l.Name())
 	case *wire.PlacerState:
+		g.contact.told(time.Now()) // at the start of a link it follows the cancelled jobs
 		g.forwarder.handleState(l, m, time.Now())
 	case *wire.CrashReport:
 		g.handlePeerCrash(m)
--- a/gateway/placerstate.go
+++ b/gateway/placerstate.go
@@ -49,8 +49,8 @@
 	return state
 }
 
-// placerStateLoop tells the peers when this entry begins or ceases to have targets. The answers
-// of forwarded jobs carry its waiting work.
+// placerStateLoop tells the peers when this entry begins or ceases to have targets, and gives its jobs up
+// when it is cut off. The answers of forwarded jobs carry its waiting work.
 func (g *Gateway) placerStateLoop() error {
 	ticker := time.NewTicker(placerStateInterval)
 	defer ticker.Stop()
@@ -61,6 +61,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		g.checkContact(time.Now())
 		state := g.placerState()
 		if hasTargets := state.Targets > 0; hasTargets != hadTargets {
 			hadTargets = hasTargets
