--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -70,7 +70,7 @@
 }
 
 // Guards against tasks of a peer's job that start although the peer may have died since it sent the job, and
-// against heartbeats to agents that vouch for the runs of a dead peer.
+// against heartbeats to agents that report a dead peer as alive.
 func TestJobOfSilentPeer(t *testing.T) {
 	g := newPlacer(t)
 	l := &recordingLink{silentLink: silentLink{name: "peer", quiet: 300 * time.Millisecond}}
--- a/sidecar/entry_loss_test.go
+++ b/sidecar/entry_loss_test.go
@@ -282,7 +282,7 @@
 	}
 }
 
-// Guards against a placer that vouches for a dead entry after it stood still.
+// Guards against a placer that passes a dead entry off as alive after it stood still.
 func TestRunsEndAfterFreezeOfPlacerBeforeCallersSendAgain(t *testing.T) {
 	for _, d := range []time.Duration{150, 300, 450, 590} {
 		eachPhase(t, entryLoss{forwarded: true, frozen: d * time.Millisecond}, 5, 2, checkResend(t))
