Grant the lease that the proof of an entry leaves, in place of all or none

The proof is then 0.5 to 0.65 s old, agents refused 508 starts in 20 s, and each refusal keeps the placer from the target for up to a second. Hardly a lease lapsed.

Change: a lease ends at the latest 1.1 s (0.5 and 0.6) after the proof, so that an older proof grants a shorter lease; renewals used to stop at 0.5 s. A start is refused if less than 0.3 s is left, or less than the target's lease has, which does not shorten. An idle target's lease is not renewed.

--- a/gateway/forward_receive.go
+++ b/gateway/forward_receive.go
@@ -46,7 +46,7 @@
 		return "malformed: " + err.Error()
 	}
 	switch {
-	case l.SinceAlive() > sidecar.MaxEntrySilence:
+	case l.SinceAlive() > sidecar.MaxStartSilence:
 		return "the peer may have died since it sent the job"
 	case g.contact.isOutdated():
 		return "this entry was cut off, and does not know which jobs were cancelled"
--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -109,13 +109,20 @@
 	return !s.table.HasRunsOf(ownerOf(l))
 }
 
-// silentEntry returns the link of an entry with runs here that may have died, or nil. The link
-// itself is lost only later.
-func (s *Sidecar) silentEntry() *linkState {
+// runTimeLeft returns for how long a run of an entry may go on without a newer proof that the entry is
+// alive. It is negative if that time is over.
+func runTimeLeft(l Link) time.Duration {
+	return MaxEntrySilence + DefaultLease - l.SinceAlive()
+}
+
+// longestLease returns the longest lease that may be granted now: that of the entry with runs here that has
+// been silent for longest.
+func (s *Sidecar) longestLease() time.Duration {
+	longest := s.opts.Lease
 	for _, state := range s.links {
-		if state.link.SinceAlive() > MaxEntrySilence && s.table.HasRunsOf(ownerOf(state.link)) {
-			return state
+		if s.table.HasRunsOf(ownerOf(state.link)) {
+			longest = min(longest, runTimeLeft(state.link))
 		}
 	}
-	return nil
+	return longest
 }
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -110,37 +110,31 @@
 // would continue for as long as it is silent. While there are runs of an earlier process of this agent, or
 // the lease must not be extended for another reason, nothing is renewed either, so that these runs end with
 // the lease before their tasks start elsewhere. A lease that no process gets would delay the report of its
-// runs' end.
+// runs' end. Without runs there is nothing to renew; the next start brings a lease.
 func (s *Sidecar) renewedLease(now time.Time) time.Duration {
 	if !s.target.answeredAt.IsZero() && (!s.target.reachable || now.Sub(s.target.answeredAt) > unresponsiveAfter) {
 		return 0
 	}
-	if s.leaseHeld() || s.hasUnknownRuns() {
+	if s.table.HasUnansweredStop() || s.hasUnknownRuns() || s.table.Len() == 0 {
 		return 0
 	}
-	return s.leaseEnd(now)
+	longest := s.longestLease()
+	s.logSilence(longest)
+	return s.leaseEnd(now, longest)
 }
 
-// leaseHeld reports whether the lease must not be extended, since a run has to end with it: a stop has no
-// response, or an entry with runs here may have died. A target has one lease for all of its runs.
-func (s *Sidecar) leaseHeld() bool {
-	silent := s.silentEntry()
-	s.logSilence(silent)
-	return silent != nil || s.table.HasUnansweredStop()
-}
-
-// logSilence logs when an entry is silent for too long to renew the lease, and when none is any more.
-func (s *Sidecar) logSilence(silent *linkState) {
-	if s.saidSilent == (silent != nil) {
+// logSilence logs when an entry is silent for so long that the lease is shortened, and when none is any more.
+func (s *Sidecar) logSilence(longest time.Duration) {
+	silent := longest < s.opts.Lease
+	if s.saidSilent == silent {
 		return
 	}
-	s.saidSilent = silent != nil
-	if silent == nil {
-		s.log.Info("lease is renewed again", zap.Duration("left", s.leaseLeft(time.Now())))
-		return
+	s.saidSilent = silent
+	if silent {
+		s.log.Warn("lease is shortened: an entry may have died", zap.Duration("lease", longest), zap.Duration("left", s.leaseLeft(time.Now())))
+	} else {
+		s.log.Info("lease is no longer shortened", zap.Duration("left", s.leaseLeft(time.Now())))
 	}
-	s.log.Warn("lease is not renewed: an entry may have died", zap.String("entry", silent.link.Name()),
-		zap.Duration("silent", silent.link.SinceAlive()), zap.Duration("left", s.leaseLeft(time.Now())))
 }
 
 // hasUnknownRuns reports whether the target may have runs of an earlier process of this agent, which
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -94,10 +94,12 @@
 		return wire.EndNotRun, "the target has not reported its capacity recently"
 	case now.Before(s.target.backoffUntil):
 		return wire.EndNotRun, "the target refused a run a moment ago"
-	case state.link.SinceAlive() > MaxEntrySilence:
+	case runTimeLeft(state.link) < max(minStartLease, s.leaseLeft(now)):
 		return wire.EndNotRun, "the entry may have died since it sent the start"
-	case s.leaseHeld() && s.leaseLeft(now) < minStartLease:
-		return wire.EndNotRun, "the lease is not renewed at present, and ends soon"
+	case s.table.HasUnansweredStop() && s.leaseLeft(now) < minStartLease:
+		return wire.EndNotRun, "a stop has no response, and the lease ends soon"
+	case s.longestLease() < minStartLease:
+		return wire.EndNotRun, "another entry with runs here may have died"
 	}
 	switch end := s.table.Admit(r); end {
 	case wire.EndNotRun:
@@ -120,12 +122,13 @@
 	}
 }
 
-// startLease returns the lease end to send with a start, which extends the lease of all runs.
+// startLease returns the lease end to send with a start that was admitted, which extends the lease of all
+// runs. While a stop has no response, it must not be extended.
 func (s *Sidecar) startLease(now time.Time) time.Duration {
-	if s.leaseHeld() {
+	if s.table.HasUnansweredStop() {
 		return s.target.leaseSent
 	}
-	return s.leaseEnd(now)
+	return s.leaseEnd(now, s.longestLease())
 }
 
 // leaseLeft returns how long the last lease that was sent lasts.
@@ -134,12 +137,12 @@
 }
 
 // leaseEnd returns the time on the target's clock at which a lease that is sent now ends, and
-// records it for leaseExpired. It returns 0 while that clock is not known.
-func (s *Sidecar) leaseEnd(now time.Time) time.Duration {
-	if s.target.clockAt.IsZero() {
+// records it for leaseExpired. It returns 0 while that clock is not known, or without a lease.
+func (s *Sidecar) leaseEnd(now time.Time, lease time.Duration) time.Duration {
+	if s.target.clockAt.IsZero() || lease <= 0 {
 		return 0
 	}
-	end := s.target.clock + now.Sub(s.target.clockAt) + s.opts.Lease
+	end := s.target.clock + now.Sub(s.target.clockAt) + lease
 	s.target.leaseSent = max(s.target.leaseSent, end)
 	return end
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -28,12 +28,14 @@
 	// DefaultLease is how long runs continue without this process. It spans four renewals, so
 	// that a slow machine loses no runs.
 	DefaultLease = 600 * time.Millisecond
-	// MaxEntrySilence is how long after an entry was last known to be alive the lease of its runs is
-	// renewed. Its callers send their jobs again, to another entry, 1.3 s after it died at the earliest. By
-	// then the last lease, of DefaultLease, has expired, also on a target's clock that is 2% slow, and
-	// if no stop gets a response. Heartbeats come every 150 ms, over two links for a job that was
-	// forwarded, so that none of them may be late without a pause in the renewals.
+	// MaxEntrySilence is how long after an entry was last known to be alive its runs get a full lease. Older
+	// proofs get what is left: no lease ends later than MaxEntrySilence and DefaultLease after the proof. The
+	// entry's callers send their jobs again, to another entry, 1.3 s after it died at the earliest. By then the
+	// last lease has expired, also on a target's clock that is 2% slow, and if no stop gets a response.
 	MaxEntrySilence = 500 * time.Millisecond
+	// MaxStartSilence is how old the proof of a start's entry may be. A run that starts with less than the
+	// shortest lease would most likely end with it.
+	MaxStartSilence = MaxEntrySilence + DefaultLease - minStartLease
 	// DefaultRenewInterval is the longest time between two polls.
 	DefaultRenewInterval = 150 * time.Millisecond
 	// DefaultRequestTimeout bounds one request to the target. The target is on the same
@@ -127,7 +129,7 @@
 	reportUsable bool      // report is from the target itself, or was confirmed by a poll
 	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
 	saidStale    bool      // the entries were told that the capacity is stale
-	saidSilent   bool      // it was logged that an entry is silent and the lease is not renewed
+	saidSilent   bool      // it was logged that an entry is silent and the lease is shortened
 	restored     bool      // the report is from an earlier process
 	// confirmations is the number of reports about which the target is being asked, and confirmedAt
 	// is when the last one was confirmed.
