--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -21,15 +21,16 @@
 	Handshake:   400 * time.Millisecond,
 }
 
-// LostRunTimeout is how long the runs of an agent may continue after the link to it ended: the
-// agent renews their lease until this entry has been silent for sidecar.MaxEntrySilence.
+// LostRunTimeout is how long the runs of an agent may continue after the link to it ended: no
+// lease ends later than sidecar.MaxEntrySilence and DefaultLease after the agent's last proof that this entry
+// is alive.
 const LostRunTimeout = sidecar.MaxEntrySilence + sidecar.DefaultLease + leaseMargin
 
 // leaseMargin allows for the clock of a target, which may be 2% slow, and for its timers.
 const leaseMargin = 100 * time.Millisecond
 
-// maxPause is the longest pause of the process after which jobs and links continue. Agents renew no
-// lease of this entry's runs during a longer one, or for a peer that dies meanwhile.
+// maxPause is the longest pause of the process after which jobs and links continue. Agents
+// shorten the leases of this entry's runs meanwhile, and of those for a peer that dies.
 const maxPause = 600 * time.Millisecond
 
 const (
