Config: keep the store's error when the time limit interrupts a change

Change: an attempt that the end of the change's context interrupted replaces no earlier error.

Measured: the new test fails without the change and passes with it.

--- a/config/applier.go
+++ b/config/applier.go
@@ -198,7 +198,7 @@
 func (c *pendingChange) step(ctx context.Context) (Result, bool) {
 	current, err := c.applier.read(ctx)
 	if err != nil {
-		c.lastErr = err
+		c.recordFailure(ctx, err)
 		return Result{}, false
 	}
 	if r, done := c.findRecorded(current); done {
@@ -242,9 +242,9 @@
 func (c *pendingChange) write(ctx context.Context, current storedDocument, next Document) (Result, bool) {
 	next.Changes = current.document.Changes
 	body := next.withChange(c.change).encode()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	revision, err := c.applier.Store.CompareAndSwap(ctx, Key, current.revision, body, 0)
+	revision, err := c.applier.Store.CompareAndSwap(call, Key, current.revision, body, 0)
 	switch {
 	case err == nil:
 		c.adopt(revision, body)
@@ -256,10 +256,18 @@
 	case !errors.Is(err, kv.ErrUnavailable):
 		c.unresolved, c.unresolvedBase, c.minRevision = true, current.revision, current.revision
 	}
-	c.lastErr = err
+	c.recordFailure(ctx, err)
 	return Result{}, false
 }
 
+// recordFailure keeps the error of an attempt for the result. An attempt that the end of ctx interrupted
+// says less than the store's earlier answer, if there is one.
+func (c *pendingChange) recordFailure(ctx context.Context, err error) {
+	if c.lastErr == nil || ctx.Err() == nil {
+		c.lastErr = err
+	}
+}
+
 // adopt puts an applied document into effect in this process at once, so that peers and
 // agents receive it even if the store goes down right after the write.
 func (c *pendingChange) adopt(revision uint64, body []byte) {
--- a/config/applier_test.go
+++ b/config/applier_test.go
@@ -14,6 +14,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/label"
 	"github.com/catkinline/catkinline/result"
 )
@@ -56,6 +57,36 @@
 	})
 }
 
+// slowStore refuses the first read, and does not answer the later ones.
+type slowStore struct {
+	*fakeStore
+	reads int
+}
+
+func (s *slowStore) Get(ctx context.Context, _ string) (kv.Entry, error) {
+	s.reads++
+	if s.reads == 1 {
+		return kv.Entry{}, fmt.Errorf("%w: HTTP status 503", kv.ErrUnavailable)
+	}
+	<-ctx.Done()
+	return kv.Entry{}, fmt.Errorf("%w: %w", kv.ErrUnavailable, ctx.Err())
+}
+
+// Guards against a result that names the time limit of the change in place of the store's answer, because the
+// limit interrupted the last attempt.
+func TestInterruptedAttemptDoesNotHideStoreError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), callTimeout/2)
+		defer cancel()
+		store := &slowStore{fakeStore: newFakeStore()}
+		r := (&Applier{Store: store, Holder: NewHolder()}).Edit(ctx, "c1", SetDrain("target-1", true))
+		expectResult(t, "edit", r, Refused, result.ConfigUnavailable)
+		if store.reads < 2 || !strings.Contains(r.Reason, "HTTP status 503") {
+			t.Errorf("%d reads, reason %q, want two or more and the store's status", store.reads, r.Reason)
+		}
+	})
+}
+
 // Guards against a conflict or a lost update between concurrent changes of different objects.
 func TestConcurrentEditsOfDifferentObjects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
