--- a/soak/run_checker.go
+++ b/soak/run_checker.go
@@ -20,6 +20,8 @@
 	byJob      map[string][]*taskHistory
 	cpuInUse   map[string]int64 // CPU in use in thousandths of a core, by target
 	capacity   map[*standin.Runner]reportedCapacity
+	domains    map[*standin.Runner]string // failure domains; fixed once the soak has begun
+	evacuated  map[string]time.Time       // since when a domain is evacuated; zero: it is not
 	violations []string
 	// repeated counts starts of tasks that were done. It is no violation: a job that
 	// was resent begins anew at another gateway, which is permitted here.
@@ -43,6 +45,7 @@
 	return &runChecker{
 		targets: make(map[string]*standin.Runner), tasks: make(map[string]*taskHistory), byJob: make(map[string][]*taskHistory),
 		cpuInUse: make(map[string]int64), capacity: make(map[*standin.Runner]reportedCapacity), startedAt: time.Now(),
+		domains: make(map[*standin.Runner]string), evacuated: make(map[string]time.Time),
 	}
 }
 
@@ -126,6 +129,7 @@
 			c.addViolation("TWICE", "%s starts on %s while it runs on %s", task, target, other)
 		}
 	}
+	c.checkEvacuation(c.targets[target], task, now)
 	t.starts++
 	s := parseSpec(spec)
 	if s.crashes {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -109,6 +109,7 @@
 	clients.Go(func() { s.callers.run(load, rand.New(rand.NewPCG(s.o.Seed, 2)), s.o.Rate) })
 	if !s.o.Plain {
 		clients.Go(func() { s.callers.cancelJobs(load, rand.New(rand.NewPCG(s.o.Seed, 7))) })
+		clients.Go(func() { s.b.evacuate(load, rand.New(rand.NewPCG(s.o.Seed, 9))) })
 	}
 	for _, g := range s.b.gateways {
 		p := &prober{callers: s.callers, gateway: g}
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -203,10 +203,11 @@
 	}
 	n := &node{name: name, role: "sidecar", store: store}
 	id := fmt.Sprintf("i-%d-0", i)
-	n.target = standin.NewRunner(standin.RunnerOptions{ID: id, CPU: targetCPU, MaxLease: maxLease, Work: b.runChecker.work, Observer: b.runChecker,
+	n.target = standin.NewRunner(standin.RunnerOptions{ID: id, Zone: s.FailureDomain, CPU: targetCPU, MaxLease: maxLease, Work: b.runChecker.work, Observer: b.runChecker,
 		Crashes:    func(spec string) bool { return b.crashes(name, spec) },
 		CrashDelay: crashDelay, RestartTime: crashRestartTime, StopTime: b.stopTime()})
 	b.runChecker.addTarget(id, n.target)
+	b.runChecker.domains[n.target] = s.FailureDomain
 	server := httptest.NewServer(n.target.Handler())
 	b.cleanups = append(b.cleanups, server.Close)
 	if n.inbound, err = b.startRelay(strings.TrimPrefix(server.URL, "http://")); err != nil {
