Evacuation: states that change nothing are passed on once a second at most

Where the store fails each watch, every gateway reads a newer revision ten times a second and would have sent each to all agents and peers. The test of the last other target now fails without the check of waiting jobs.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -37,7 +37,7 @@
 	return ""
 }
 
-// gaugeLoop updates the gauges.
+// gaugeLoop updates the gauges, and passes on states of the evacuations that change nothing.
 func (g *Gateway) gaugeLoop() error {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
@@ -46,6 +46,7 @@
 		case <-g.tomb.Dying():
 			return nil
 		case <-ticker.C:
+			g.passUnsentEvacuations()
 			load := g.scheduler.Load()
 			g.opts.Metrics.Set(metrics.JobsRunning, float64(load.Jobs))
 			g.opts.Metrics.Set(metrics.TasksWaiting, float64(load.WaitingTasks))
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -14,8 +14,9 @@
 
 // adoptEvacuations applies a state that is newer than the known one and passes it on to all agents
 // and peers, so that entries that the store turns away learn of it. It is passed on also if its
-// domains are the known ones: an agent may have heard of a state in between. The agents are told
-// first, so that they refuse no start that follows a revocation.
+// domains are the known ones, since an agent may have heard of a state in between, but then not more
+// often than passUnsentEvacuations is called: where watches fail at once, each gateway reads a newer
+// revision ten times a second.
 func (g *Gateway) adoptEvacuations(s *evacuation.State, source string) {
 	g.evacuationMu.Lock()
 	defer g.evacuationMu.Unlock()
@@ -23,6 +24,23 @@
 	if !g.evacuations.Advance(s) {
 		return
 	}
+	g.opts.Metrics.Set(metrics.EvacuatedDomains, float64(len(s.Domains)))
+	g.opts.Metrics.Set(metrics.EvacuationRevision, float64(s.Revision))
+	if before != nil && s.SameDomains(before) {
+		g.evacuationsUnsent = true
+		return
+	}
+	// The agents are told first, so that they refuse no start that follows a revocation.
+	g.passEvacuations(s)
+	g.scheduler.SetEvacuations(s, time.Now())
+	if !s.SameDomains(before) {
+		g.log.Info("evacuations changed", zap.Strings("domains", s.Domains), zap.Uint64("revision", s.Revision), zap.String("source", source))
+	}
+}
+
+// passEvacuations sends a state to all agents and peers. It must be called with evacuationMu held.
+func (g *Gateway) passEvacuations(s *evacuation.State) {
+	g.evacuationsUnsent = false
 	m := wire.NewEvacuations(s)
 	g.mu.Lock()
 	for l := range g.agents {
@@ -30,11 +48,15 @@
 	}
 	g.mu.Unlock()
 	g.sendToPeers(m)
-	g.scheduler.SetEvacuations(s, time.Now())
-	g.opts.Metrics.Set(metrics.EvacuatedDomains, float64(len(s.Domains)))
-	g.opts.Metrics.Set(metrics.EvacuationRevision, float64(s.Revision))
-	if !s.SameDomains(before) {
-		g.log.Info("evacuations changed", zap.Strings("domains", s.Domains), zap.Uint64("revision", s.Revision), zap.String("source", source))
+}
+
+// passUnsentEvacuations sends the known state if a higher revision with the same domains has not been
+// passed on yet.
+func (g *Gateway) passUnsentEvacuations() {
+	g.evacuationMu.Lock()
+	defer g.evacuationMu.Unlock()
+	if g.evacuationsUnsent {
+		g.passEvacuations(g.evacuations.Load())
 	}
 }
 
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -116,8 +116,17 @@
 	if len(other.sent) != sent {
 		t.Error("an older state was passed on")
 	}
-	// The domains are the known ones, but an agent may have heard of a revocation in between.
-	g.handlePeer(other, &wire.Evacuations{Revision: 12, Domains: []string{"d1"}})
+	// The domains are the known ones, but an agent may have heard of a revocation in between. A store
+	// that fails each watch leads to ten such states a second.
+	sent = len(source.sent)
+	for revision := range uint64(3) {
+		g.handlePeer(other, &wire.Evacuations{Revision: 10 + revision, Domains: []string{"d1"}})
+	}
+	g.passUnsentEvacuations()
+	g.passUnsentEvacuations()
+	if n := len(source.sent) - sent; n != 1 {
+		t.Errorf("%d messages for three states with the known domains, want 1", n)
+	}
 	if e := source.lastEvacuations(); e == nil || e.Revision != 12 {
 		t.Errorf("passed on: %+v, want revision 12", e)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,8 @@
 
 	evacuationMu sync.Mutex // keeps the states that are passed on in order
 	evacuations  evacuation.Current
+	// evacuationsUnsent says that the last state has not been passed on, see adoptEvacuations.
+	evacuationsUnsent bool
 
 	stopping atomic.Bool               // a planned stop has begun
 	stopAt   atomic.Pointer[time.Time] // when the planned stop ends; nil: none
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -82,15 +82,21 @@
 	b := joinIn(s, "b", "d2", begin)
 	s.SetEvacuations(evacuation.New(5, []string{"d1"}), begin)
 	submit(t, s, request("1", 4, 2000), begin)
-	waiting := submit(t, s, request("2", 1, 2000), begin)
+	r := request("2", 1, 2000)
+	r.Route.TargetDuration = 4 * time.Second
+	waiting := submit(t, s, r, begin)
 	s.LinkDown("b", b, after(10*time.Millisecond))
 	tickUntil(s, 20*time.Millisecond, 600*time.Millisecond)
-	if answer, ended := answered(waiting); ended && answer.Outcome != placement.Refused {
+	if answer, ended := answered(waiting); ended {
 		t.Errorf("answer while the target may come back: %+v", answer)
 	}
 	if _, refusal := s.Submit(request("3", 1, 2000), after(610*time.Millisecond)); refusal != nil {
 		t.Errorf("refused while the target may come back: %+v", refusal)
 	}
+	tickUntil(s, 620*time.Millisecond, 900*time.Millisecond)
+	if answer, _ := answered(waiting); answer.Outcome != placement.Refused {
+		t.Errorf("answer after the target has gone: %+v, want a refusal", answer)
+	}
 	if _, refusal := s.Submit(request("4", 1, 2000), after(time.Second)); refusal == nil {
 		t.Error("accepted after the target has gone")
 	}
