--- a/placement/target.go
+++ b/placement/target.go
@@ -23,24 +23,29 @@
 	expected       time.Duration
 	stopping       bool
 	alone          bool // no run of another job may be beside it
+	cold           bool // the target was cold at the start, see cold.go
 	overdueCounted bool // has added to its target's fault score as overdue
 }
 
 // target is an agent and its target, as this entry sees them.
 type target struct {
-	name         string // of the agent
-	rank         uint64 // see targetRank
-	incarnation  wire.Incarnation
-	link         Sender // nil while there is no link
-	stateKnown   bool   // a state has arrived on this link
-	state        wire.TargetState
-	startsSent   uint64 // starts sent on this link
-	runs         map[workload.RunID]*run
-	linkLostAt   time.Time
-	backoff      time.Duration // after a refusal by the target; zero without one
-	backoffUntil time.Time     // no start is sent before this time
-	health       health
-	crashedAt    time.Time // of its last process
+	name          string // of the agent
+	rank          uint64 // see targetRank
+	incarnation   wire.Incarnation
+	link          Sender    // nil while there is no link
+	stateKnown    bool      // a state has arrived on this link
+	evacuated     bool      // its failure domain is evacuated
+	revokedAt     time.Time // when it last ceased to be
+	coldUntil     time.Time // the target is slow until then, as it reports
+	nextColdStart time.Time // the next start on the cold target, see cold.go
+	state         wire.TargetState
+	startsSent    uint64 // starts sent on this link
+	runs          map[workload.RunID]*run
+	linkLostAt    time.Time
+	backoff       time.Duration // after a refusal by the target; zero without one
+	backoffUntil  time.Time     // no start is sent before this time
+	health        health
+	crashedAt     time.Time // of its last process
 	// lostRuns are the runs that were given up after the agent's link was lost.
 	lostRuns []crash.Suspect
 }
@@ -66,6 +71,10 @@
 // usable reports whether the target is linked, known and open.
 func (t *target) usable() bool { return t.link != nil && t.stateKnown && !t.state.Closed }
 
+// placeable reports whether the target may get runs: it is usable, and its failure domain is not
+// evacuated. Readiness depends on usable alone.
+func (t *target) placeable() bool { return t.usable() && !t.evacuated }
+
 // free returns the free capacity that the agent last reported, less the needs of the starts
 // that it had not seen then.
 func (t *target) free() workload.Resources {
@@ -188,6 +197,8 @@
 	before := t.state
 	first := !t.stateKnown
 	t.state, t.stateKnown = *m, true
+	t.evacuated = s.evacuations.Covers(m.FailureDomain)
+	t.coldUntil = now.Add(m.ColdLeft)
 	t.linkLostAt = time.Time{}
 	if before.Target != m.Target {
 		t.health = health{}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/catkinline/catkinline/crash"
+	"github.com/catkinline/catkinline/evacuation"
 	"github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/runs"
 	"github.com/catkinline/catkinline/targets"
@@ -88,6 +89,7 @@
 	RunEnded(end wire.EndStatus, took time.Duration)
 	RequestUnanswered(kind string)
 	TargetCrashed()
+	StartRefusedEvacuated()
 }
 
 // Options configures a Sidecar. Durations that are zero take the defaults.
@@ -127,6 +129,7 @@
 	crashes      *crash.History // of the target's processes
 	report       targets.Report
 	reportUsable bool      // report is from the target itself, or was confirmed by a poll
+	coldUntil    time.Time // the target is slow until then, as it reports
 	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
 	saidStale    bool      // the entries were told that the capacity is stale
 	saidSilent   bool      // it was logged that an entry is silent and the lease is shortened
@@ -141,6 +144,8 @@
 	stopping      bool
 	killed        bool // Kill was called
 	target        targetState
+	evacuations   evacuation.Current
+	saidRefusal   bool // since the last change of the evacuations it was logged that starts are refused
 }
 
 // targetState is what is known about the current process of the target.
@@ -285,6 +290,7 @@
 		Closed:        !s.acceptsRuns() || state.retiring,
 		Born:          s.target.born,
 		CapacityStale: s.saidStale,
+		ColdLeft:      max(0, time.Until(s.coldUntil)),
 	}
 	if !state.announced {
 		state.announced = true
@@ -303,13 +309,14 @@
 	Runs, Links int
 	Free        workload.Resources
 	Accepting   bool
+	Evacuations *evacuation.State // nil: not known
 }
 
 // Stats returns a consistent snapshot of the current load.
 func (s *Sidecar) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Stats{Runs: s.table.Len(), Links: len(s.links), Free: s.table.Free(), Accepting: s.acceptsRuns()}
+	return Stats{Runs: s.table.Len(), Links: len(s.links), Free: s.table.Free(), Accepting: s.acceptsRuns(), Evacuations: s.evacuations.Load()}
 }
 
 func signal(c chan struct{}) {
