Close callers' connections in order at a planned stop

http.Server.Shutdown resets connections that were not accepted yet, closes a connection as idle although a request has begun to arrive on it, and drops requests that it reads after its start. A gateway called it with 150 ms left at the end of its drain, so a request that a busy process had not read was reset.

The listener is now closed once its backlog is empty, and this side of a connection is closed when the server waits for a request's first byte and the kernel has none; what arrives later is read until the caller closes. Requests that arrive meanwhile are served as during the drain, until its limit.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -11,7 +11,7 @@
 
 // drain runs the first phase of a planned stop. The readiness check fails from its
 // start, so that the load balancer sends connections elsewhere. Jobs that still arrive are
-// served if they will end in time, until none is left.
+// served if they will end in time, until none is left and the callers' connections are closed.
 func (g *Gateway) drain() {
 	started := time.Now()
 	g.log.Info("planned stop begins", zap.Int64("requests", g.requests.Load()))
@@ -26,27 +26,55 @@
 	ticker := time.NewTicker(drainIdleTime / 10)
 	defer ticker.Stop()
 	lastBusy := started
+	var closed chan struct{} // closed when no caller's connection is left; nil: they are not being closed
 	for {
 		select {
 		case <-g.tomb.Dying():
 			return
 		case <-limit.C:
-			g.refusing.Store(true)
-			g.log.Warn("planned stop ends with requests left", zap.Int64("requests", g.requests.Load()))
-			g.scheduler.AbandonAll("the entry stops", time.Now())
-			g.forwarder.abandonAll("the entry stops")
+			g.giveUp()
+			if closed == nil {
+				closed = g.closeConnections(stopAt)
+			}
+		case <-closed:
+			// Jobs of peers are left only if the limit has passed: none is accepted during the stop.
 			return
 		case now := <-ticker.C:
 			if g.requests.Load() > 0 {
 				lastBusy = now
 			}
-			if now.Sub(started) >= minDrainTime && now.Sub(lastBusy) >= drainIdleTime {
-				return
+			if closed == nil && now.Sub(started) >= minDrainTime && now.Sub(lastBusy) >= drainIdleTime {
+				closed = g.closeConnections(stopAt)
 			}
 		}
 	}
 }
 
+// giveUp ends the jobs that are left at the end of the time for a planned stop. Those that arrive later are
+// refused.
+func (g *Gateway) giveUp() {
+	g.refusing.Store(true)
+	if left := g.requests.Load(); left > 0 {
+		g.log.Warn("planned stop ends with requests left", zap.Int64("requests", left))
+	}
+	g.scheduler.AbandonAll("the entry stops", time.Now())
+	g.forwarder.abandonAll("the entry stops")
+}
+
+// closeConnections begins to close the servers. Requests that are on their way are answered. It returns a
+// channel that is closed at the end, which comes at half of shutdownReserve after the jobs were given up at
+// the latest.
+func (g *Gateway) closeConnections(stopAt time.Time) chan struct{} {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		ctx, cancel := context.WithDeadline(context.Background(), stopAt.Add(shutdownReserve/2))
+		defer cancel()
+		g.servers.Shutdown(ctx)
+	}()
+	return closed
+}
+
 // announceStop tells the agents to link to other entries, and the peers to send no more jobs.
 func (g *Gateway) announceStop() {
 	g.mu.Lock()
@@ -72,12 +100,14 @@
 // shutdownReserve is the part of the grace period that is kept for closing servers and links.
 const shutdownReserve = 300 * time.Millisecond
 
-// stop refuses new jobs and closes servers, links and the registration.
+// stop refuses new jobs and closes links, the registration, and the servers if no drain has closed them.
 func (g *Gateway) stop() error {
 	g.refusing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
 	defer cancel()
-	g.servers.Shutdown(ctx)
+	if !g.stopping.Load() {
+		g.servers.Shutdown(ctx)
+	}
 	g.tomb.Kill(nil)
 	if err := g.members.Stop(ctx); err != nil {
 		g.log.Warn("cannot end the registration; the entry stays listed until its lease expires", zap.Error(err))
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -36,6 +37,7 @@
 	tomb    *tomb.Tomb
 	log     *zap.Logger
 	servers []*http.Server
+	drained []*drainListener // of the servers
 }
 
 // New returns an empty set of servers. A server that fails kills the tomb with its
@@ -48,21 +50,29 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	s.serveOn(l, h)
+	return nil
+}
+
+// serveOn serves a listener in the background until Shutdown.
+func (s *Servers) serveOn(l net.Listener, h http.Handler) {
+	drained := newDrainListener(l)
 	server := &http.Server{
 		Handler:           h,
 		ConnContext:       connstate.NewContext,
+		ConnState:         setState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          settings.ServerLogger(s.log),
 	}
-	s.servers = append(s.servers, server)
+	s.servers, s.drained = append(s.servers, server), append(s.drained, drained)
 	s.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
+		defer close(drained.served)
+		if err := server.Serve(drained); err != http.ErrServerClosed {
 			return Error.Wrap(err)
 		}
 		return nil
 	})
-	return nil
 }
 
 // ServeMetrics serves /metrics on a port. With port 0 it does nothing.
@@ -75,9 +85,17 @@
 	return s.Serve(net.JoinHostPort(ip, strconv.Itoa(port)), router)
 }
 
-// Shutdown shuts down every server and waits for its requests until ctx ends.
-// Requests that remain then are aborted when the process exits.
+// Shutdown shuts down every server. Requests are served until no connection has one and the callers
+// know that the connections end, or ctx ends. Requests that remain then are aborted when the
+// process exits.
 func (s *Servers) Shutdown(ctx context.Context) {
+	var drains sync.WaitGroup
+	for _, l := range s.drained {
+		drains.Go(func() { l.drain(ctx) })
+	}
+	drains.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	cancel() // the drain has waited for the requests
 	for _, server := range s.servers {
 		_ = server.Shutdown(ctx) // the error is that of ctx
 	}
