Hand over the jobs of a stopping placer that have not started

A placer in a planned stop kept what waited in its queue until its time for the stop was over, while its targets' agents linked to other placers: jobs that had not started were answered 503 or 504 there although others had room. It also placed the new jobs of its own callers.

It now ends the jobs of which nothing has run, with the new outcome Withdrawn: a peer's job is declined, so that the peer offers it to another placer, and the handler of a caller's job forwards it. New jobs of its callers are forwarded, too. All of this only while another placer can be reached.

TestStoppingPlacerHandsOverWhatHasNotStarted fails without the hand-over.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -30,11 +30,9 @@
 	return nil
 }
 
-// linkedGateways returns gateways without their loops that are linked as those of a deployment are: each
-// to the placers, and these to all.
-func linkedGateways(t *testing.T, n int) (all []*Gateway, sent *int) {
+// listedGateways returns gateways without their loops that know each other and have no links.
+func listedGateways(t *testing.T, n int) (all []*Gateway) {
 	t.Helper()
-	sent = new(int)
 	for i := range n {
 		node := settings.Node{Name: fmt.Sprintf("edge-%02d", i), FailureDomain: string(rune('a' + i%3)), IP: "127.0.0.1", CPU: 400}
 		g, err := New(Options{Node: node, Log: zap.NewNop(), Metrics: metrics.New(nil)})
@@ -51,6 +49,14 @@
 			}
 		}
 	}
+	return all
+}
+
+// linkedGateways returns gateways without their loops that are linked as those of a deployment are: each
+// to the placers, and these to all.
+func linkedGateways(t *testing.T, n int) (all []*Gateway, sent *int) {
+	t.Helper()
+	all, sent = listedGateways(t, n), new(int)
 	for i, g := range all {
 		for _, other := range all[i+1:] {
 			if placers := g.placers(); slices.Contains(placers, g.node.Name) || slices.Contains(placers, other.node.Name) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -274,11 +274,14 @@
 }
 
 // placesItself reports whether this entry places a job: it is a placer with targets, or it
-// runs the job already.
+// runs the job already. During a planned stop, others place if they can.
 func (g *Gateway) placesItself(id string) bool {
 	if known, _ := g.scheduler.Status(id); known {
 		return true
 	}
+	if g.stopping.Load() && g.forwarder.reachable(g.placers()) {
+		return false
+	}
 	return slices.Contains(g.placers(), g.node.Name) && g.scheduler.HasTargets()
 }
 
--- a/gateway/forward_receive.go
+++ b/gateway/forward_receive.go
@@ -88,6 +88,7 @@
 	defer g.requests.Add(-1)
 	g.forwarder.removeReceived(l, number)
 	m := &wire.JobAnswer{
+		Declined:  a.Outcome == placement.Withdrawn,
 		RequestID: number, Outcome: uint8(a.Outcome), Reason: a.Reason, RetryAfter: a.RetryAfter,
 		WaitingCPU: g.scheduler.WaitingCPU(),
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,6 +220,23 @@
 	if g.contact.isOutdated() {
 		return g.refuse(r, "the entry was cut off, and does not know which jobs were cancelled")
 	}
+	a := g.submitToAny(ctx, r)
+	if a.Outcome != placement.Withdrawn {
+		return a
+	}
+	// A planned stop has begun, so that the job goes to another placer; if none takes it, it stays
+	// here, since jobs are withdrawn once.
+	if g.refusing.Load() {
+		return g.refuse(r, "the entry is stopping")
+	}
+	if stopAt := g.stopAt.Load(); stopAt != nil {
+		r.StopAt = *stopAt
+	}
+	return g.submitToAny(ctx, r)
+}
+
+// submitToAny runs a job at another placer or here and returns its answer.
+func (g *Gateway) submitToAny(ctx context.Context, r placement.Request) placement.Answer {
 	if a, accepted := g.submitToPlacer(ctx, r); accepted {
 		return a
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -26,6 +26,7 @@
 	ticker := time.NewTicker(drainIdleTime / 10)
 	defer ticker.Stop()
 	lastBusy := started
+	withdrawn := false
 	var closed chan struct{} // closed when no caller's connection is left; nil: they are not being closed
 	for {
 		select {
@@ -40,6 +41,10 @@
 			// Jobs of peers are left only if the limit has passed: none is accepted during the stop.
 			return
 		case now := <-ticker.C:
+			if !withdrawn && g.forwarder.reachable(g.placers()) {
+				withdrawn = true
+				g.handOver(now)
+			}
 			if g.requests.Load() > 0 {
 				lastBusy = now
 			}
@@ -50,6 +55,15 @@
 	}
 }
 
+// handOver gives the jobs back of which nothing has run, once another placer can be reached: this entry ends
+// before many of them, and its agents move to others. Entries that sent them here, and the handlers of this
+// entry's callers, offer them elsewhere.
+func (g *Gateway) handOver(now time.Time) {
+	if n := g.scheduler.Withdraw(now); n > 0 {
+		g.log.Info("planned stop: jobs that have not started are handed to other placers", zap.Int("jobs", n))
+	}
+}
+
 // giveUp ends the jobs that are left at the end of the time for a planned stop. Those that arrive later are
 // refused.
 func (g *Gateway) giveUp() {
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/catkinline/catkinline/placement"
+	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/wire"
+	"github.com/catkinline/catkinline/workload"
+)
+
+// queueLink is one end of a link between two gateways without a network: messages are handled in order by another
+// goroutine.
+type queueLink struct {
+	silentLink
+	messages chan wire.Message
+}
+
+func (l *queueLink) Send(m wire.Message) error {
+	l.messages <- m
+	return nil
+}
+
+// linkByQueues links two gateways.
+func linkByQueues(t *testing.T, a, b *Gateway) {
+	t.Helper()
+	toA := &queueLink{silentLink{name: a.node.Name}, make(chan wire.Message, 1000)}
+	toB := &queueLink{silentLink{name: b.node.Name}, make(chan wire.Message, 1000)}
+	a.forwarder.linkUp(toB)
+	b.forwarder.linkUp(toA)
+	for _, end := range []struct {
+		g            *Gateway
+		receive, via *queueLink
+	}{{a, toA, toB}, {b, toB, toA}} {
+		go func() {
+			for {
+				select {
+				case m := <-end.receive.messages:
+					end.g.handlePeer(end.via, m)
+				case <-t.Context().Done():
+					return
+				}
+			}
+		}()
+	}
+	_ = toA.Send(b.placerState())
+	_ = toB.Send(a.placerState())
+}
+
+// startRecorder is the link to an agent that records which jobs are started.
+type startRecorder struct {
+	mu   sync.Mutex
+	jobs map[string]bool
+}
+
+func (l *startRecorder) Send(m wire.Message) error {
+	if start, ok := m.(*wire.RunStart); ok {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.jobs[start.Run.Task.Job] = true
+	}
+	return nil
+}
+
+func (l *startRecorder) started(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobs[job]
+}
+
+// addTarget links a target with room for one task of bigJob.
+func addTarget(g *Gateway) *startRecorder {
+	l := &startRecorder{jobs: make(map[string]bool)}
+	agent := "agent of " + g.node.Name
+	g.scheduler.LinkUp(agent, 1, l)
+	full := workload.Resources{CPU: 32000}
+	g.scheduler.HandleState(agent, l, &wire.TargetState{Target: "i-" + g.node.Name, Capacity: full, Room: wire.Room{Free: full}}, time.Now())
+	return l
+}
+
+func bigJob(id string) placement.Request {
+	return placement.Request{
+		Deadline: time.Now().Add(time.Minute), Route: routing.Route{Name: "r", MaxAttempts: 1, Stretch: 2, TargetDuration: time.Second},
+		Job: workload.Job{ID: id, Steps: []workload.Step{{Tasks: 1, Need: workload.Resources{CPU: 32000}, Estimate: 100 * time.Millisecond}}},
+	}
+}
+
+func await(t *testing.T, failure string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal(failure)
+}
+
+// beginStop does what begins a planned stop.
+func (g *Gateway) beginStop() {
+	g.stopping.Store(true)
+	g.announceStop()
+	g.handOver(time.Now())
+}
+
+// Guards against jobs that wait at a placer in a planned stop until it ends, upon which they are cut off or their
+// callers' time is over, while other placers have room: those of its own callers, and those that peers sent.
+func TestStoppingPlacerHandsOverWhatHasNotStarted(t *testing.T) {
+	all := listedGateways(t, 3)
+	entry, stopping, other := all[0], all[1], all[2]
+	atStopping := addTarget(stopping)
+	linkByQueues(t, entry, stopping)
+	await(t, "the placer is not known", func() bool { return entry.forwarder.reachable(entry.placers()) })
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	submit := func(g *Gateway, id string) { callers.Go(func() { g.Submit(ctx, bigJob(id)) }) }
+	known := func(id string) func() bool {
+		return func() bool { known, _ := stopping.scheduler.Status(id); return known }
+	}
+	submit(entry, "started")
+	await(t, "the first job does not start", func() bool { return atStopping.started("started") })
+	submit(entry, "of a peer")
+	await(t, "the second job does not wait", known("of a peer"))
+	submit(stopping, "of a caller")
+	await(t, "the third job does not wait", known("of a caller"))
+
+	atOther := addTarget(other)
+	linkByQueues(t, entry, other)
+	linkByQueues(t, stopping, other)
+	await(t, "the other placer is not known", func() bool {
+		_, more := entry.forwarder.choose(entry.placers(), nil, time.Now())
+		return more && stopping.forwarder.reachable(stopping.placers())
+	})
+	stopping.beginStop()
+	await(t, "no job is handed to the other placer", func() bool { return atOther.started("of a peer") || atOther.started("of a caller") })
+	await(t, "not both jobs are at the other placer", func() bool {
+		peer, _ := other.scheduler.Status("of a peer")
+		caller, _ := other.scheduler.Status("of a caller")
+		return peer && caller
+	})
+	if !known("started")() {
+		t.Error("the job that had started is not finished where it runs")
+	}
+	for i := range 5 {
+		id := fmt.Sprint("later ", i)
+		submit(stopping, id)
+		await(t, "a job of a caller of the stopping placer is not handed over", func() bool { known, _ := other.scheduler.Status(id); return known })
+	}
+}
--- a/placement/job.go
+++ b/placement/job.go
@@ -16,19 +16,22 @@
 	Refused           // no task has started or will start
 	Expired           // the deadline passed, or the job was given up, after a task had started
 	Cancelled         // the caller disconnected or cancelled the job
+	// Withdrawn says that no task has started and that the job may be handed to another entry. It is
+	// not sent between entries, which decline such a job.
+	Withdrawn
 )
 
-var outcomeNames = [...]string{"invalid", "done", "failed", "refused", "expired", "cancelled"}
+var outcomeNames = [...]string{"invalid", "done", "failed", "refused", "expired", "cancelled", "withdrawn"}
 
 // String returns the outcome's name as used in metrics and logs.
 func (o Outcome) String() string {
-	if !o.Valid() {
+	if int(o) >= len(outcomeNames) {
 		return outcomeNames[0]
 	}
 	return outcomeNames[o]
 }
 
-// Valid reports whether o is one of the outcomes.
+// Valid reports whether o is one of the outcomes that entries send each other.
 func (o Outcome) Valid() bool { return o >= Done && o <= Cancelled }
 
 // Answer is the final answer to a job; each caller of the job gets exactly one.
