Choose no placer that stops, nor one that agents are still moving to

A gateway that began a planned stop stayed among the placers until its registration ended, up to 6 s later, and agents put any entry in its place by hash: gateways sent these no jobs, so that targets were lost to all but their callers. When several placers stopped within seconds, most targets were.

PlacerState now says that the sender stops, and gateways and agents choose the placers without such processes, by the same rule. The number of placers stays. An entry counts again once it is listed as another process.

A placer that is back places all jobs that others send it as soon as the first agent is linked. Placers with less than half of the targets of the one with the most are now passed over, also by themselves, waiting work is compared per target, and peers are told when the number of targets changes by an eighth.

TestLinksOfStoppingPlacer lists the placer as another process when it is back, as it is in a deployment, and also checks that the one that stops is not linked again before.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -68,8 +68,8 @@
 }
 
 func linkDirectly(a, b *Gateway, sent *int) {
-	there := &directLink{silentLink: silentLink{name: b.node.Name}, to: b, sent: sent}
-	back := &directLink{silentLink: silentLink{name: a.node.Name}, to: a, back: there, sent: sent}
+	there := &directLink{silentLink: silentLink{name: b.node.Name, incarnation: b.incarnation}, to: b, sent: sent}
+	back := &directLink{silentLink: silentLink{name: a.node.Name, incarnation: a.incarnation}, to: a, back: there, sent: sent}
 	there.back = back
 	a.forwarder.linkUp(there)
 	b.forwarder.linkUp(back)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -80,6 +80,14 @@
 	return f.placers.peers[l] != nil
 }
 
+// linkedTo reports whether a named peer is linked.
+func (f *forwarder) linkedTo(peer string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, _ := f.placers.find(peer)
+	return l != nil
+}
+
 // handleState records what a peer says of itself.
 func (f *forwarder) handleState(l peerLink, m *wire.PlacerState, now time.Time) {
 	f.mu.Lock()
@@ -240,8 +248,15 @@
 func (f *forwarder) choose(names []string, exclude []peerLink, now time.Time) (link peerLink, more bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sound, quiet := f.placers.candidates(names, exclude, now)
-	return f.placers.choose(names, exclude, now), len(sound)+len(quiet) > 1
+	sound, others := f.placers.candidates(names, exclude, now)
+	return f.placers.choose(names, exclude, now), len(sound)+len(others) > 1
+}
+
+// mostTargets returns the number of targets of the named linked placer that has the most.
+func (f *forwarder) mostTargets(names []string) uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.mostTargets(names)
 }
 
 // reachable reports whether a named placer is linked and has targets.
@@ -273,16 +288,18 @@
 	return placement.Answer{}, false
 }
 
-// placesItself reports whether this entry places a job: it is a placer with targets, or it
-// runs the job already. During a planned stop, others place if they can.
+// placesItself reports whether this entry places a job: it is a placer with targets, and not few
+// against the others, or it runs the job already. During a planned stop, others place if they can.
 func (g *Gateway) placesItself(id string) bool {
 	if known, _ := g.scheduler.Status(id); known {
 		return true
 	}
-	if g.stopping.Load() && g.forwarder.reachable(g.placers()) {
+	placers := g.placers()
+	if !slices.Contains(placers, g.node.Name) || !g.scheduler.HasTargets() {
 		return false
 	}
-	return slices.Contains(g.placers(), g.node.Name) && g.scheduler.HasTargets()
+	most := g.forwarder.mostTargets(placers)
+	return most == 0 || !g.stopping.Load() && !hasFew(g.usableTargets.Load(), most)
 }
 
 // forwardTo sends a job to a peer and returns its answer, and whether the peer accepted the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	cancelled     *cancelledJobs
 	receipts      *receipts
 	contact       contact
+	leaving       *leavingEntries
+	usableTargets atomic.Uint32 // at the last check of placerStateLoop
 	chosenPlacers atomic.Pointer[placerChoice]
 	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
@@ -107,6 +109,7 @@
 		forwarder:   newForwarder(),
 		cancelled:   newCancelledJobs(),
 		receipts:    newReceipts(),
+		leaving:     newLeavingEntries(),
 		created:     time.Now(),
 
 		pauseDetector: pausedetect.New(maxPause),
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -175,6 +175,9 @@
 	case *wire.PlacerState:
 		g.contact.told(time.Now()) // at the start of a link it follows the cancelled jobs
 		g.forwarder.handleState(l, m, time.Now())
+		if m.Stopping {
+			g.peerLeaves(l)
+		}
 	case *wire.CrashReport:
 		g.handlePeerCrash(m)
 	case *wire.JobsCancelled:
@@ -230,9 +233,10 @@
 // updateDials starts the missing dial loops.
 func (g *Gateway) updateDials(peers []wire.Peer) {
 	for _, p := range peers {
-		if dialsPeer(g.placers(), g.node.Name, p.Name) {
-			g.dial(p)
+		if !dialsPeer(g.placers(), g.node.Name, p.Name) || g.stopping.Load() && g.forwarder.linkedTo(p.Name) {
+			continue // an entry that stops keeps the links that peers have dialled
 		}
+		g.dial(p)
 	}
 }
 
@@ -254,6 +258,9 @@
 		if dialsPeer(g.placers(), g.node.Name, p.Name) || g.forwarder.hasJobsWith(p.Name) {
 			continue
 		}
+		if leaving := *g.leaving.known.Load(); g.stopping.Load() || leaving.Has(p) {
+			continue // the link ends with the process that stops; until then, cancellings use it
+		}
 		g.mu.Lock()
 		if end := g.dials[p.Address]; end != nil {
 			end()
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -91,14 +91,14 @@
 }
 
 // choose returns the link to the named placer that should get the next job, or nil. Of two
-// placers, one in turn and one at random, it takes the one with less waiting work: the
-// numbers are as old as the last message, and if every entry sent its jobs to the placer with
-// the least, that one would be flooded. Quiet placers are taken only if no other is left;
-// excluded ones are not taken.
+// placers, one in turn and one at random, it takes the one with less waiting work for each of its
+// targets: the numbers are as old as the last message, and if every entry sent its jobs to the placer
+// with the least, that one would be flooded. Quiet placers, and those with few targets, are taken only
+// if no other is left; excluded ones are not taken.
 func (t *placerTable) choose(names []string, exclude []peerLink, now time.Time) peerLink {
-	sound, quiet := t.candidates(names, exclude, now)
+	sound, others := t.candidates(names, exclude, now)
 	if len(sound) == 0 {
-		sound = quiet
+		sound = others
 	}
 	if len(sound) == 0 {
 		return nil
@@ -109,25 +109,45 @@
 		return sound[first]
 	}
 	second := (first + 1 + rand.IntN(len(sound)-1)) % len(sound)
-	if t.peers[sound[second]].waiting(now) < t.peers[sound[first]].waiting(now) {
+	if a, b := t.peers[sound[first]], t.peers[sound[second]]; b.waiting(now)*int64(a.Targets) < a.waiting(now)*int64(b.Targets) {
 		return sound[second]
 	}
 	return sound[first]
 }
 
-// candidates returns the links to the named placers that may get a job, quiet ones apart.
-func (t *placerTable) candidates(names []string, exclude []peerLink, now time.Time) (sound, quiet []peerLink) {
+// fewTargetsShare is the share of the targets of the placer with the most below which another one has few:
+// agents are still moving to it after its start, or away from it. Jobs that are sent to it wait while
+// targets that it does not have are free. Otherwise placers differ by less, since agents choose them by hash.
+const fewTargetsShare = 0.5
+
+// hasFew reports whether a number of targets is small against that of the placer with the most.
+func hasFew(targets, most uint32) bool { return float64(targets) < fewTargetsShare*float64(most) }
+
+// candidates returns the links to the named placers that may get a job, those apart that are quiet or have
+// few targets.
+func (t *placerTable) candidates(names []string, exclude []peerLink, now time.Time) (sound, others []peerLink) {
+	most := t.mostTargets(names)
 	for _, name := range names {
 		l, p := t.find(name)
 		switch {
 		case l == nil || p.Targets == 0 || slices.Contains(exclude, l) || now.Sub(p.declinedAt) < declineBackoff:
-		case p.quiet(l, now):
-			quiet = append(quiet, l)
+		case p.quiet(l, now) || hasFew(p.Targets, most):
+			others = append(others, l)
 		default:
 			sound = append(sound, l)
 		}
 	}
-	return sound, quiet
+	return sound, others
+}
+
+// mostTargets returns the number of targets of the named placer that has the most.
+func (t *placerTable) mostTargets(names []string) (most uint32) {
+	for l, p := range t.peers {
+		if p.Targets > most && slices.Contains(names, l.Name()) {
+			most = p.Targets
+		}
+	}
+	return most
 }
 
 // find returns the link to a peer and its state, or nil. Of two links, which both sides may
--- a/gateway/placers_test.go
+++ b/gateway/placers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,6 +71,85 @@
 	}
 }
 
+// Guards against jobs that wait at a placer to which few agents are linked yet, or any more, while the targets of
+// others are free. Load: each of seven placers gets 120 jobs per second.
+func TestJobsAvoidPlacersWithFewTargets(t *testing.T) {
+	now := time.Unix(100, 0)
+	table, names, links := tableOf(7)
+	table.peers[links[0]].Targets = 15 // of 40
+	if n := table.chosen(names, 7000, now)["p0"]; n != 0 {
+		t.Errorf("a placer with few targets gets %d of 7000 jobs, want none", n)
+	}
+	table.peers[links[0]].Targets = 25
+	if n := table.chosen(names, 7000, now)["p0"]; n < 900 {
+		t.Errorf("a placer with most of its targets gets %d of 7000 jobs, want about 1000", n)
+	}
+	for _, l := range links[1:] {
+		table.peers[l].declinedAt = now
+	}
+	table.peers[links[0]].Targets = 1
+	if n := table.chosen(names, 10, now)["p0"]; n != 10 {
+		t.Errorf("the only placer that does not decline gets %d of 10 jobs, want all", n)
+	}
+}
+
+// Guards against a comparison of waiting work that ignores how many targets work on it.
+func TestWaitingWorkIsComparedPerTarget(t *testing.T) {
+	now := time.Unix(100, 0)
+	table, names, links := tableOf(2)
+	for i, l := range links {
+		table.peers[l].Targets = uint32(20 + 18*i)
+		table.peers[l].WaitingCPU, table.peers[l].waitingAt = int64(100_000+50_000*i), now
+	}
+	if n := table.chosen(names, 10, now)["p1"]; n != 10 {
+		t.Errorf("the placer with 150 cores of waiting work and 38 targets gets %d of 10 jobs beside one with 100 and 20, want all", n)
+	}
+}
+
+// Guards against peers that send jobs to a placer by the number of targets that it had long ago, and against a
+// message at each change.
+func TestPeersAreToldOfLargeChangesOfTargets(t *testing.T) {
+	for _, c := range []struct {
+		told, targets uint32
+		want          bool
+	}{{0, 0, false}, {0, 1, true}, {1, 0, true}, {40, 39, false}, {40, 35, false}, {40, 34, true}, {20, 24, true}} {
+		if got := changedMuch(c.told, c.targets); got != c.want {
+			t.Errorf("from %d to %d targets: told %t, want %t", c.told, c.targets, got, c.want)
+		}
+	}
+}
+
+// Guards against gateways that go on using a placer that stops, that use it no more after its restart, or that
+// disagree on which entry places in its stead.
+func TestGatewaysAgreeOnPlacersWithoutStoppingOne(t *testing.T) {
+	all, _ := linkedGateways(t, 14)
+	before := all[0].placers()
+	var stopping *Gateway
+	for _, g := range all {
+		if g.node.Name == before[0] {
+			stopping = g
+		}
+	}
+	stopping.stopping.Store(true)
+	stopping.leaving.add(stopping.node.Name, stopping.incarnation)
+	stopping.announceStop()
+	after := stopping.placers()
+	if len(after) != len(before) || slices.Contains(after, stopping.node.Name) {
+		t.Errorf("placers %v, want %d without %s", after, len(before), stopping.node.Name)
+	}
+	for _, g := range all {
+		if got := g.placers(); !slices.Equal(got, after) {
+			t.Errorf("%s has the placers %v, want %v", g.node.Name, got, after)
+		}
+	}
+	again := stopping.self()
+	again.Incarnation++
+	all[13].members.AddLinked(again)
+	if got := all[13].placers(); !slices.Equal(got, before) {
+		t.Errorf("placers %v after the restart of %s, want %v", got, again.Name, before)
+	}
+}
+
 // Guards against jobs that are sent for half a second to a placer that has died: its link ends
 // only then, but it stops answering at once. A placer without jobs owes no message.
 func TestJobsAvoidQuietPlacer(t *testing.T) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -16,6 +16,7 @@
 	started := time.Now()
 	g.log.Info("planned stop begins", zap.Int64("requests", g.requests.Load()))
 	g.stopping.Store(true)
+	g.leaving.add(g.node.Name, g.incarnation)
 	timeout := g.drainTimeout()
 	stopAt := started.Add(timeout)
 	g.stopAt.Store(&stopAt)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -28,8 +28,8 @@
 // linkByQueues links two gateways.
 func linkByQueues(t *testing.T, a, b *Gateway) {
 	t.Helper()
-	toA := &queueLink{silentLink{name: a.node.Name}, make(chan wire.Message, 1000)}
-	toB := &queueLink{silentLink{name: b.node.Name}, make(chan wire.Message, 1000)}
+	toA := &queueLink{silentLink{name: a.node.Name, incarnation: a.incarnation}, make(chan wire.Message, 1000)}
+	toB := &queueLink{silentLink{name: b.node.Name, incarnation: b.incarnation}, make(chan wire.Message, 1000)}
 	a.forwarder.linkUp(toB)
 	b.forwarder.linkUp(toA)
 	for _, end := range []struct {
@@ -102,6 +102,7 @@
 // beginStop does what begins a planned stop.
 func (g *Gateway) beginStop() {
 	g.stopping.Store(true)
+	g.leaving.add(g.node.Name, g.incarnation)
 	g.announceStop()
 	g.handOver(time.Now())
 }
--- a/placement/simfleet_test.go
+++ b/placement/simfleet_test.go
@@ -156,7 +156,7 @@
 		})
 		f.entries = append(f.entries, e)
 	}
-	placers := rules.Placers(f.peers())
+	placers := rules.Placers(f.peers(), nil)
 	for _, p := range placers {
 		f.placers = append(f.placers, f.entryOf(p))
 	}
--- a/sidecar/process_links.go
+++ b/sidecar/process_links.go
@@ -77,7 +77,7 @@
 	defer p.mu.Unlock()
 	p.log.Info("entry begins a planned stop", zap.String("entry", l.Name()))
 	if p.open[l.Name()] == l {
-		p.plan.Leaving(l.Name())
+		p.plan.Leaving(l.Name(), l.Incarnation())
 		p.updateLinks()
 	}
 }
--- a/topology/links.go
+++ b/topology/links.go
@@ -43,7 +43,7 @@
 	linked  map[string]time.Time   // by entry name, since when
 	missing map[string]time.Time   // by name of an entry to be linked, since when it has had no link
 	retired map[string]time.Time   // by name of a linked entry, since when its link is retiring
-	leaving map[string]bool        // names of linked entries that have begun a planned stop
+	leaving Leaving                // entries that have begun a planned stop, until they are no longer listed
 
 	wasLinked bool        // an entry was linked at some time
 	changed   bool        // the lists, or the linked entries whose lists count, have changed
@@ -56,7 +56,7 @@
 	return &Links{
 		rules: rules, agent: agent,
 		lists: make(map[string][]wire.Peer), linked: make(map[string]time.Time),
-		missing: make(map[string]time.Time), retired: make(map[string]time.Time), leaving: make(map[string]bool),
+		missing: make(map[string]time.Time), retired: make(map[string]time.Time), leaving: make(Leaving),
 	}
 }
 
@@ -68,17 +68,20 @@
 	}
 	before, known := l.lists[source]
 	l.lists[source] = slices.Clone(peers)
-	l.changed = l.changed || !known || !slices.EqualFunc(before, peers, sameEntry)
+	l.changed = l.changed || !known || !slices.EqualFunc(before, peers, l.sameEntry)
 }
 
-// sameEntry reports whether two listed peers are the same but for their incarnation, which does
-// not influence the links.
-func sameEntry(a, b wire.Peer) bool {
-	a.Incarnation = b.Incarnation
+// sameEntry reports whether two listed peers are the same but for their incarnation, which only
+// influences the links to an entry that has begun a planned stop.
+func (l *Links) sameEntry(a, b wire.Peer) bool {
+	if _, leaving := l.leaving[a.Name]; !leaving {
+		a.Incarnation = b.Incarnation
+	}
 	return a == b
 }
 
-// LinkUp records an open link to an entry.
+// LinkUp records an open link to an entry. One that has begun a planned stop says so again on each
+// link.
 func (l *Links) LinkUp(entry string, now time.Time) {
 	l.linked[entry], l.wasLinked, l.changed = now, true, true
 	delete(l.retired, entry)
@@ -91,18 +94,23 @@
 func (l *Links) LinkDown(entry string) {
 	delete(l.linked, entry)
 	delete(l.retired, entry)
-	delete(l.leaving, entry)
 	l.changed = true
 }
 
-// Leaving records that a linked entry has begun a planned stop. Its link stays open for the
-// runs that it has, but another entry is linked at once.
-func (l *Links) Leaving(entry string) {
+// Leaving records that a process of a linked entry has begun a planned stop. Its link stays open for
+// the runs that it has, but another entry is linked at once, and the entry is not linked again before
+// it is listed as another process.
+func (l *Links) Leaving(entry string, process wire.Incarnation) {
 	if _, linked := l.linked[entry]; linked {
-		l.leaving[entry] = true
+		l.leaving[entry], l.changed = process, true
 	}
 }
 
+func (l *Links) isLeaving(name string) bool {
+	_, leaving := l.leaving[name]
+	return leaving
+}
+
 // Moves are the changes to make to an agent's links.
 type Moves struct {
 	Keep   []wire.Peer // entries to link to and to stay linked to
@@ -132,7 +140,8 @@
 // choose updates the chosen placers and the order of the others from the lists.
 func (l *Links) choose() {
 	live := l.live()
-	placers := l.rules.Placers(live)
+	l.leaving.remove(live)
+	placers := l.rules.Placers(live, l.leaving)
 	wanted := min(l.rules.LinksPerTarget(len(live)), len(placers))
 	order := Subset(l.agent, placers, 0)
 	l.chosen, l.others = order[:wanted], slices.Concat(order[wanted:], Subset(l.agent, without(live, placers), 0))
@@ -157,7 +166,7 @@
 			continue
 		}
 		missing[p.Name] = l.missingSince(p, now)
-		if l.leaving[p.Name] || now.Sub(missing[p.Name]) >= l.substituteDelay() {
+		if l.isLeaving(p.Name) || now.Sub(missing[p.Name]) >= l.substituteDelay() {
 			needed++
 		}
 	}
@@ -203,7 +212,7 @@
 func (l *Links) isLinkedTo(name string) bool {
 	_, linked := l.linked[name]
 	_, retiring := l.retired[name]
-	return linked && !retiring && !l.leaving[name]
+	return linked && !retiring && !l.isLeaving(name)
 }
 
 // missingSince returns since when an entry has been wanted and not linked.
@@ -257,7 +266,7 @@
 	surplus := ""
 	for name, since := range l.linked {
 		kept := slices.ContainsFunc(keep, func(p wire.Peer) bool { return p.Name == name })
-		if !kept && !l.leaving[name] && (surplus == "" || cmp.Or(since.Compare(l.linked[surplus]), strings.Compare(name, surplus)) < 0) {
+		if !kept && !l.isLeaving(name) && (surplus == "" || cmp.Or(since.Compare(l.linked[surplus]), strings.Compare(name, surplus)) < 0) {
 			surplus = name
 		}
 	}
--- a/topology/links_test.go
+++ b/topology/links_test.go
@@ -75,7 +75,7 @@
 
 // chosenBy returns the two placers that an agent should be linked to.
 func chosenBy(agent string, live []wire.Peer) []string {
-	out := names(topology.Subset(agent, (topology.Rules{}).Placers(live), 2))
+	out := names(topology.Subset(agent, (topology.Rules{}).Placers(live, nil), 2))
 	slices.Sort(out)
 	return out
 }
@@ -114,7 +114,7 @@
 	live := entriesIn(5, 3, 4)
 	a := started(live)
 	chosen := chosenBy("agent-1", live)
-	a.Leaving(chosen[0])
+	a.Leaving(chosen[0], 0)
 	a.run(2 * step)
 	if len(a.linked) != 3 || !a.linked[chosen[0]] {
 		t.Errorf("linked to %v right after %s began to stop, want it, %s and a substitute", a.links(), chosen[0], chosen[1])
@@ -123,17 +123,33 @@
 	a.run(2 * time.Second)
 	delete(a.down, chosen[0])
 	a.run(6 * time.Second)
+	if a.linked[chosen[0]] {
+		t.Error("linked to the process that stops again")
+	}
+	a.list(startedAgain(live, chosen[0]))
+	a.run(6 * time.Second)
 	if !slices.Equal(a.links(), chosen) {
 		t.Errorf("after its return linked to %v, want %v", a.links(), chosen)
 	}
 }
 
+// startedAgain returns a list in which an entry is another process.
+func startedAgain(live []wire.Peer, name string) []wire.Peer {
+	listed := slices.Clone(live)
+	for i := range listed {
+		if listed[i].Name == name {
+			listed[i].Incarnation++
+		}
+	}
+	return listed
+}
+
 // Guards against an agent that waits for placers that are all unreachable, one after the
 // other: each substitute may be unreachable as well.
 func TestLinksPastUnreachablePlacers(t *testing.T) {
 	live := entriesIn(5, 3, 4)
 	a := started(live)
-	order := names(topology.Subset("agent-1", (topology.Rules{}).Placers(live), 0))
+	order := names(topology.Subset("agent-1", (topology.Rules{}).Placers(live, nil), 0))
 	for _, name := range order[:5] {
 		a.down[name] = true
 	}
@@ -170,7 +186,7 @@
 // at most, and closes the old one only after the new one is up.
 func TestLinksMoveOneAtATime(t *testing.T) {
 	live := entriesIn(5, 3, 4)
-	first := (topology.Rules{}).Placers(live)[0].Name
+	first := (topology.Rules{}).Placers(live, nil)[0].Name
 	moved := 0
 	for i := range 160 {
 		a := newSimAgent(fmt.Sprint("agent-", i))
--- a/topology/placers.go
+++ b/topology/placers.go
@@ -50,15 +50,16 @@
 
 // Placers selects the entries that place the jobs of all: those with the most CPU, spread
 // over as many failure domains as possible. With few entries, all are placers. An entry that
-// does not announce its CPU is selected only if no other is left.
-func (r Rules) Placers(entries []wire.Peer) []wire.Peer {
+// does not announce its CPU, and one that has begun a planned stop, is selected only if no other is
+// left. The number of placers does not change with planned stops.
+func (r Rules) Placers(entries []wire.Peer, leaving Leaving) []wire.Peer {
 	count := r.placersOf(len(entries))
 	inDomain := make(map[string]int)
 	candidates := slices.Clone(entries)
 	var placers []wire.Peer
 	for len(placers) < count {
 		best := slices.MinFunc(candidates, func(a, b wire.Peer) int {
-			return cmp.Or(cmp.Compare(b.CPU, a.CPU), cmp.Compare(inDomain[a.FailureDomain], inDomain[b.FailureDomain]), strings.Compare(a.Name, b.Name))
+			return cmp.Or(leaving.compare(a, b), cmp.Compare(b.CPU, a.CPU), cmp.Compare(inDomain[a.FailureDomain], inDomain[b.FailureDomain]), strings.Compare(a.Name, b.Name))
 		})
 		candidates = slices.DeleteFunc(candidates, func(p wire.Peer) bool { return p.Name == best.Name })
 		inDomain[best.FailureDomain]++
--- a/topology/placers_test.go
+++ b/topology/placers_test.go
@@ -51,10 +51,10 @@
 		{topology.Rules{PlacerCount: 1}, entriesIn(2, 1, 0), []string{"a-0"}},
 		{topology.Rules{PlacerCount: 4}, entriesIn(2, 1, 0), []string{"a-0", "b-0"}},
 	} {
-		got := names(c.rules.Placers(c.entries))
+		got := names(c.rules.Placers(c.entries, nil))
 		reversed := slices.Clone(c.entries)
 		slices.Reverse(reversed)
-		again := names(c.rules.Placers(reversed))
+		again := names(c.rules.Placers(reversed, nil))
 		if !slices.Equal(got, c.want) || !slices.Equal(again, c.want) {
 			t.Errorf("got %v, in another order %v, want %v", got, again, c.want)
 		}
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -40,10 +40,13 @@
 }
 
 // PlacerState tells a peer whether this entry places jobs, and how much work waits. It is
-// sent at the start of a link between entries, and when targets appear or disappear.
+// sent at the start of a link between entries, when the number of targets changes much, and at the start of a
+// planned stop.
 type PlacerState struct {
 	Targets    uint32 `cbor:"1,keyasint,omitempty"` // usable targets; 0: forwarded jobs are declined
 	WaitingCPU int64  `cbor:"2,keyasint,omitempty"` // as in JobAnswer
+	// Stopping says that the process has begun a planned stop: it is no placer any more.
+	Stopping bool `cbor:"9,keyasint,omitempty"`
 }
 
 // JobCancel asks the receiver of a JobForward to cancel the job because its caller has
