--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,13 +228,11 @@
 		return a
 	}
 	// A planned stop has begun, so that the job goes to another placer; if none takes it, it stays
-	// here, since jobs are withdrawn once.
+	// here, since jobs are withdrawn once. It was accepted before, so that it is not refused for the
+	// time that this entry has left.
 	if g.refusing.Load() {
 		return g.refuse(r, "the entry is stopping")
 	}
-	if stopAt := g.stopAt.Load(); stopAt != nil {
-		r.StopAt = *stopAt
-	}
 	return g.submitToAny(ctx, r)
 }
 
