--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,8 @@
 	cancelled     *cancelledJobs
 	receipts      *receipts
 	contact       contact
+	leaving       *leavingEntries
+	usableTargets atomic.Uint32 // at the last check of placerStateLoop
 	chosenPlacers atomic.Pointer[placerChoice]
 	lastReachable atomic.Int64 // nanoseconds from created to when a placer was last reachable
 }
@@ -117,6 +119,7 @@
 		forwarder:   newForwarder(),
 		cancelled:   newCancelledJobs(),
 		receipts:    newReceipts(),
+		leaving:     newLeavingEntries(),
 		created:     time.Now(),
 
 		pauseDetector: pausedetect.New(maxPause),
@@ -230,6 +233,21 @@
 	if g.contact.isOutdated() {
 		return g.refuse(r, "the entry was cut off, and does not know which jobs were cancelled")
 	}
+	a := g.submitToAny(ctx, r)
+	if a.Outcome != placement.Withdrawn {
+		return a
+	}
+	// A planned stop has begun, so that the job goes to another placer; if none takes it, it stays
+	// here, since jobs are withdrawn once. It was accepted before, so that it is not refused for the
+	// time that this entry has left.
+	if g.refusing.Load() {
+		return g.refuse(r, "the entry is stopping")
+	}
+	return g.submitToAny(ctx, r)
+}
+
+// submitToAny runs a job at another placer or here and returns its answer.
+func (g *Gateway) submitToAny(ctx context.Context, r placement.Request) placement.Answer {
 	if a, accepted := g.submitToPlacer(ctx, r); accepted {
 		return a
 	}
