--- a/settings/node.go
+++ b/settings/node.go
@@ -23,6 +23,7 @@
 	StoreURL      string        // of the platform's store
 	MaxLease      time.Duration // longest lease that a target grants its runs
 	GracePeriod   time.Duration // time from the stop request until the process is killed
+	FarFactor     float64       // run time of a task in another rack than its data's, relative to that in it; 0: not known
 	FirstStart    bool          // the whole system starts for the first time
 }
 
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -167,6 +167,7 @@
 // applyReport uses a report of the target's current process.
 func (s *Sidecar) applyReport(r targets.Report) {
 	before, wasAccepting, wasUsable := s.report, s.acceptsRuns(), s.reportUsable
+	s.forgetSpeed(before, r)
 	s.report, s.reportUsable, s.restored = r, true, false
 	s.reportedAt = time.Now()
 	s.target.leaves = s.target.leaves || r.Draining
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -66,6 +66,7 @@
 	if m.Backlog != nil {
 		s.setBacklog(state, m.Backlog)
 	}
+	s.noteSpeed(m)
 	r := runs.Run{ID: m.Run, Owner: ownerOf(state.link), Need: m.Need, Route: m.Route, Alone: m.Alone, SentAt: now}
 	if end, reason := s.admit(state, m, r, now); end != 0 {
 		s.reportEnd(&r, end, 0, reason)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -126,11 +126,12 @@
 	links        map[string]*linkState
 	crashes      *crash.History // of the target's processes
 	report       targets.Report
-	reportUsable bool      // report is from the target itself, or was confirmed by a poll
-	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
-	saidStale    bool      // the entries were told that the capacity is stale
-	saidSilent   bool      // it was logged that an entry is silent and the lease is shortened
-	restored     bool      // the report is from an earlier process
+	speed        *wire.TargetSpeed // of the target, as an entry last told; nil: not known
+	reportUsable bool              // report is from the target itself, or was confirmed by a poll
+	reportedAt   time.Time         // when the target last reported to this process; zero: not, or the process was paused since
+	saidStale    bool              // the entries were told that the capacity is stale
+	saidSilent   bool              // it was logged that an entry is silent and the lease is shortened
+	restored     bool              // the report is from an earlier process
 	// confirmations is the number of reports about which the target is being asked, and confirmedAt
 	// is when the last one was confirmed.
 	confirmations int
@@ -285,6 +286,7 @@
 		Closed:        !s.acceptsRuns() || state.retiring,
 		Born:          s.target.born,
 		CapacityStale: s.saidStale,
+		Speed:         s.speed,
 	}
 	if !state.announced {
 		state.announced = true
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -30,6 +30,15 @@
 	// Runs are the runs of the receiving entry process that the agent has. It is complete in the
 	// first state on a link, and empty in others: what it leaves out has ended or never began.
 	Runs []workload.RunID `cbor:"10,keyasint,omitempty"`
+	// Speed is the speed of the target that an entry has learnt last; nil: not known.
+	Speed *TargetSpeed `cbor:"12,keyasint,omitempty"`
+}
+
+// TargetSpeed is what an entry has learnt of a target's speed. Log is the natural logarithm of the
+// speed relative to the mean of the entry's targets, Runs the weight of what was observed, in runs.
+type TargetSpeed struct {
+	Log  float64 `cbor:"1,keyasint"`
+	Runs float64 `cbor:"2,keyasint"`
 }
 
 // Room is a target's free capacity. StartsReceived is the number of RunStarts that
@@ -58,6 +67,9 @@
 	Unguarded bool `cbor:"9,keyasint,omitempty"`
 	// OriginAge is how long ago the entry from which the sender has the job was known to be alive.
 	OriginAge time.Duration `cbor:"10,keyasint,omitempty"`
+	// Speed is what the entry has learnt of the target's speed, for the agent to pass on to others;
+	// nil: it has not changed since it was last sent.
+	Speed *TargetSpeed `cbor:"11,keyasint,omitempty"`
 }
 
 // EndStatus is how a run ended.
