--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/catkinline/catkinline/evacuation"
 	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/placement"
@@ -40,6 +41,7 @@
 			t.Fatal(err)
 		}
 		g.members = member.New(nil, g.self(), member.Options{Log: zap.NewNop()})
+		g.adoptEvacuations(evacuation.New(1, nil), "test")
 		all = append(all, g)
 	}
 	for _, g := range all {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -13,6 +13,9 @@
 	// coldPenalty puts cold targets behind all warm ones: it exceeds the sum of the other terms of the
 	// score but avoidPenalty.
 	coldPenalty = 3.5
+	// coldFactor is how much longer a run may take on a cold target before that says anything about the task
+	// or the target. Targets report how long they are cold, not how slow.
+	coldFactor = 2.0
 	// coldLongTask is the expected run time from which a task goes to a warm target, if one has free
 	// capacity: what a slow target adds to it is more than the allowance in its objective.
 	coldLongTask = 250 * time.Millisecond
@@ -27,6 +30,14 @@
 	return now.Before(t.coldUntil) || route.ColdStart > 0 && now.Sub(t.revokedAt) < min(route.ColdStart, coldReportDelay)
 }
 
+// coldness returns the factor by which runs on the target may take longer because it is cold; 1: it is not.
+func (t *target) coldness(route *routing.Route, now time.Time) float64 {
+	if t.cold(route, now) {
+		return coldFactor
+	}
+	return 1
+}
+
 // countColdStart delays the next start on a cold target, so that the placers together do not exceed
 // the rate that it takes without harm.
 func (s *Scheduler) countColdStart(t *target, route *routing.Route, now time.Time) {
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -68,6 +68,7 @@
 	if m.Backlog != nil {
 		s.setBacklog(state, m.Backlog)
 	}
+	s.noteSpeed(m)
 	r := runs.Run{ID: m.Run, Owner: ownerOf(state.link), Need: m.Need, Route: m.Route, Alone: m.Alone, SentAt: now}
 	if s.evacuated() {
 		s.refuseEvacuated(&r)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,12 +128,13 @@
 	links        map[string]*linkState
 	crashes      *crash.History // of the target's processes
 	report       targets.Report
-	reportUsable bool      // report is from the target itself, or was confirmed by a poll
-	coldUntil    time.Time // the target is slow until then, as it reports
-	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
-	saidStale    bool      // the entries were told that the capacity is stale
-	saidSilent   bool      // it was logged that an entry is silent and the lease is shortened
-	restored     bool      // the report is from an earlier process
+	speed        *wire.TargetSpeed // of the target, as an entry last told; nil: not known
+	reportUsable bool              // report is from the target itself, or was confirmed by a poll
+	coldUntil    time.Time         // the target is slow until then, as it reports
+	reportedAt   time.Time         // when the target last reported to this process; zero: not, or the process was paused since
+	saidStale    bool              // the entries were told that the capacity is stale
+	saidSilent   bool              // it was logged that an entry is silent and the lease is shortened
+	restored     bool              // the report is from an earlier process
 	// confirmations is the number of reports about which the target is being asked, and confirmedAt
 	// is when the last one was confirmed.
 	confirmations int
@@ -290,6 +291,7 @@
 		Closed:        !s.acceptsRuns() || state.retiring,
 		Born:          s.target.born,
 		CapacityStale: s.saidStale,
+		Speed:         s.speed,
 		ColdLeft:      max(0, time.Until(s.coldUntil)),
 	}
 	if !state.announced {
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -33,6 +33,15 @@
 	Runs []workload.RunID `cbor:"10,keyasint,omitempty"`
 	// ColdLeft is how much longer the target is slow, after its start or an evacuation.
 	ColdLeft time.Duration `cbor:"11,keyasint,omitempty"`
+	// Speed is the speed of the target that an entry has learnt last; nil: not known.
+	Speed *TargetSpeed `cbor:"12,keyasint,omitempty"`
+}
+
+// TargetSpeed is what an entry has learnt of a target's speed. Log is the natural logarithm of the
+// speed relative to the mean of the entry's targets, Runs the weight of what was observed, in runs.
+type TargetSpeed struct {
+	Log  float64 `cbor:"1,keyasint"`
+	Runs float64 `cbor:"2,keyasint"`
 }
 
 // Room is a target's free capacity. StartsReceived is the number of RunStarts that
@@ -61,6 +70,9 @@
 	Unguarded bool `cbor:"9,keyasint,omitempty"`
 	// OriginAge is how long ago the entry from which the sender has the job was known to be alive.
 	OriginAge time.Duration `cbor:"10,keyasint,omitempty"`
+	// Speed is what the entry has learnt of the target's speed, for the agent to pass on to others;
+	// nil: it has not changed since it was last sent.
+	Speed *TargetSpeed `cbor:"11,keyasint,omitempty"`
 }
 
 // EndStatus is how a run ended.
