Do not refuse jobs for an evacuation before the other agents could link

After the start of a gateway, agents link one after the other. If the first ones were in an evacuated domain, jobs were refused for 10 s as if no other target could run them. In the first 2.5 s, jobs are now refused for this reason only if a target outside has been known and has gone. TestEvacuatedTargetsLinkFirst fails without the change.

--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -51,10 +51,11 @@
 }
 
 // onlyEvacuated reports whether a step fits targets, all of them in evacuated domains. Targets whose
-// link is lost, or that are down after a crash, count for as long as they may come back.
+// link is lost, or that are down after a crash, count for as long as they may come back. Right after
+// the start of the process, the agents of other domains may only not have linked yet.
 func (s *Scheduler) onlyEvacuated(j *activeJob, step int, now time.Time) bool {
 	spec := &j.request.Job.Steps[step]
-	evacuated := false
+	evacuated, othersGone := false, false
 	for _, t := range s.ordered {
 		if t.state.Service != j.request.Route.Service || !spec.Need.FitsIn(t.state.Capacity) || !t.hasLabel(spec.RequiredLabel) {
 			continue
@@ -64,9 +65,11 @@
 			evacuated = true
 		case t.link != nil, now.Sub(t.linkLostAt) < IsolationTimeout, now.Sub(t.crashedAt) < maxRestartTime:
 			return false
+		default:
+			othersGone = true
 		}
 	}
-	return evacuated
+	return evacuated && (othersGone || !s.starting(now))
 }
 
 // refuseEvacuated refuses the waiting jobs that have not started and that only targets in evacuated
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -155,3 +155,31 @@
 		t.Errorf("answer: %+v, want a refusal", refusal)
 	}
 }
+
+// Guards against jobs that are refused after the start of an entry because agents in the evacuated
+// domain were the first to link, and against jobs that wait on and on when no others come.
+func TestEvacuatedTargetsLinkFirst(t *testing.T) {
+	for _, othersCome := range []bool{true, false} {
+		s := placement.New(placement.Options{})
+		s.SetEvacuations(evacuation.New(5, []string{"d1"}), begin)
+		s.Tick(begin)
+		joinIn(s, "a", "d1", after(10*time.Millisecond))
+		r := request("1", 1, 2000)
+		r.Route.TargetDuration = 10 * time.Second
+		ticket := submit(t, s, r, after(20*time.Millisecond))
+		tickUntil(s, 20*time.Millisecond, 500*time.Millisecond)
+		if answer, ended := answered(ticket); ended {
+			t.Fatalf("answered before the other agents could link: %+v", answer)
+		}
+		if othersCome {
+			if b := joinIn(s, "b", "d2", after(500*time.Millisecond)); len(b.starts()) != 1 {
+				t.Errorf("%d starts on the target of the other domain, want 1", len(b.starts()))
+			}
+			continue
+		}
+		tickUntil(s, 510*time.Millisecond, 2700*time.Millisecond)
+		if answer, _ := answered(ticket); answer.Outcome != placement.Refused {
+			t.Errorf("answer when no other agent has linked: %+v, want a refusal", answer)
+		}
+	}
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -280,7 +280,12 @@
 	if s.usableTargets() > 0 || s.firstTick.IsZero() {
 		return false
 	}
-	return now.Sub(s.firstTick) > startupGrace && now.Sub(s.lastUsable) > IsolationTimeout
+	return !s.starting(now) && now.Sub(s.lastUsable) > IsolationTimeout
+}
+
+// starting reports whether this process has started so recently that agents may not have linked yet.
+func (s *Scheduler) starting(now time.Time) bool {
+	return !s.firstTick.IsZero() && now.Sub(s.firstTick) <= startupGrace
 }
 
 func (s *Scheduler) usableTargets() int {
