Limit distrust to half of the targets outside evacuated domains

At most half of the targets may be distrusted at a time, so that jobs are served whatever happens. Targets in evacuated domains counted among them, and get no runs: with half of the targets evacuated, all others could be distrusted together. They no longer count. TestEvacuatedTargetsReplaceNoDistrustedOnes fails without the change.

--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -183,3 +183,31 @@
 		}
 	}
 }
+
+// Guards against an entry that distrusts all targets that are left: half of them at most may be, and
+// those in evacuated domains cannot run their tasks meanwhile.
+func TestEvacuatedTargetsReplaceNoDistrustedOnes(t *testing.T) {
+	s := placement.New(placement.Options{})
+	for _, name := range []string{"a", "b"} {
+		joinIn(s, name, "d1", begin)
+	}
+	links := map[string]*recordingLink{"c": joinIn(s, "c", "d2", begin), "d": joinIn(s, "d", "d2", begin)}
+	s.SetEvacuations(evacuation.New(5, []string{"d1"}), begin)
+	now := begin
+	for i := range 8 { // each target fails the tasks of several jobs
+		now = now.Add(10 * time.Millisecond)
+		r := request(fmt.Sprint(i), 2, 2000)
+		r.Route.MaxAttempts, r.Job.Steps[0].MaxPerTarget = 1, 1
+		submit(t, s, r, now)
+		for name, l := range links {
+			if starts := l.starts(); len(starts) > 0 {
+				s.HandleRunEnd(name, l, newRunEnd(l, len(starts)-1, wire.EndFailed), now)
+			}
+		}
+	}
+	before := len(links["c"].starts()) + len(links["d"].starts())
+	submit(t, s, request("last", 1, 2000), now)
+	if n := len(links["c"].starts()) + len(links["d"].starts()); n == before {
+		t.Error("no start on either target that is left")
+	}
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -54,7 +54,8 @@
 	// expected time. Targets often recover within seconds, and each probe run delays a task.
 	minEjectionTime = 400 * time.Millisecond
 	maxEjectionTime = 1600 * time.Millisecond
-	// maxEjectedShare is the largest share of the targets that may be ejected at a time.
+	// maxEjectedShare is the largest share of the targets outside evacuated domains that may be
+	// ejected at a time.
 	maxEjectedShare = 0.5
 )
 
@@ -150,7 +151,7 @@
 func (s *Scheduler) eject(t *target, reason string, now time.Time) {
 	h := &t.health
 	if !h.ejected {
-		if float64(s.ejectedTargets()+1) > maxEjectedShare*float64(len(s.ordered)) {
+		if ejected, all := s.ejectedTargets(); float64(ejected+1) > maxEjectedShare*float64(all) {
 			return
 		}
 		h.ejected, h.ejectionTime = true, 0
@@ -171,15 +172,19 @@
 	s.reportTargetChange(t, "trusted", "")
 }
 
-// ejectedTargets returns the number of usable targets that are ejected.
-func (s *Scheduler) ejectedTargets() int {
-	n := 0
+// ejectedTargets returns the number of usable targets that are ejected, and that of all known targets.
+// Those in evacuated domains do not count: they get no runs, ejected or not.
+func (s *Scheduler) ejectedTargets() (ejected, all int) {
 	for _, t := range s.ordered {
+		if t.evacuated {
+			continue
+		}
+		all++
 		if t.health.ejected && t.usable() {
-			n++
+			ejected++
 		}
 	}
-	return n
+	return ejected, all
 }
 
 // checkOverdue finds runs that take much longer than expected. Each adds to its target's
