--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -8,6 +8,7 @@
 	"github.com/catkinline/catkinline/evacuation"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -162,3 +163,24 @@
 		t.Errorf("version %d after the evacuations, want 3", g.version())
 	}
 }
+
+// Guards against routes that are in force before the evacuations of the same list, so that a job could
+// start in an evacuated domain.
+func TestEvacuationsApplyBeforeRoutes(t *testing.T) {
+	g := newPlacer(t)
+	g.evacuations = evacuation.Current{}
+	store := standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local()
+	g.store, g.opts.RoutesKey, g.opts.EvacuationPrefix, g.opts.OperatorPrefix = store, testKey, testEvacuations, testPrefix
+	requestEvacuation(t, store, "d1", `{}`)
+	writeRoutes(t, store, "1")
+	decoded := false
+	g.opts.DecodeRoutes = func(document []byte) (*routing.Table, error) {
+		decoded = true
+		g.expectEvacuated(t, "d1")
+		return decodeVersion(document)
+	}
+	var view evacuation.View
+	if _, err := g.readRoutes(t.Context(), &view); err != nil || !decoded {
+		t.Fatalf("routes decoded: %t, %v", decoded, err)
+	}
+}
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -211,3 +211,27 @@
 		t.Error("no start on either target that is left")
 	}
 }
+
+// Guards against targets in evacuated domains that are set apart for suspected tasks, which then wait
+// in vain.
+func TestSuspectsAreConfinedOutsideEvacuatedDomains(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, evacuated := range names { // one of them is the first in the order of targetRank
+		s := placement.New(placement.Options{})
+		links := make(map[string]*recordingLink)
+		for _, name := range names {
+			links[name] = joinIn(s, name, "d-"+name, begin)
+		}
+		s.HandleCrash(crashUnder("i-x", begin, "r", "deadly", "other"), begin)
+		s.HandleCrash(crashUnder("i-y", begin, "r", "deadly", "other"), begin)
+		s.SetEvacuations(evacuation.New(5, []string{"d-" + evacuated}), begin)
+		submit(t, s, request("deadly", 1, 1000), begin)
+		starts := 0
+		for _, l := range links {
+			starts += len(l.starts())
+		}
+		if starts != 1 || len(links[evacuated].starts()) != 0 {
+			t.Errorf("%d starts of the suspect while %s is evacuated, %d there; want 1 and 0", starts, evacuated, len(links[evacuated].starts()))
+		}
+	}
+}
