Tests: runs on cold targets may take longer, and say nothing of the tasks

Both rules could be taken out without a failing test: runs on a cold target are not overdue by the time of siblings on warm ones, and do not count for the estimates.

--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -142,3 +142,37 @@
 		}
 	}
 }
+
+// Guards against runs on a cold target that are stopped because siblings on a warm one are done, and
+// whose time lets the tasks of the next jobs be expected to take as long.
+func TestRunsOnColdTargetMayTakeLonger(t *testing.T) {
+	s := placement.New(placement.Options{})
+	cold, warm := joinCold(s, "a", time.Minute, begin), join(s, "b", 1, begin)
+	for i := range 3 {
+		r := request(fmt.Sprint(i), 2, 2000)
+		r.Job.Steps[0].MaxPerTarget, r.Route.TargetDuration = 1, time.Second
+		submit(t, s, r, begin)
+	}
+	for i := range warm.starts() {
+		end := newRunEnd(warm, i, wire.EndDone)
+		end.RunTime = 100 * time.Millisecond
+		s.HandleRunEnd("b", warm, end, after(100*time.Millisecond))
+	}
+	tickUntil(s, 110*time.Millisecond, 800*time.Millisecond)
+	if len(cold.starts()) != 3 || cold.stops() != 0 {
+		t.Errorf("%d runs on the cold target, %d stopped; want 3 and 0", len(cold.starts()), cold.stops())
+	}
+	for i := range cold.starts() {
+		end := newRunEnd(cold, i, wire.EndDone)
+		end.RunTime = 800 * time.Millisecond
+		s.HandleRunEnd("a", cold, end, after(800*time.Millisecond))
+	}
+	// Tasks of 250 ms or more prefer the warm target: these are expected to take 100 ms.
+	before := len(cold.starts())
+	r := request("next", 4, 1500)
+	r.Route.Priority = 1
+	submit(t, s, r, after(800*time.Millisecond))
+	if len(cold.starts()) == before {
+		t.Error("no start on the cold target: short tasks are expected to take long")
+	}
+}
