Tests: evacuations on a new peer link, from an agent's refusal, and unsent ones

These rules could be taken out without a failing test. The handling of a run's end and of a new peer link take interfaces, so that tests reach them.

--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -3,10 +3,12 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/catkinline/catkinline/evacuation"
 	"github.com/catkinline/catkinline/kv"
+	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/routing"
 	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/wire"
@@ -184,3 +186,56 @@
 		t.Fatalf("routes decoded: %t, %v", decoded, err)
 	}
 }
+
+// SendHeartbeat implements newPeerLink.
+func (l *recordingLink) SendHeartbeat() error { return l.Send(&wire.Heartbeat{}) }
+
+// Guards against a peer that gets routes or jobs before the evacuations, which the store may not tell it.
+func TestEvacuationsAreFirstOnPeerLink(t *testing.T) {
+	g := newPlacer(t)
+	g.members = member.New(standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local(), g.self(), member.Options{Log: g.log})
+	g.adoptEvacuations(evacuation.New(9, []string{"d1"}), "test")
+	l := &recordingLink{silentLink: silentLink{name: "peer"}}
+	g.peerUp(l)
+	if e, ok := l.sent[0].(*wire.Evacuations); !ok || e.Revision != 9 || !slices.Equal(e.Domains, []string{"d1"}) {
+		t.Errorf("first message: %+v, want the evacuations", l.sent[0])
+	}
+}
+
+// Guards against an entry that learns of an evacuation only from the refusals of its agents, and sends
+// the task again or does not tell its peers.
+func TestEvacuationIsAdoptedFromAgentsRefusal(t *testing.T) {
+	g := newPlacer(t)
+	peer, agent := &recordingLink{silentLink: silentLink{name: "peer"}}, &recordingLink{}
+	g.forwarder.linkUp(peer)
+	g.scheduler.LinkUp("other", 1, agent)
+	g.handleRunEnd("other", agent, &wire.RunEnd{Status: wire.EndNotRun, Evacuations: &wire.Evacuations{Revision: 9, Domains: []string{"d1"}}}, time.Now())
+	g.expectEvacuated(t, "d1")
+	if e := peer.lastEvacuations(); e == nil || e.Revision != 9 {
+		t.Errorf("passed on to the peer: %+v, want revision 9", e)
+	}
+}
+
+// Guards against a higher revision with the known domains that is held back for good: an agent that has
+// heard of a state in between would refuse starts on and on.
+func TestUnsentEvacuationsArePassedOnInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPlacer(t)
+		peer := &recordingLink{silentLink: silentLink{name: "peer"}}
+		g.forwarder.linkUp(peer)
+		g.tomb.Go(g.gaugeLoop)
+		g.adoptEvacuations(evacuation.New(9, nil), "test")
+		time.Sleep(gaugeInterval + time.Millisecond)
+		synctest.Wait()
+		if e := peer.lastEvacuations(); e == nil || e.Revision != 9 {
+			t.Errorf("passed on: %+v, want revision 9", e)
+		}
+		g.tomb.Kill(nil)
+		if err := g.tomb.Wait(); err != nil {
+			t.Error(err)
+		}
+		if err := g.opts.Metrics.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
+	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
 )
@@ -105,16 +106,22 @@
 	case *wire.Room:
 		g.scheduler.HandleRoom(l.Name(), l, m, now)
 	case *wire.RunEnd:
-		if m.Evacuations != nil {
-			g.opts.Metrics.Add(metrics.EvacuationRefusals, 1)
-			g.adoptEvacuations(m.Evacuations.State(), "agent "+l.Name())
-		}
-		g.scheduler.HandleRunEnd(l.Name(), l, m, now)
+		g.handleRunEnd(l.Name(), l, m, now)
 	case *wire.CrashReport:
 		g.handleAgentCrash(m)
 	}
 }
 
+// handleRunEnd handles the end of a run. The evacuations that an agent refused it by apply before its
+// task is placed again.
+func (g *Gateway) handleRunEnd(agent string, l placement.Sender, m *wire.RunEnd, now time.Time) {
+	if m.Evacuations != nil {
+		g.opts.Metrics.Add(metrics.EvacuationRefusals, 1)
+		g.adoptEvacuations(m.Evacuations.State(), "agent "+agent)
+	}
+	g.scheduler.HandleRunEnd(agent, l, m, now)
+}
+
 // closeLinks closes all links. Messages that arrived on them are not handled any more, so that
 // those of later links are the only ones that are.
 func (g *Gateway) closeLinks(reason string) {
@@ -143,7 +150,13 @@
 	return &wire.Peers{Peers: g.entries()}
 }
 
-func (g *Gateway) peerUp(l *transport.Link) {
+// newPeerLink is a link to a peer entry that has just been opened.
+type newPeerLink interface {
+	peerLink
+	SendHeartbeat() error
+}
+
+func (g *Gateway) peerUp(l newPeerLink) {
 	g.log.Info("peer linked", zap.String("peer", l.Name()))
 	g.sendEvacuations(l)
 	g.forwarder.linkUp(l)
