Tests: a cold target's reports are not written to the store each time

The cold time changes with each report. Without the rule that it is ignored, each agent of a cold target would write every 1.5 s, and no test failed.

--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -129,10 +129,10 @@
 			t.Errorf("restored %+v from an empty store", restored)
 		}
 		second := first
-		second.Sequence = 2
+		second.Sequence, second.ColdLeft = 2, 10*time.Second
 		runStore(first, second)
 		if n := store.Writes(); n != 1 {
-			t.Errorf("%d writes for reports that differ only in sequence number, want 1", n)
+			t.Errorf("%d writes for reports that differ only in sequence number and cold time, want 1", n)
 		}
 		draining := second
 		draining.Draining = true
