--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -155,3 +155,83 @@
 		t.Errorf("answer: %+v, want a refusal", refusal)
 	}
 }
+
+// Guards against jobs that are refused after the start of an entry because agents in the evacuated
+// domain were the first to link, and against jobs that wait on and on when no others come.
+func TestEvacuatedTargetsLinkFirst(t *testing.T) {
+	for _, othersCome := range []bool{true, false} {
+		s := placement.New(placement.Options{})
+		s.SetEvacuations(evacuation.New(5, []string{"d1"}), begin)
+		s.Tick(begin)
+		joinIn(s, "a", "d1", after(10*time.Millisecond))
+		r := request("1", 1, 2000)
+		r.Route.TargetDuration = 10 * time.Second
+		ticket := submit(t, s, r, after(20*time.Millisecond))
+		tickUntil(s, 20*time.Millisecond, 500*time.Millisecond)
+		if answer, ended := answered(ticket); ended {
+			t.Fatalf("answered before the other agents could link: %+v", answer)
+		}
+		if othersCome {
+			if b := joinIn(s, "b", "d2", after(500*time.Millisecond)); len(b.starts()) != 1 {
+				t.Errorf("%d starts on the target of the other domain, want 1", len(b.starts()))
+			}
+			continue
+		}
+		tickUntil(s, 510*time.Millisecond, 2700*time.Millisecond)
+		if answer, _ := answered(ticket); answer.Outcome != placement.Refused {
+			t.Errorf("answer when no other agent has linked: %+v, want a refusal", answer)
+		}
+	}
+}
+
+// Guards against an entry that distrusts all targets that are left: half of them at most may be, and
+// those in evacuated domains cannot run their tasks meanwhile.
+func TestEvacuatedTargetsReplaceNoDistrustedOnes(t *testing.T) {
+	s := placement.New(placement.Options{})
+	for _, name := range []string{"a", "b"} {
+		joinIn(s, name, "d1", begin)
+	}
+	links := map[string]*recordingLink{"c": joinIn(s, "c", "d2", begin), "d": joinIn(s, "d", "d2", begin)}
+	s.SetEvacuations(evacuation.New(5, []string{"d1"}), begin)
+	now := begin
+	for i := range 8 { // each target fails the tasks of several jobs
+		now = now.Add(10 * time.Millisecond)
+		r := request(fmt.Sprint(i), 2, 2000)
+		r.Route.MaxAttempts, r.Job.Steps[0].MaxPerTarget = 1, 1
+		submit(t, s, r, now)
+		for name, l := range links {
+			if starts := l.starts(); len(starts) > 0 {
+				s.HandleRunEnd(name, l, newRunEnd(l, len(starts)-1, wire.EndFailed), now)
+			}
+		}
+	}
+	before := len(links["c"].starts()) + len(links["d"].starts())
+	submit(t, s, request("last", 1, 2000), now)
+	if n := len(links["c"].starts()) + len(links["d"].starts()); n == before {
+		t.Error("no start on either target that is left")
+	}
+}
+
+// Guards against targets in evacuated domains that are set apart for suspected tasks, which then wait
+// in vain.
+func TestSuspectsAreConfinedOutsideEvacuatedDomains(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, evacuated := range names { // one of them is the first in the order of targetRank
+		s := placement.New(placement.Options{})
+		links := make(map[string]*recordingLink)
+		for _, name := range names {
+			links[name] = joinIn(s, name, "d-"+name, begin)
+		}
+		s.HandleCrash(crashUnder("i-x", begin, "r", "deadly", "other"), begin)
+		s.HandleCrash(crashUnder("i-y", begin, "r", "deadly", "other"), begin)
+		s.SetEvacuations(evacuation.New(5, []string{"d-" + evacuated}), begin)
+		submit(t, s, request("deadly", 1, 1000), begin)
+		starts := 0
+		for _, l := range links {
+			starts += len(l.starts())
+		}
+		if starts != 1 || len(links[evacuated].starts()) != 0 {
+			t.Errorf("%d starts of the suspect while %s is evacuated, %d there; want 1 and 0", starts, evacuated, len(links[evacuated].starts()))
+		}
+	}
+}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -130,7 +130,9 @@
 	}
 	s.samples = s.samples[:0]
 	for i := range tasks {
-		s.samples = append(s.samples, tasks[i].sample())
+		if tasks[i].coldness <= 1 { // how slow a cold target is, is not known
+			s.samples = append(s.samples, tasks[i].sample())
+		}
 	}
 	forecast.LearnSiblings(s.samples, &s.fleet.rack)
 }
