--- a/runs/runs.go
+++ b/runs/runs.go
@@ -42,6 +42,7 @@
 	State         State
 	SentAt        time.Time // when the start request was sent
 	ConfirmedAt   time.Time // when the target's confirmation arrived
+	MayStartLate  bool      // a request to start it, beside the confirmed one, may still be in transit
 	StopRequested bool      // the run has to be stopped
 	StopAckedAt   time.Time // when the acknowledgement of the stop arrived; zero: not yet
 	StopReason    string    // why the stop was requested
@@ -245,12 +246,12 @@
 // TargetRestarted handles the end of the target's process at endedAt or later; a new
 // process may have started. It removes and returns, with the given end, the runs that the old process
 // confirmed before endedAt. Start requests that were unanswered then may reach the new
-// process, so their runs stay as Unconfirmed. Of these, it returns the runs without a
+// process, so their runs stay as Unconfirmed, also if another request was confirmed. Of these, it returns the runs without a
 // pending stop, which the caller has to stop: a stop that was acknowledged may have
 // reached the old process only.
 func (t *Table) TargetRestarted(endedAt time.Time, end wire.EndStatus, reason string) (ended []EndedRun, unconfirmed []*Run) {
 	for _, r := range t.Select(func(*Run) bool { return true }) {
-		if r.State == Running && r.ConfirmedAt.Before(endedAt) {
+		if r.State == Running && r.ConfirmedAt.Before(endedAt) && !r.MayStartLate {
 			t.Remove(r.ID)
 			ended = append(ended, EndedRun{r, end, reason})
 			continue
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -180,10 +180,7 @@
 	if !s.isStillWanted(r) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.opts.RequestTimeout)
-	defer cancel()
-	sentAt := time.Now()
-	response := s.opts.Target.Start(ctx, incarnation, request)
+	response := s.requestStart(r, incarnation, request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table.Get(r.ID) != r {
@@ -192,7 +189,8 @@
 	now := time.Now()
 	switch response.Result {
 	case targets.Started:
-		if s.answersAsPolled(sentAt, response.Clock) {
+		r.MayStartLate = response.unanswered > 0
+		if s.answersAsPolled(response.sentAt, response.Clock) {
 			r.State, r.ConfirmedAt = runs.Running, now
 			return
 		}
@@ -258,14 +256,14 @@
 }
 
 func (s *Sidecar) sendStop(r *runs.Run, incarnation string) {
-	for {
+	for timeout := min(firstStopTimeout, s.opts.RequestTimeout); ; timeout = min(2*timeout, s.opts.RequestTimeout) {
 		s.mu.Lock()
 		fencingToken, known := s.target.fencingToken, s.table.Get(r.ID) == r
 		s.mu.Unlock()
 		if !known {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), s.opts.RequestTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		stopped := s.opts.Target.Stop(ctx, incarnation, r.ID, fencingToken)
 		cancel()
 		if stopped {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -74,6 +74,10 @@
 	// listing that was requested after the acknowledgement shows how the run ended, and the
 	// short wait lets that end be in it.
 	stopPollWait = time.Millisecond
+	// firstStopTimeout bounds the first request to stop a run. The capacity of a run that has to end stays
+	// in use until a stop is acknowledged. The bound doubles with each request without a response, up to
+	// Options.RequestTimeout, so that a busy target has the time to respond.
+	firstStopTimeout = 25 * time.Millisecond
 	// stopRetryDelay is the delay after a stop request without a response. Five requests fit into a
 	// lease, which is not renewed meanwhile.
 	stopRetryDelay = 10 * time.Millisecond
