--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -19,14 +19,8 @@
 func (s *Sidecar) pollLoop(delay time.Duration) error {
 	broken := false
 	for s.tomb.Alive() {
-		wait := delay
 		result := s.poll()
-		switch {
-		case result == pollBroken && !broken:
-			wait = brokenPollDelay
-		case result != pollAnswered:
-			wait = s.opts.RenewInterval
-		}
+		wait := s.pollDelay(delay, result, broken)
 		broken = result == pollBroken
 		if wait == 0 {
 			continue
@@ -40,6 +34,38 @@
 	return nil
 }
 
+// pollDelay returns the delay before the next poll of a poller with a usual delay.
+func (s *Sidecar) pollDelay(usual time.Duration, result pollResult, brokenBefore bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	lossy := s.losesResponses(now)
+	switch {
+	case result == pollBroken && !brokenBefore:
+		return brokenPollDelay
+	case result != pollAnswered && lossy:
+		return lossyPollDelay
+	case result != pollAnswered:
+		return s.opts.RenewInterval
+	case lossy:
+		return min(usual, lossyPollDelay)
+	}
+	return usual
+}
+
+// losesResponses reports whether single requests to the target got no response recently, while it
+// responds to others. Ends of runs are then read by shorter and more frequent polls: each poll without a
+// response delays the ends that it would have listed.
+func (s *Sidecar) losesResponses(now time.Time) bool {
+	return s.table.Len() > 0 && !s.unansweredAt.IsZero() && now.Sub(s.unansweredAt) < lossyPeriod && now.Sub(s.target.answeredAt) < s.opts.RequestTimeout
+}
+
+// recordUnanswered records that a request to the target got no response.
+func (s *Sidecar) recordUnanswered(kind string) {
+	s.opts.Metrics.RequestUnanswered(kind)
+	s.unansweredAt = time.Now()
+}
+
 // pollResult says when the next poll may follow.
 type pollResult uint8
 
@@ -54,12 +80,13 @@
 	request targets.PollRequest
 	sentAt  time.Time
 	number  uint64
+	timeout time.Duration
 }
 
 // nextPoll returns the next poll to send.
 func (s *Sidecar) nextPoll() sentPoll {
 	s.polls++
-	p := sentPoll{sentAt: time.Now(), number: s.polls}
+	p := sentPoll{sentAt: time.Now(), number: s.polls, timeout: s.opts.RequestTimeout}
 	p.request = targets.PollRequest{
 		Target:       s.report.Target,
 		LeaseEnd:     s.renewedLease(p.sentAt),
@@ -72,6 +99,8 @@
 		p.request.MaxWait = 0
 	case s.hasPendingStops():
 		p.request.MaxWait = stopPollWait
+	case s.losesResponses(p.sentAt):
+		p.request.MaxWait, p.timeout = lossyPollWait, min(lossyPollTimeout, p.timeout)
 	}
 	return p
 }
@@ -81,7 +110,7 @@
 	s.mu.Lock()
 	p := s.nextPoll()
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), p.request.MaxWait+s.opts.RequestTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), p.request.MaxWait+p.timeout)
 	response, err := s.opts.Target.Poll(ctx, p.request)
 	cancel()
 	s.mu.Lock()
@@ -164,7 +193,7 @@
 func (s *Sidecar) handlePollFailure(err error) {
 	notListening := errors.Is(err, targets.ErrNotListening)
 	if !notListening {
-		s.opts.Metrics.RequestUnanswered("inquiry")
+		s.recordUnanswered("inquiry")
 		if time.Since(s.target.answeredAt) < unresponsiveAfter {
 			return
 		}
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -201,7 +201,7 @@
 		signal(s.pollNow)
 		return
 	case targets.StartUnknown:
-		s.opts.Metrics.RequestUnanswered("start")
+		s.recordUnanswered("start")
 		if r.State == runs.Running {
 			return // a poll response has listed it
 		}
@@ -273,7 +273,9 @@
 			signal(s.pollNow)
 			return
 		}
-		s.opts.Metrics.RequestUnanswered("stop")
+		s.mu.Lock()
+		s.recordUnanswered("stop")
+		s.mu.Unlock()
 		select {
 		case <-s.tomb.Dying():
 			return
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -48,6 +48,15 @@
 	// backupPollDelay is the delay between the polls of all pollers but the first. Each lost
 	// response costs a connection, which limits how often the others should poll.
 	backupPollDelay = 40 * time.Millisecond
+	// lossyPeriod is how long after a request without a response polls are short and frequent: several times
+	// the mean interval of such requests, when a twentieth of a busy target's are lost.
+	lossyPeriod = 500 * time.Millisecond
+	// lossyPollDelay replaces a longer backupPollDelay meanwhile, and lossyPollWait and lossyPollTimeout the
+	// wait of a poll at the target and the time for its response. A lost poll must not delay an end for
+	// longer than about half of what the shortest tasks' callers can wait for, 80 ms.
+	lossyPollDelay   = 10 * time.Millisecond
+	lossyPollWait    = 20 * time.Millisecond
+	lossyPollTimeout = 20 * time.Millisecond
 	// maxCapacityAge is how long after a report the capacity in it counts as known. Targets report
 	// every 1.5 s, and one that has shrunk must not get more than fits from 4.5 s after that.
 	maxCapacityAge = 3 * time.Second
@@ -143,7 +152,8 @@
 	polls         uint64    // number of polls sent
 	savedToken    uint64    // fencing token in the last saved report
 	stopping      bool
-	killed        bool // Kill was called
+	killed        bool      // Kill was called
+	unansweredAt  time.Time // when a request to the target last got no response in time
 	target        targetState
 }
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -313,6 +313,24 @@
 	}
 }
 
+// Guards against ends of runs that are reported late while single requests are lost: both polls that would have
+// listed an end are. The load: a twentieth of all requests to the target get no response.
+func TestEndIsReportedSoonWhilePollsAreLost(t *testing.T) {
+	runFixture(t, withRunTime(100*time.Millisecond), func(b *fixture) {
+		l := b.open("a")
+		b.runner.SetFaults(standin.RunnerFaults{DropStarts: 1})
+		b.start(l, id(0, 1), 1000)
+		time.Sleep(60 * time.Millisecond)
+		b.start(l, id(1, 1), 1000)
+		time.Sleep(50 * time.Millisecond) // the first run ends in 5 ms, and new polls follow
+		b.runner.SetFaults(standin.RunnerFaults{DropPolls: 2})
+		time.Sleep(130 * time.Millisecond) // 80 ms after the end of the second run
+		if ends := l.ends(); len(ends) != 2 {
+			t.Errorf("run ends received: %+v, want two", ends)
+		}
+	})
+}
+
 // Guards against a second run of a task after its target has crashed: a lost request to start the first one,
 // which a repeated request had started, is executed by the target's next process. Its end counts only
 // when the next process has acknowledged a stop.
--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -58,8 +58,7 @@
 				refused++
 			}
 		case <-timer.C:
-			if mayRepeat = mayRepeat && sent < maxStartRequests && ctx.Err() == nil && s.isUnconfirmed(r); mayRepeat {
-				s.opts.Metrics.RequestUnanswered("start_attempt")
+			if mayRepeat = mayRepeat && sent < maxStartRequests && ctx.Err() == nil && s.mayRepeatStart(r); mayRepeat {
 				send()
 				sent++
 				delay *= 2
@@ -75,10 +74,14 @@
 	}
 }
 
-// isUnconfirmed reports whether a run has to be started still: this process goes on, no poll has listed the
-// run, and it was neither given up nor reported as ended.
-func (s *Sidecar) isUnconfirmed(r *runs.Run) bool {
+// mayRepeatStart reports whether a run has to be started still: this process goes on, no poll has listed the
+// run, and it was neither given up nor reported as ended. It records that the last request is unanswered.
+func (s *Sidecar) mayRepeatStart(r *runs.Run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.killed && s.table.Get(r.ID) == r && r.State == runs.Starting && !r.StopRequested
+	if s.killed || s.table.Get(r.ID) != r || r.State != runs.Starting || r.StopRequested {
+		return false
+	}
+	s.recordUnanswered("start_attempt")
+	return true
 }
