--- a/placement/cold.go
+++ b/placement/cold.go
@@ -17,7 +17,7 @@
 	// or the target. Targets report how long they are cold, not how slow.
 	coldFactor = 2.0
 	// coldLongTask is the expected run time from which a task goes to a warm target, if one has free
-	// capacity: what a slow target adds to it is more than the allowance in its objective.
+	// capacity: what a slow target adds to it is more than its objective leaves.
 	coldLongTask = 250 * time.Millisecond
 	// coldReportDelay is how long after a revocation targets are taken for cold that have not said so
 	// yet: they report every 1.5 s.
