--- a/internal/fleet/single.go
+++ b/internal/fleet/single.go
@@ -36,3 +36,9 @@
 	_ = p.Signal(syscall.SIGKILL) // an error means that it has exited
 	p.process.awaitExit()
 }
+
+// ID returns the process id of the current run.
+func (p *Process) ID() int {
+	command, _, _ := p.process.state()
+	return command.Process.Pid
+}
