Bound what clients outside our control hold at a process

Cause: net/http parses a head as it arrives, at 25 times its bytes for short lines, up to 1 MB of it; bodies were read by io.ReadAll at up to three times their size; a body of empty steps became 87,000 steps before it was refused; connections were counted nowhere.

Package ingress divides a machine's memory and descriptors among groups of clients and decides whose connection is closed when a group's part is used up: those that hold the most for the longest time without a whole request. internal/httpserve holds the bytes of a head back until it is whole, counts heads and bodies, reads bodies in parts that grow with them, and limits heads, bodies and idle connections by the operators' limits. Buffers of the kernel are set to 32 KB a connection. Go's memory limit follows the settings.

--- a/command/node.go
+++ b/command/node.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/gateway"
+	"github.com/catkinline/catkinline/ingress"
 	"github.com/catkinline/catkinline/internal/asyncwriter"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/platform"
@@ -119,6 +121,10 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
+	if limit := ingress.NewPlan(node.Machine).GoMemory; limit > 0 {
+		// The second line of defence: the garbage collector runs as often as the limit needs.
+		debug.SetMemoryLimit(limit)
+	}
 	registry := metrics.New(map[string]string{"role": role, "instance": node.Name})
 	p, err := build(nodeProcess{node: node, log: log, metrics: registry, store: store})
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/ingress"
 	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/internal/pausedetect"
 	"github.com/catkinline/catkinline/kv"
@@ -72,6 +73,8 @@
 	stopAt   atomic.Pointer[time.Time] // when the planned stop ends; nil: none
 	refusing atomic.Bool               // new jobs are refused
 	requests atomic.Int64
+	// rejections bounds the log lines about requests that did not become jobs.
+	rejections ingress.LogLimiter
 	servers  *httpserve.Servers
 
 	mu     sync.Mutex
@@ -111,7 +114,7 @@
 
 		pauseDetector: pausedetect.New(maxPause),
 	}
-	g.servers = httpserve.New(&g.tomb, o.Log)
+	g.servers = httpserve.New(&g.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: ingress.NewPlan(o.Node.Machine)})
 	g.scheduler = placement.New(placement.Options{
 		FailureDomain:  o.Node.FailureDomain,
 		Random:         rand.New(rand.NewPCG(uint64(g.incarnation), 1)),
@@ -146,10 +149,10 @@
 	if err != nil {
 		return err
 	}
-	if err := g.servers.Serve(g.node.CallerAddress, g.opts.CallerHandler(g)); err != nil {
+	if err := g.servers.Serve(httpserve.Callers, g.node.CallerAddress, g.opts.CallerHandler(g)); err != nil {
 		return err
 	}
-	if err := g.servers.Serve(g.node.ReadyAddress, g.readyHandler()); err != nil {
+	if err := g.servers.Serve(httpserve.Readiness, g.node.ReadyAddress, g.readyHandler()); err != nil {
 		return err
 	}
 	if err := g.servers.ServeMetrics(g.node.IP, g.opts.AdminPort, g.opts.Metrics); err != nil {
@@ -264,10 +267,14 @@
 	return placement.Answer{Outcome: placement.Refused, Reason: reason, RetryAfter: refusalRetryAfter}
 }
 
-// RecordRejection logs and counts a request that was answered before it became a job.
+// RecordRejection counts a request that was answered before it became a job, and logs it unless there are many.
 func (g *Gateway) RecordRejection(host, path string, version uint64, reason string) {
 	g.opts.Metrics.Add(metrics.JobsRefused, 1, metrics.TagCode, "rejected")
-	g.log.Info("request rejected", zap.String("host", host), zap.String("path", path), zap.Uint64("version", version), zap.String("reason", reason))
+	if !g.rejections.Allow(time.Now()) {
+		g.opts.Metrics.Add(metrics.LogLinesSuppressed, 1)
+		return
+	}
+	g.log.Info("request rejected", zap.String("host", ingress.Shorten(host)), zap.String("path", ingress.Shorten(path)), zap.Uint64("version", version), zap.String("reason", ingress.Shorten(reason)))
 }
 
 // JobState reports whether a job is known and whether a task of it has started.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -25,6 +25,9 @@
 		Timing:      LinkTiming,
 		Idle:        g.idle,
 		OriginAge:   g.originAge,
+		HandshakeRefused: func() {
+			g.opts.Metrics.Add(metrics.HandshakesRefused, 1)
+		},
 	}
 }
 
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -37,6 +37,7 @@
 			break
 		}
 	}
+	g.servers.SetRules(table.Limits)
 	g.opts.Metrics.Set(metrics.ConfigRevision, float64(table.Version))
 	g.log.Info("routes in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes()), zap.String("source", source))
 }
--- /dev/null
+++ b/internal/httpserve/conn.go
@@ -0,0 +1,371 @@
+package httpserve
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/catkinline/catkinline/ingress"
+	"github.com/catkinline/catkinline/metrics"
+)
+
+const (
+	// writeTimeout bounds the time for which a client does not read an answer. Answers fit into the
+	// kernel's buffer, unless a client sends further requests and reads nothing.
+	writeTimeout = 5 * time.Second
+	// lingerTimeout and lingerBytes bound what is read after a refusal, so that a client that is still
+	// sending can read it: the kernel drops what the client has not read when bytes arrive after the close.
+	lingerTimeout = 200 * time.Millisecond
+	lingerBytes   = 256 << 10
+	// firstHeldBytes is the first size of the buffer for a head that does not arrive at once.
+	firstHeldBytes = 2 << 10
+	// serverBuffer is how much net/http reads at once, and so ahead of the body or head that it needs.
+	serverBuffer = 4 << 10
+	// shortestLine is the number of bytes of the shortest header line: a name, a colon, a line feed.
+	shortestLine = 3
+)
+
+// past is a deadline that ends pending reads.
+var past = time.Unix(1, 0)
+
+// errRefused ends a connection to which this package has sent a refusal, or that is closed without one. The
+// server sends nothing after a read that ended so.
+var errRefused = io.EOF
+
+// conn is a connection of a group. It holds the bytes of a head back until the head is whole, so that a head that
+// does not end costs its bytes, and not the multiple that the parsed form takes.
+//
+// It is used by one goroutine at a time, as net/http reads from connections, except for Evict, Close and
+// the deadlines.
+type conn struct {
+	*net.TCPConn
+	group  *group
+	client *ingress.Client
+
+	inHead    bool // the next bytes belong to a head
+	end       headEnd
+	headBytes int // received of the head
+	headLines int
+	headSince time.Time
+	passed    int   // bytes that the server got since the request began
+	bodyBytes int64 // declared by the request; -1: not declared
+
+	held     []byte // bytes of a head that is not whole yet, or that the server has not read yet
+	taken    int    // how many of them were read
+	passable int    // how many of them belong to a whole head
+	heldSize int64  // of held, as counted in the budget
+
+	mu      sync.Mutex // orders evictions with the end of requests
+	whole   bool       // a whole request was received, and its answer was not sent yet
+	evicted bool
+}
+
+type connKey struct{}
+
+// connOf returns the connection of a request, or nil if another server received it.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.TCPConn.SyscallConn() }
+
+// ReadFrom implements io.ReaderFrom. It hides that of the TCP connection, which sets no deadline.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(writerOnly{c}, r) }
+
+type writerOnly struct{ io.Writer }
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.TCPConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.client.Leave()
+	return c.TCPConn.Close()
+}
+
+// SetReadDeadline implements net.Conn. After an eviction only the deadline that ends reads is set.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		t = past
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Evict implements ingress.Connection. The goroutine that reads from the connection answers and closes it.
+func (c *conn) Evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.whole {
+		return false
+	}
+	c.evicted = true
+	_ = c.TCPConn.SetReadDeadline(past) // fails only on a closed connection
+	return true
+}
+
+// setWhole records that a whole request was received. It returns false if the connection was evicted before.
+func (c *conn) setWhole(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole = !c.evicted
+	if c.whole {
+		c.client.Begin(ingress.Serving, now)
+	}
+	return c.whole
+}
+
+func (c *conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// idle prepares the connection for the next head, after an answer. The server may have read bytes of it already.
+func (c *conn) idle(now time.Time) {
+	c.mu.Lock()
+	c.whole = false
+	c.mu.Unlock()
+	c.inHead, c.passable = true, 0
+	c.client.Reset(c.heldSize)
+	ahead := c.readAhead()
+	c.passed, c.headBytes, c.headLines = ahead, ahead, 0
+	if ahead > 0 {
+		c.headSince = now
+		c.client.Begin(ingress.Head, now)
+		return
+	}
+	c.client.Begin(ingress.Idle, now)
+}
+
+// readAhead returns how many bytes of the next head the server has read, at most as many as it reads ahead.
+func (c *conn) readAhead() int {
+	if c.bodyBytes >= 0 {
+		return max(0, min(c.passed-c.headBytes-int(c.bodyBytes), serverBuffer))
+	}
+	if c.end.atEmptyLine { // a chunked body ends with an empty line
+		return 0
+	}
+	return serverBuffer
+}
+
+// hold counts bytes of this connection. It returns false if they do not fit.
+func (c *conn) hold(n int64, now time.Time) bool {
+	ok, evict := c.client.Hold(n, now)
+	c.group.evict(evict)
+	return ok
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	// A read of one byte is that by which the server learns that a client leaves. It may run beside
+	// the handler.
+	switch background := len(p) == 1; {
+	case len(c.held) > c.taken && (background || !c.inHead):
+		return c.take(p, len(c.held)), nil
+	case background:
+		n, err := c.TCPConn.Read(p)
+		c.end.note(p[:n])
+		return n, err
+	case !c.inHead:
+		n, err := c.TCPConn.Read(p)
+		c.passed += n
+		c.end.note(p[:n])
+		return n, err
+	case c.passable > c.taken:
+		n := c.take(p, c.passable)
+		c.passed += n
+		return n, nil
+	}
+	return c.readHead(p)
+}
+
+// take copies held bytes up to an index. When all are taken, their buffer is released; the budget counts it
+// until the request ends.
+func (c *conn) take(p []byte, end int) int {
+	n := copy(p, c.held[c.taken:end])
+	c.taken += n
+	if c.taken == len(c.held) {
+		c.held, c.taken, c.passable, c.heldSize = nil, 0, 0, 0
+	}
+	return n
+}
+
+// readHead reads until a head is whole.
+func (c *conn) readHead(p []byte) (int, error) {
+	now := time.Now()
+	// The server wants more of a head of which it has some: bytes that it read ahead, or lines after what
+	// looked like an end. They are parsed already.
+	if cost := ingress.HeadCost(c.passed, c.passed/shortestLine); cost > 0 && !c.hold(cost, now) {
+		return 0, c.refuse(refusedBusy, p)
+	}
+	if c.taken > 0 { // sent ahead, with the body before
+		c.held = append([]byte(nil), c.held[c.taken:]...)
+		c.taken = 0
+		if whole, refusal := c.received(c.held, now); refusal != nil {
+			return 0, c.refuse(refusal, p)
+		} else if whole {
+			return c.pass(p), nil
+		}
+	}
+	for {
+		buf, ok := c.buffer(p, now)
+		if !ok {
+			return 0, c.refuse(refusedBusy, p)
+		}
+		if err := c.SetReadDeadline(c.headDeadline()); err != nil {
+			return 0, err
+		}
+		n, err := c.TCPConn.Read(buf)
+		if n == 0 {
+			return 0, c.headFailed(err, p)
+		}
+		now = time.Now()
+		whole, refusal := c.received(buf[:n], now)
+		if refusal != nil {
+			return 0, c.refuse(refusal, p)
+		}
+		if c.held != nil {
+			c.held = c.held[:len(c.held)+n]
+			if whole {
+				return c.pass(p), nil
+			}
+			continue
+		}
+		if whole {
+			c.passed += n
+			return n, nil
+		}
+		c.held = append(make([]byte, 0, max(firstHeldBytes, n)), buf[:n]...)
+	}
+}
+
+// buffer returns where the next bytes of a head are read to: p for the first ones, then space of the
+// connection's own, which grows up to the largest head.
+func (c *conn) buffer(p []byte, now time.Time) ([]byte, bool) {
+	if c.held == nil {
+		return p, true
+	}
+	if len(c.held) == cap(c.held) {
+		size := max(min(2*cap(c.held), c.group.rules().MaxHead+1), cap(c.held)+1)
+		grown := int64(size - cap(c.held))
+		if !c.hold(grown, now) {
+			return nil, false
+		}
+		c.heldSize += grown
+		c.held = append(make([]byte, 0, size), c.held...)
+	}
+	return c.held[len(c.held):cap(c.held)], true
+}
+
+// headDeadline returns when the next byte has to arrive.
+func (c *conn) headDeadline() time.Time {
+	rules := c.group.rules()
+	if c.headBytes == 0 {
+		return c.client.Since().Add(rules.IdleTimeout)
+	}
+	return c.headSince.Add(rules.HeadTimeout)
+}
+
+// received examines bytes of a head and reports whether it is whole.
+func (c *conn) received(p []byte, now time.Time) (whole bool, r *refusal) {
+	if c.headBytes == 0 {
+		c.headSince = now
+		c.client.Begin(ingress.Head, now)
+	}
+	end := c.end.find(p)
+	whole = end >= 0
+	if whole {
+		c.passable = len(c.held) + end
+		p = p[:end]
+	}
+	c.headBytes += len(p)
+	c.headLines += bytes.Count(p, lineFeed)
+	if c.headBytes > c.group.rules().MaxHead {
+		return false, refusedHead
+	}
+	if cost := ingress.HeadCost(c.headBytes, c.headLines); whole && cost > 0 && !c.hold(cost, now) {
+		return false, refusedBusy
+	}
+	return whole, nil
+}
+
+var lineFeed = []byte{'\n'}
+
+// pass returns the first held bytes of a whole head.
+func (c *conn) pass(p []byte) int {
+	n := c.take(p, c.passable)
+	c.passed += n
+	return n
+}
+
+// headFailed handles the end of a connection, or of its time, before a whole head.
+func (c *conn) headFailed(err error, p []byte) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	switch {
+	case c.isEvicted() && c.headBytes > 0:
+		return c.refuse(refusedBusy, p)
+	case c.isEvicted():
+		return errRefused // counted when it was chosen
+	case c.headBytes > 0:
+		return c.refuse(refusedSlowHead, p)
+	}
+	c.group.count(metrics.ReasonIdle)
+	return errRefused
+}
+
+// headRead records that the server has parsed a head, and that a handler has the request. It returns false if
+// the connection was evicted.
+func (c *conn) headRead(bodyBytes int64) bool {
+	now := time.Now()
+	c.inHead, c.bodyBytes = false, bodyBytes
+	if kept := 3 * int64(c.headBytes); kept > 3*ingress.SmallRequest {
+		c.client.Reset(kept) // handlers keep the path, but no header lines, and the buffers are garbage now
+	}
+	if bodyBytes == 0 {
+		return c.setWhole(now)
+	}
+	c.client.Begin(ingress.Body, now)
+	_ = c.SetReadDeadline(now.Add(c.group.rules().IdleTimeout)) // fails only on a closed connection
+	return !c.isEvicted()
+}
+
+// refuse sends a refusal before any request is known to the server, and returns the error that ends the
+// connection. The buffer is used to read what the client is still sending.
+func (c *conn) refuse(r *refusal, p []byte) error {
+	c.group.count(r.reason)
+	c.client.Reset(0)
+	c.held, c.taken, c.passable, c.heldSize = nil, 0, 0, 0
+	if _, err := c.Write(r.response); err != nil {
+		return errRefused // the client has gone
+	}
+	if !r.linger || c.isEvicted() {
+		return errRefused
+	}
+	_ = c.TCPConn.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	for left := lingerBytes; left > 0; {
+		n, err := c.TCPConn.Read(p)
+		if err != nil {
+			break
+		}
+		left -= n
+	}
+	return errRefused
+}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -1,5 +1,5 @@
-// Package httpserve runs the HTTP servers of one process and shuts them down
-// together.
+// Package httpserve runs the HTTP servers of one process and shuts them down together. What their clients
+// hold is bounded by package ingress.
 package httpserve
 
 import (
@@ -7,13 +7,16 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/uptrace/bunrouter"
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/ingress"
 	"github.com/catkinline/catkinline/internal/connstate"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/settings"
@@ -23,41 +26,76 @@
 var Error = errs.Class("serve")
 
 const (
-	// headerTimeout limits the time to read a request's header; idleTimeout is
-	// the time after which an idle keep-alive connection is closed. Both match the
-	// platform's limits.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
+	// receiveBuffer and sendBuffer are the sizes in bytes of the kernel's buffers of a connection; the kernel
+	// takes twice as much. What waits there is memory of the machine, too, and by default the kernel lets
+	// one connection have several MB.
+	receiveBuffer = 32 << 10
+	sendBuffer    = 32 << 10
+	// gaugeInterval is the interval at which gauges are updated; they are scraped every few seconds.
+	gaugeInterval = time.Second
 )
 
+// Group is a set of clients with a budget of their own.
+type Group string
+
+// Groups of clients.
+const (
+	Callers   Group = "callers"   // at a gateway
+	Reports   Group = "reports"   // the target beside a sidecar
+	Readiness Group = "readiness" // the load balancer
+	Metrics   Group = "metrics"   // the operators
+)
+
+// Options configures Servers.
+type Options struct {
+	Log     *zap.Logger
+	Metrics *metrics.Registry
+	Plan    ingress.Plan
+}
+
 // Servers are the HTTP servers of one process. The methods must not be called
-// concurrently.
+// concurrently, except for SetRules.
 type Servers struct {
 	tomb    *tomb.Tomb
-	log     *zap.Logger
+	opts    Options
 	servers []*http.Server
+	groups  map[Group]*group
 }
 
 // New returns an empty set of servers. A server that fails kills the tomb with its
 // error.
-func New(t *tomb.Tomb, log *zap.Logger) *Servers { return &Servers{tomb: t, log: log} }
+func New(t *tomb.Tomb, o Options) *Servers {
+	s := &Servers{tomb: t, opts: o, groups: make(map[Group]*group)}
+	for _, name := range []Group{Callers, Reports, Readiness, Metrics} {
+		s.groups[name] = newGroup(name, o)
+	}
+	return s
+}
+
+// SetRules sets the limits of callers' requests. Open connections follow them from their next byte on.
+func (s *Servers) SetRules(r ingress.Rules) {
+	r = r.WithDefaults()
+	s.groups[Callers].rulesNow.Store(&r)
+}
 
 // Serve listens on a TCP ip:port and serves it in the background until Shutdown.
-func (s *Servers) Serve(address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+func (s *Servers) Serve(name Group, address string, h http.Handler) error {
+	g := s.groups[name]
+	config := net.ListenConfig{Control: setBuffers}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	server := &http.Server{
-		Handler:           h,
-		ConnContext:       connstate.NewContext,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          settings.ServerLogger(s.log),
+		Handler:     g.handler(h),
+		ConnContext: connContext,
+		ConnState:   connState,
+		ErrorLog:    settings.ServerLogger(s.opts.Log),
 	}
 	s.servers = append(s.servers, server)
 	s.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
+		s.tomb.Go(func() error { return g.gaugeLoop(s.tomb.Dying()) })
+		if err := server.Serve(&listener{Listener: l, group: g}); err != http.ErrServerClosed {
 			return Error.Wrap(err)
 		}
 		return nil
@@ -65,6 +103,32 @@
 	return nil
 }
 
+// setBuffers sets the sizes of the buffers of a listening socket, which its connections inherit.
+func setBuffers(_, _ string, c syscall.RawConn) error {
+	var sockoptErr error
+	err := c.Control(func(fd uintptr) {
+		if sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer); sockoptErr == nil {
+			sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return sockoptErr
+}
+
+// connContext makes the connection of a request known to this package and to connstate.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(connstate.NewContext(ctx, c), connKey{}, c)
+}
+
+// connState tells a connection that an answer was sent.
+func connState(c net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		c.(*conn).idle(time.Now())
+	}
+}
+
 // ServeMetrics serves /metrics on a port. With port 0 it does nothing.
 func (s *Servers) ServeMetrics(ip string, port int, r *metrics.Registry) error {
 	if port == 0 {
@@ -72,7 +136,7 @@
 	}
 	router := bunrouter.New()
 	router.GET("/metrics", bunrouter.HTTPHandler(r.Handler()))
-	return s.Serve(net.JoinHostPort(ip, strconv.Itoa(port)), router)
+	return s.Serve(Metrics, net.JoinHostPort(ip, strconv.Itoa(port)), router)
 }
 
 // Shutdown shuts down every server and waits for its requests until ctx ends.
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -44,6 +44,15 @@
 	ConfigRevision     = "config_revision"   // gauge: revision of the configuration in effect in this process
 )
 
+// Counters and gauges of clients outside the system, by the group of addresses that they use.
+const (
+	ClientsRefused     = "clients_refused"      // requests and connections that were refused or closed, by reason
+	ClientConnections  = "client_connections"   // gauge: open connections
+	ClientBytes        = "client_bytes"         // gauge: memory that connections hold, as it is counted in their budget
+	HandshakesRefused  = "handshakes_refused"   // connections for links that were refused
+	LogLinesSuppressed = "log_lines_suppressed" // log lines about requests that were not written, as too many were
+)
+
 // Counters of messages between processes and of store calls.
 const (
 	MessagesSent         = "messages_sent"     // by type
@@ -73,4 +82,5 @@
 	TagOperation = "operation"
 	TagResult    = "result"
 	TagReason    = "reason"
+	TagGroup     = "group"
 )
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/catkinline/catkinline/ingress"
 )
 
 // Errors for requests that no route matches. Callers get their texts in the response body.
@@ -35,7 +37,8 @@
 // safe for concurrent use.
 type Table struct {
 	Version    uint64
-	Document   []byte // the configuration as stored, to be sent to peers
+	Limits     ingress.Rules // of callers' requests; fields that are 0 are not configured
+	Document   []byte        // the configuration as stored, to be sent to peers
 	byHost     map[string][]Route
 	routeCount int
 }
--- a/settings/node.go
+++ b/settings/node.go
@@ -4,6 +4,8 @@
 	"net"
 	"strconv"
 	"time"
+
+	"github.com/catkinline/catkinline/ingress"
 )
 
 // Node describes the instance on which the platform runs this process. Addresses that
@@ -14,6 +16,7 @@
 	Region        string
 	IP            string
 	CPU           int           // thousandths of a core that the process gets; 0: not known
+	Machine       ingress.Machine
 	LinkPort      int           // UDP port for links between processes of the system
 	CallerAddress string        // TCP, for callers
 	ReadyAddress  string        // TCP, for readiness probes of the load balancer
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/catkinline/catkinline/ingress"
 	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/internal/pausedetect"
 	"github.com/catkinline/catkinline/kv"
@@ -105,7 +106,7 @@
 		keep:        make(map[string]wire.Peer),
 		dials:       make(map[string]bool),
 	}
-	p.servers = httpserve.New(&p.tomb, o.Log)
+	p.servers = httpserve.New(&p.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: ingress.NewPlan(o.Node.Machine)})
 	return p, nil
 }
 
@@ -125,7 +126,7 @@
 		Paused:        p.pauseDetector.Paused,
 		SaveReport:    reports.Save,
 	})
-	if err := p.servers.Serve(p.node.ReportAddress, p.opts.ReportHandler(p.sidecar)); err != nil {
+	if err := p.servers.Serve(httpserve.Reports, p.node.ReportAddress, p.opts.ReportHandler(p.sidecar)); err != nil {
 		return err
 	}
 	if err := p.servers.ServeMetrics(p.node.IP, p.opts.AdminPort, p.opts.Metrics); err != nil {
--- a/transport/connect.go
+++ b/transport/connect.go
@@ -17,15 +17,21 @@
 		MaxIdleTimeout:        2 * (t.heartbeats().Idle() + t.heartbeats().Slack()),
 		MaxIncomingUniStreams: maxLargeStreams,
 		MaxIncomingStreams:    1,
+
+		InitialStreamReceiveWindow:     firstWindow,
+		InitialConnectionReceiveWindow: firstWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		MaxConnectionReceiveWindow:     maxConnectionWindow,
 	}
 }
 
 // Listener accepts links from agents and entries.
 type Listener struct {
-	opts     Options
-	conn     net.PacketConn
-	listener *quic.Listener
-	tomb     tomb.Tomb
+	opts      Options
+	conn      net.PacketConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	tomb      tomb.Tomb
 }
 
 // Listen accepts links on a UDP address until Close.
@@ -46,12 +52,14 @@
 
 // ListenOn accepts links on a UDP socket. Close also closes the socket.
 func ListenOn(conn net.PacketConn, opts Options) (*Listener, error) {
-	q, err := quic.Listen(conn, opts.Credentials.TLS(protocolName), quicConfig(opts.Timing))
+	h := &handshakes{refused: opts.HandshakeRefused}
+	t := &quic.Transport{Conn: conn, ConnContext: h.begin, VerifySourceAddress: h.verifySource}
+	q, err := t.Listen(opts.Credentials.TLS(protocolName), quicConfig(opts.Timing))
 	if err != nil {
 		_ = conn.Close()
 		return nil, Error.Wrap(err)
 	}
-	l := &Listener{opts: opts, conn: conn, listener: q}
+	l := &Listener{opts: opts, conn: conn, transport: t, listener: q}
 	l.tomb.Go(l.acceptLoop)
 	return l, nil
 }
@@ -65,6 +73,7 @@
 	l.tomb.Kill(nil)
 	_ = l.listener.Close()
 	err := l.tomb.Wait()
+	_ = l.transport.Close()
 	_ = l.conn.Close()
 	return err
 }
@@ -85,6 +94,7 @@
 
 func (l *Listener) serve(ctx context.Context, conn *quic.Conn) {
 	link, err := acceptHandshake(ctx, conn, l.opts)
+	endHandshake(conn.Context())
 	if err != nil {
 		_ = conn.CloseWithError(1, err.Error())
 		return
@@ -107,7 +117,7 @@
 	}
 	link := newLink(opts, conn, control)
 	_ = control.SetReadDeadline(time.Now().Add(link.opts.Timing.Handshake))
-	m, _, err := wire.Read(link.reader)
+	m, _, err := wire.ReadLimited(link.reader, maxFirstMessage)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -205,7 +215,7 @@
 	}
 	link := newLink(opts, conn, control)
 	_ = control.SetReadDeadline(time.Now().Add(link.opts.Timing.Handshake))
-	m, _, err := wire.Read(link.reader)
+	m, _, err := wire.ReadLimited(link.reader, maxFirstMessage)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/transport/link.go
+++ b/transport/link.go
@@ -91,6 +91,9 @@
 	// started, queued or has an unacknowledged outcome. With nil, heartbeats are sent
 	// at the shortest interval on every link.
 	Idle func(l *Link) bool
+	// HandshakeRefused is called for each connection that is refused, as too many have not said yet who they are.
+	// Nil: it is not counted.
+	HandshakeRefused func()
 	// OriginAge returns how long ago the processes for which this one has work on a link were all
 	// known to be alive. Nil: it acts for itself only.
 	OriginAge func(l *Link) time.Duration
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -138,14 +138,17 @@
 
 // Read reads one frame and returns its message and the frame's size in bytes. The
 // size is 0 if no whole frame was read.
-func Read(r io.Reader) (Message, int, error) {
+func Read(r io.Reader) (Message, int, error) { return ReadLimited(r, MaxMessageBytes) }
+
+// ReadLimited is like Read for frames whose body has at most limit bytes.
+func ReadLimited(r io.Reader, limit uint32) (Message, int, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, 0, err
 	}
 	n := binary.BigEndian.Uint32(header[:])
-	if n > MaxMessageBytes {
-		return nil, 0, Error.New("frame declares a body of %d bytes, over the limit of %d", n, MaxMessageBytes)
+	if n > limit {
+		return nil, 0, Error.New("frame declares a body of %d bytes, over the limit of %d", n, limit)
 	}
 	body, err := readBody(r, int(n))
 	if err != nil {
