--- a/gateway/forward_receive.go
+++ b/gateway/forward_receive.go
@@ -14,7 +14,11 @@
 // targets or is overloaded.
 func (g *Gateway) handleForward(l peerLink, m *wire.JobForward) {
 	now := time.Now()
-	if reason := g.declineReason(l, m); reason != "" {
+	reason := g.declineReason(l, m)
+	if reason == "" && !g.holdPeerJob(m) {
+		reason = "the jobs of peers hold too much memory here"
+	}
+	if reason != "" {
 		g.log.Info("job of a peer declined", zap.String("job", m.Job.ID), zap.String("peer", l.Name()), zap.Duration("peer_age", l.SinceAlive()),
 			zap.String("reason", reason), zap.Duration("lag", g.loopLag.meanLag()))
 		// Sending fails only on a closed link; the peer answers its caller when it notices that.
@@ -28,6 +32,7 @@
 	}
 	ticket, refusal := g.submitHere(r, now)
 	if refusal != nil {
+		g.releasePeerJob(m)
 		g.sendForwardAnswer(l, m.RequestID, *refusal)
 		return
 	}
@@ -36,6 +41,7 @@
 	}
 	g.tomb.Go(func() error {
 		g.sendForwardAnswer(l, m.RequestID, <-ticket.Done())
+		g.releasePeerJob(m)
 		return nil
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,10 +69,12 @@
 	configured chan struct{} // closed when the first routes are applied
 	created    time.Time
 
-	stopping atomic.Bool               // a planned stop has begun
-	stopAt   atomic.Pointer[time.Time] // when the planned stop ends; nil: none
-	refusing atomic.Bool               // new jobs are refused
-	requests atomic.Int64
+	stopping     atomic.Bool               // a planned stop has begun
+	stopAt       atomic.Pointer[time.Time] // when the planned stop ends; nil: none
+	refusing     atomic.Bool               // new jobs are refused
+	requests     atomic.Int64
+	plan         ingress.Plan
+	peerJobBytes atomic.Int64 // of jobs that peers forwarded
 	// rejections bounds the log lines about requests that did not become jobs.
 	rejections ingress.LogLimiter
 	servers    *httpserve.Servers
@@ -114,7 +116,8 @@
 
 		pauseDetector: pausedetect.New(maxPause),
 	}
-	g.servers = httpserve.New(&g.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: ingress.NewPlan(o.Node.Machine)})
+	g.plan = ingress.NewPlan(o.Node.Machine)
+	g.servers = httpserve.New(&g.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: g.plan})
 	g.scheduler = placement.New(placement.Options{
 		FailureDomain:  o.Node.FailureDomain,
 		Random:         rand.New(rand.NewPCG(uint64(g.incarnation), 1)),
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -24,6 +24,9 @@
 		if !spec.Need.FitsIn(c.free) || c.target.state.Service != j.request.Route.Service || !c.target.hasLabel(spec.RequiredLabel) {
 			continue
 		}
+		if !c.target.specFits(j) {
+			continue
+		}
 		if j.request.Route.Unguarded && c.target.state.CapacityStale {
 			continue
 		}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -44,6 +44,7 @@
 // endRun removes an ended run from its target and completes its task, or retries it.
 func (s *Scheduler) endRun(t *target, r *run, end wire.EndStatus, took time.Duration, reason string, now time.Time) {
 	delete(t.runs, r.id)
+	t.specBytes -= len(r.job.request.Job.Spec)
 	j := r.job
 	s.observe(t, r, end, took, now)
 	if s.opts.Observer != nil {
--- a/placement/place.go
+++ b/placement/place.go
@@ -259,6 +259,7 @@
 	}
 	k.state, k.run = taskInFlight, r
 	t.runs[r.id] = r
+	t.specBytes += len(j.request.Job.Spec)
 	c.free = c.free.Minus(r.need)
 	if r.alone {
 		c.aloneFor = j
--- a/placement/target.go
+++ b/placement/target.go
@@ -36,6 +36,7 @@
 	state        wire.TargetState
 	startsSent   uint64 // starts sent on this link
 	runs         map[workload.RunID]*run
+	specBytes    int // of the specs of runs, see maxSpecBytes
 	linkLostAt   time.Time
 	backoff      time.Duration // after a refusal by the target; zero without one
 	backoffUntil time.Time     // no start is sent before this time
