--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -22,13 +22,13 @@
 
 // bed is a server whose handler answers with the size of the body.
 type bed struct {
-	t       *testing.T
+	t       testing.TB
 	servers *Servers
 	address string
 	hold    chan struct{} // closed: requests for /wait are answered
 }
 
-func serve(t *testing.T, limits ingress.Limits, rules ingress.Rules) *bed {
+func serve(t testing.TB, limits ingress.Limits, rules ingress.Rules) *bed {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
