--- a/internal/httpserve/drain.go
+++ b/internal/httpserve/drain.go
@@ -27,7 +27,7 @@
 // drainListener tracks the connections of one server, so that they can be closed in order:
 // http.Server.Shutdown resets connections that were not accepted yet, closes idle ones on which a
 // request has arrived and was not read, and drops requests that it reads after its start. It must
-// be the outermost listener. Its methods are safe for concurrent use.
+// read from the kernel itself: only so are bytes that have arrived seen. Its methods are safe for concurrent use.
 type drainListener struct {
 	net.Listener
 	served chan struct{} // closed when the server accepts no more
@@ -67,13 +67,6 @@
 	return tracked, nil
 }
 
-// setState is the http.Server.ConnState of the server.
-func setState(c net.Conn, state http.ConnState) {
-	if tracked, ok := c.(*drainConn); ok {
-		tracked.setState(state)
-	}
-}
-
 // closeIfEmpty closes the listener if no connection waits to be accepted.
 func (l *drainListener) closeIfEmpty() {
 	l.mu.Lock()
--- a/internal/httpserve/drain_test.go
+++ b/internal/httpserve/drain_test.go
@@ -16,6 +16,9 @@
 
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
+
+	"github.com/catkinline/catkinline/ingress"
+	"github.com/catkinline/catkinline/metrics"
 )
 
 // shutdownBound is far above what a shutdown takes, so that slow machines do not fail tests.
@@ -34,9 +37,10 @@
 		l = wrap(l)
 	}
 	var lives tomb.Tomb
-	s := New(&lives, zap.NewNop())
-	s.serveOn(l, h)
+	s := New(&lives, Options{Log: zap.NewNop(), Metrics: metrics.New(nil), Plan: ingress.NewPlan(ingress.Machine{})})
+	s.serveOn(s.groups[Callers], l, h)
 	t.Cleanup(func() {
+		lives.Kill(nil) // ends the loop of the gauges; an earlier error of the server stays
 		if err := lives.Wait(); err != nil {
 			t.Errorf("the server ended with %v", err)
 		}
