Gateway tests: record messages of a link under a lock

Cause: recordingLink was written by the goroutine that answers a forwarded job, and read by the test; go test -race reported it in TestCancelledJobEndsAndStaysCancelled. The answer to the first request could also follow that to its copy. Change: the messages are kept under a lock, and the test waits for the first answer, which it now checks, too.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -112,9 +112,15 @@
 	if known, _ := g.scheduler.Status("1"); known {
 		t.Error("the job goes on after its cancelling")
 	}
+	// The answer to the first request comes from another goroutine.
+	await(t, "the first request is not answered", func() bool { return len(l.answersTo(1)) > 0 })
 	g.handlePeer(l, &wire.JobForward{RequestID: 2, Job: smallJob("1"), TimeLeft: time.Second})
-	if a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer); !ok || a.RequestID != 2 || placement.Outcome(a.Outcome) != placement.Cancelled {
-		t.Errorf("a copy of the request gets %+v, want cancelled", l.sent[len(l.sent)-1])
+	sent := l.sent()
+	if a, ok := sent[len(sent)-1].(*wire.JobAnswer); !ok || a.RequestID != 2 || placement.Outcome(a.Outcome) != placement.Cancelled {
+		t.Errorf("a copy of the request gets %+v, want cancelled", sent[len(sent)-1])
+	}
+	if answers := l.answersTo(1); len(answers) != 1 || placement.Outcome(answers[0].Outcome) != placement.Cancelled {
+		t.Errorf("the first request is answered %+v, want one answer, cancelled", answers)
 	}
 }
 
@@ -144,8 +150,8 @@
 	g.cancelHere("1", "test")
 	l := &recordingLink{silentLink: silentLink{name: "peer"}}
 	g.sendCancelled(l)
-	if m, ok := l.sent[0].(*wire.JobsCancelled); !ok || !slices.Equal(m.IDs, []string{"1"}) || m.Relay {
-		t.Errorf("sent %+v, want the cancelled job", l.sent)
+	if m, ok := l.sent()[0].(*wire.JobsCancelled); !ok || !slices.Equal(m.IDs, []string{"1"}) || m.Relay {
+		t.Errorf("sent %+v, want the cancelled job", l.sent())
 	}
 }
 
@@ -179,8 +185,8 @@
 	if g.Cancel(t.Context(), "2") || time.Since(began) > 2*receiptTimeout {
 		t.Errorf("without an answer: confirmed, or not answered in time, after %s", time.Since(began))
 	}
-	if m, ok := deaf.sent[0].(*wire.JobsCancelled); !ok || m.Request == 0 {
-		t.Errorf("sent %+v, want a cancelling that asks for a receipt", deaf.sent)
+	if m, ok := deaf.sent()[0].(*wire.JobsCancelled); !ok || m.Request == 0 {
+		t.Errorf("sent %+v, want a cancelling that asks for a receipt", deaf.sent())
 	}
 	if g.cancelledAnswer("2") == nil {
 		t.Error("the job is not cancelled here")
--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -88,8 +88,8 @@
 	l := &recordingLink{silentLink: silentLink{name: "peer"}}
 	g.forwarder.linkUp(l)
 	g.handlePeer(l, &wire.JobForward{RequestID: 7, Job: smallJob("2"), TimeLeft: time.Second})
-	if a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer); !ok || !a.Declined {
-		t.Errorf("a job of a peer: %+v, want declined", l.sent)
+	if a, ok := l.sent()[len(l.sent())-1].(*wire.JobAnswer); !ok || !a.Declined {
+		t.Errorf("a job of a peer: %+v, want declined", l.sent())
 	}
 	g.handlePeer(l, &wire.JobsCancelled{IDs: []string{"1"}})
 	g.handlePeer(l, &wire.PlacerState{})
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -17,7 +17,7 @@
 
 func (l *recordingLink) crashReports() int {
 	n := 0
-	for _, m := range l.sent {
+	for _, m := range l.sent() {
 		if _, ok := m.(*wire.CrashReport); ok {
 			n++
 		}
@@ -44,7 +44,7 @@
 	if late.crashReports() != 2 {
 		t.Fatalf("a new peer got %d reports, want 2", late.crashReports())
 	}
-	for _, m := range late.sent {
+	for _, m := range late.sent() {
 		second.handlePeerCrash(m.(*wire.CrashReport))
 	}
 	_, a := second.scheduler.Submit(placement.Request{
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -40,7 +40,7 @@
 
 // lastEvacuations returns the last evacuations that were sent on a link, or nil.
 func (l *recordingLink) lastEvacuations() *wire.Evacuations {
-	for _, m := range slices.Backward(l.sent) {
+	for _, m := range slices.Backward(l.sent()) {
 		if e, ok := m.(*wire.Evacuations); ok {
 			return e
 		}
@@ -112,22 +112,22 @@
 	if e := other.lastEvacuations(); e == nil || e.Revision != 9 || !slices.Equal(e.Domains, []string{"d1"}) {
 		t.Errorf("passed on: %+v", e)
 	}
-	sent := len(other.sent)
+	sent := len(other.sent())
 	g.handlePeer(source, &wire.Evacuations{Revision: 8})
 	g.handlePeer(source, &wire.Evacuations{Revision: 9})
 	g.expectEvacuated(t, "d1")
-	if len(other.sent) != sent {
+	if len(other.sent()) != sent {
 		t.Error("an older state was passed on")
 	}
 	// The domains are the known ones, but an agent may have heard of a revocation in between. A store
 	// that fails each watch leads to ten such states a second.
-	sent = len(source.sent)
+	sent = len(source.sent())
 	for revision := range uint64(3) {
 		g.handlePeer(other, &wire.Evacuations{Revision: 10 + revision, Domains: []string{"d1"}})
 	}
 	g.passUnsentEvacuations()
 	g.passUnsentEvacuations()
-	if n := len(source.sent) - sent; n != 1 {
+	if n := len(source.sent()) - sent; n != 1 {
 		t.Errorf("%d messages for three states with the known domains, want 1", n)
 	}
 	if e := source.lastEvacuations(); e == nil || e.Revision != 12 {
@@ -156,8 +156,8 @@
 		Job: workload.Job{ID: "0000000000000001", Steps: []workload.Step{{Tasks: 1, Need: workload.Resources{CPU: 100}, Estimate: 100 * time.Millisecond}}},
 	}
 	g.handleForward(l, job)
-	if a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer); !ok || !a.Declined {
-		t.Errorf("answer to a job: %+v, want declined", l.sent)
+	if a, ok := l.sent()[len(l.sent())-1].(*wire.JobAnswer); !ok || !a.Declined {
+		t.Errorf("answer to a job: %+v, want declined", l.sent())
 	}
 	g.handlePeer(l, &wire.Evacuations{Revision: 2})
 	g.handlePeer(l, &wire.Document{Revision: 3, Body: []byte("3")})
@@ -197,8 +197,8 @@
 	g.adoptEvacuations(evacuation.New(9, []string{"d1"}), "test")
 	l := &recordingLink{silentLink: silentLink{name: "peer"}}
 	g.peerUp(l)
-	if e, ok := l.sent[0].(*wire.Evacuations); !ok || e.Revision != 9 || !slices.Equal(e.Domains, []string{"d1"}) {
-		t.Errorf("first message: %+v, want the evacuations", l.sent[0])
+	if e, ok := l.sent()[0].(*wire.Evacuations); !ok || e.Revision != 9 || !slices.Equal(e.Domains, []string{"d1"}) {
+		t.Errorf("first message: %+v, want the evacuations", l.sent()[0])
 	}
 }
 
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,17 +18,38 @@
 	"github.com/catkinline/catkinline/workload"
 )
 
-// recordingLink is a link to a peer that records the messages sent to it.
+// recordingLink is a link to a peer that records the messages sent to it. Answers of forwarded jobs are sent by
+// other goroutines than the test's.
 type recordingLink struct {
 	silentLink
-	sent []wire.Message
+	mu       sync.Mutex
+	messages []wire.Message
 }
 
 func (l *recordingLink) Send(m wire.Message) error {
-	l.sent = append(l.sent, m)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.messages = append(l.messages, m)
 	return nil
 }
 
+// sent returns the messages that were sent so far.
+func (l *recordingLink) sent() []wire.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.messages)
+}
+
+// answersTo returns the answers to a forwarded job that were sent so far.
+func (l *recordingLink) answersTo(number uint64) (answers []*wire.JobAnswer) {
+	for _, m := range l.sent() {
+		if a, ok := m.(*wire.JobAnswer); ok && a.RequestID == number {
+			answers = append(answers, a)
+		}
+	}
+	return answers
+}
+
 // discardLink is an agent's link that drops all messages.
 type discardLink struct{}
 
@@ -58,9 +81,9 @@
 	} {
 		number := uint64(i + 1)
 		g.handleForward(l, &wire.JobForward{RequestID: number, Job: workload.Job{ID: "1", Steps: steps}, TimeLeft: time.Second})
-		a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer)
+		a, ok := l.sent()[len(l.sent())-1].(*wire.JobAnswer)
 		if !ok || a.RequestID != number || !a.Declined {
-			t.Errorf("answer to a job with steps %+v: %+v, want declined", steps, l.sent[len(l.sent)-1])
+			t.Errorf("answer to a job with steps %+v: %+v, want declined", steps, l.sent()[len(l.sent())-1])
 		}
 	}
 	if a := answerOf(wire.JobAnswer{Outcome: 77}); a.Outcome != placement.Expired {
@@ -84,12 +107,12 @@
 		})
 	}
 	forward(1)
-	if got := g.scheduler.OriginAge("agent"); len(l.sent) != 0 || got != l.quiet {
-		t.Errorf("sent %+v, origin age %s; want the job to run, and %s", l.sent, got, l.quiet)
+	if got := g.scheduler.OriginAge("agent"); len(l.sent()) != 0 || got != l.quiet {
+		t.Errorf("sent %+v, origin age %s; want the job to run, and %s", l.sent(), got, l.quiet)
 	}
 	l.quiet = sidecar.MaxStartSilence + time.Millisecond
 	forward(2)
-	if a, ok := l.sent[0].(*wire.JobAnswer); !ok || a.RequestID != 2 || !a.Declined {
-		t.Errorf("answer to a job of a peer that may have died: %+v, want declined", l.sent[0])
+	if a, ok := l.sent()[0].(*wire.JobAnswer); !ok || a.RequestID != 2 || !a.Declined {
+		t.Errorf("answer to a job of a peer that may have died: %+v, want declined", l.sent()[0])
 	}
 }
