Gateway: answer jobs that wait for a placer at the end of a planned stop

Cause: a request that waits in awaitPlacement is neither at the scheduler nor forwarded, so that giveUp did not end it: it went on waiting until the process ended, and its connection was cut although it was read. Change: awaitPlacement gives up once the entry refuses jobs; the job is then refused, as nothing of it has run. Result: TestWaitingJobIsAnsweredAtTheEndOfAStop, which failed before (no answer within 10 s), passes, also with -race.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -351,7 +351,7 @@
 func (g *Gateway) awaitPlacement(ctx context.Context, id string) bool {
 	for {
 		switch {
-		case g.cancelled.has(id, time.Now()):
+		case g.cancelled.has(id, time.Now()), g.refusing.Load():
 			return false
 		case g.scheduler.HasTargets() || g.forwarder.reachable(g.placers()):
 			return true
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -153,3 +153,24 @@
 		await(t, "a job of a caller of the stopping placer is not handed over", func() bool { known, _ := other.scheduler.Status(id); return known })
 	}
 }
+
+// Guards against a request that is cut although it was read: it waits for a placer when the time for the planned
+// stop is over.
+func TestWaitingJobIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	g := listedGateways(t, 1)[0]
+	answered := make(chan placement.Answer, 1)
+	go func() { answered <- g.Submit(context.Background(), bigJob("1")) }()
+	await(t, "the job does not arrive", func() bool { return g.requests.Load() == 1 })
+	time.Sleep(50 * time.Millisecond) // it waits for a placer
+	g.stopping.Store(true)
+	g.scheduler.SetStopDeadline(time.Now())
+	g.giveUp()
+	select {
+	case a := <-answered:
+		if a.Outcome != placement.Refused {
+			t.Errorf("answered %+v, want refused", a)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the job is not answered")
+	}
+}
