Gateway: offer a job to an overloaded placer if all have just declined

Cause: overloaded placers decline jobs that others might take. A burst, as when the jobs of a stopping placer reach the others at once, is declined by all of them before any is the last choice; for 200 ms no placer is then chosen, and entries without targets kept the jobs in their own queue, where they wait for nothing, or refused them. Change: an entry without targets offers such a job to a placer that has targets, at random, as the last choice, which an overloaded placer accepts. Result: TestJobGoesToPlacerThatHasJustDeclined, which failed before (not placed within 20 s), passes, also with -race.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -252,6 +252,13 @@
 	return f.placers.choose(names, exclude, now), len(sound)+len(others) > 1
 }
 
+// lastChoice returns the link to a placer for a job that the others have declined, or nil.
+func (f *forwarder) lastChoice(names []string, now time.Time) peerLink {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.lastChoice(names, now)
+}
+
 // mostTargets returns the number of targets of the named linked placer that has the most.
 func (f *forwarder) mostTargets(names []string) uint32 {
 	f.mu.Lock()
@@ -266,7 +273,8 @@
 	return f.placers.reachable(names)
 }
 
-// submitToPlacer offers a job to placers and returns its answer, and whether one accepted it.
+// submitToPlacer offers a job to placers and returns its answer, and whether one accepted it. An entry without
+// targets cannot run it, so that a placer is asked to take it even if it is overloaded.
 func (g *Gateway) submitToPlacer(ctx context.Context, r placement.Request) (placement.Answer, bool) {
 	if link := g.forwarder.linkOf(r.Job.ID); link != nil {
 		return g.forwardTo(ctx, link, r, true)
@@ -285,6 +293,11 @@
 			return a, true
 		}
 	}
+	if !g.scheduler.HasTargets() {
+		if link := g.forwarder.lastChoice(g.placers(), time.Now()); link != nil {
+			return g.forwardTo(ctx, link, r, true)
+		}
+	}
 	return placement.Answer{}, false
 }
 
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -115,6 +115,21 @@
 	return sound[first]
 }
 
+// lastChoice returns the link to a named placer with targets, whether it has just declined a job or not, or nil. It
+// is one at random, since the jobs that all have declined come in bursts.
+func (t *placerTable) lastChoice(names []string, now time.Time) peerLink {
+	var links []peerLink
+	for _, name := range names {
+		if l, p := t.find(name); l != nil && p.Targets > 0 && !p.quiet(l, now) {
+			links = append(links, l)
+		}
+	}
+	if len(links) == 0 {
+		return nil
+	}
+	return links[rand.IntN(len(links))]
+}
+
 // fewTargetsShare is the share of the targets of the placer with the most below which another one has few:
 // agents are still moving to it after its start, or away from it. Jobs that are sent to it wait while
 // targets that it does not have are free. Otherwise placers differ by less, since agents choose them by hash.
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -174,3 +174,31 @@
 		t.Error("the job is not answered")
 	}
 }
+
+// Guards against jobs that are refused, or wait at an entry without targets, because each placer has just declined
+// one, as when the jobs of a stopping placer reach the others at once.
+func TestJobGoesToPlacerThatHasJustDeclined(t *testing.T) {
+	all := listedGateways(t, 3)
+	entry := all[0]
+	for _, placer := range all[1:] {
+		addTarget(placer)
+		linkByQueues(t, entry, placer)
+	}
+	await(t, "the placers are not known", func() bool {
+		_, more := entry.forwarder.choose(entry.placers(), nil, time.Now())
+		return more
+	})
+	for _, l := range entry.forwarder.links() {
+		entry.forwarder.handleAnswer(l, &wire.JobAnswer{RequestID: 1 << 40, Declined: true}, time.Now().Add(time.Hour))
+	}
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	callers.Go(func() { entry.Submit(ctx, bigJob("1")) })
+	await(t, "the job does not reach a placer", func() bool {
+		first, _ := all[1].scheduler.Status("1")
+		second, _ := all[2].scheduler.Status("1")
+		return first || second
+	})
+}
