Gateway: end a planned stop within the grace period while the store is down

Cause: closing the callers' connections may take until 150 ms after the jobs were given up, and ending the registration 150 ms more, so that a stop with a request left, a caller's half request and a store that does not answer could take the whole grace period of 6 s, and then had to close its links. Change: the call to the store ends 50 ms before the grace period does.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -115,10 +115,26 @@
 // shutdownReserve is the part of the grace period that is kept for closing servers and links.
 const shutdownReserve = 300 * time.Millisecond
 
+// exitReserve is the part of shutdownReserve that is kept for the end of the links and of the process, which
+// come last.
+const exitReserve = 50 * time.Millisecond
+
+// closeDeadline returns until when a stop may wait for the store: the servers may have used their part of
+// shutdownReserve before.
+func (g *Gateway) closeDeadline(now time.Time) time.Time {
+	deadline := now.Add(shutdownReserve / 2)
+	if stopAt := g.stopAt.Load(); stopAt != nil {
+		if latest := stopAt.Add(shutdownReserve - exitReserve); latest.Before(deadline) {
+			return latest
+		}
+	}
+	return deadline
+}
+
 // stop refuses new jobs and closes links, the registration, and the servers if no drain has closed them.
 func (g *Gateway) stop() error {
 	g.refusing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
+	ctx, cancel := context.WithDeadline(context.Background(), g.closeDeadline(time.Now()))
 	defer cancel()
 	if !g.stopping.Load() {
 		g.servers.Shutdown(ctx)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -3,12 +3,22 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/kv"
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -202,3 +212,69 @@
 		return first || second
 	})
 }
+
+// stuckStore is a store of which no call that ends a lease returns before its time.
+type stuckStore struct {
+	kv.Store
+	revokeBy chan time.Time // the deadline of each call
+}
+
+// RevokeLease implements kv.Store.
+func (s stuckStore) RevokeLease(ctx context.Context, _ kv.LeaseID) error {
+	deadline, _ := ctx.Deadline()
+	s.revokeBy <- deadline
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a planned stop that takes longer than the grace period: a request is left, a caller has sent half
+// of another one, and the store does not answer.
+func TestPlannedStopEndsWithinGracePeriod(t *testing.T) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := probe.Addr().String()
+	_ = probe.Close()
+	store := stuckStore{standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local(), make(chan time.Time, 1)}
+	g, err := New(Options{
+		Node: settings.Node{Name: "edge", IP: "127.0.0.1", CallerAddress: address, ReadyAddress: "127.0.0.1:0", GracePeriod: time.Second},
+		Log:  zap.NewNop(), Metrics: metrics.New(nil), Store: store, LinkListen: "127.0.0.1:0",
+		RoutesKey: testKey, DecodeRoutes: decodeVersion,
+		CallerHandler: func(*Gateway) http.Handler { return http.NotFoundHandler() },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	var caller net.Conn
+	await(t, "the gateway does not serve", func() bool {
+		caller, err = net.Dial("tcp", address)
+		return err == nil
+	})
+	defer caller.Close()
+	if _, err := io.WriteString(caller, "POST /job/1 HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	entries := func() int {
+		listed, _, _ := store.List(t.Context(), member.Prefix)
+		return len(listed)
+	}
+	await(t, "the gateway does not register", func() bool { return entries() == 1 })
+	g.requests.Add(1)
+	stop()
+	select {
+	case deadline := <-store.revokeBy:
+		if limit := g.stopAt.Load().Add(shutdownReserve); !deadline.Before(limit) {
+			t.Errorf("the stop may wait for the store until %s after the end of the grace period", deadline.Sub(limit))
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the registration is not ended")
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
