Gateway: count a planned stop from its request, also during the start

Cause: the time for a planned stop was counted from the end of the start, which waits up to 0.5 s for routes, so that a gateway stopped in its first moments could exceed the grace period by that. Change: the time of the request is kept, and the stop is counted from it. Result: TestStopDuringStartEndsWithinGracePeriod, which failed before (counted from 0.50 s after the request), passes three times with -race.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,13 +142,16 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.pauseDetector.Start()
 	defer g.pauseDetector.Stop()
+	stopRequested := make(chan time.Time, 1)
+	// The grace period begins with the request, also if it comes during the start.
+	defer context.AfterFunc(ctx, func() { stopRequested <- time.Now() })()
 	if err := g.start(); err != nil {
 		return err
 	}
 	g.log.Info("gateway started", zap.String("name", g.node.Name), zap.String("callers", g.node.CallerAddress), zap.Uint64("incarnation", uint64(g.incarnation)))
 	select {
-	case <-ctx.Done():
-		g.drain()
+	case requested := <-stopRequested:
+		g.drain(requested)
 	case <-g.tomb.Dying():
 	}
 	return g.stop()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,20 +9,18 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// drain runs the first phase of a planned stop. The readiness check fails from its
+// drain runs the first phase of a planned stop, which was requested at a time. The readiness check fails from its
 // start, so that the load balancer sends connections elsewhere. Jobs that still arrive are
 // served if they will end in time, until none is left and the callers' connections are closed.
-func (g *Gateway) drain() {
-	started := time.Now()
+func (g *Gateway) drain(started time.Time) {
 	g.log.Info("planned stop begins", zap.Int64("requests", g.requests.Load()))
 	g.stopping.Store(true)
 	g.leaving.add(g.node.Name, g.incarnation)
-	timeout := g.drainTimeout()
-	stopAt := started.Add(timeout)
+	stopAt := started.Add(g.drainTimeout())
 	g.stopAt.Store(&stopAt)
 	g.scheduler.SetStopDeadline(stopAt)
 	g.announceStop()
-	limit := time.NewTimer(timeout)
+	limit := time.NewTimer(time.Until(stopAt))
 	defer limit.Stop()
 	ticker := time.NewTicker(drainIdleTime / 10)
 	defer ticker.Stop()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -227,17 +227,16 @@
 	return ctx.Err()
 }
 
-// Guards against a planned stop that takes longer than the grace period: a request is left, a caller has sent half
-// of another one, and the store does not answer.
-func TestPlannedStopEndsWithinGracePeriod(t *testing.T) {
+// newAlone returns a gateway to be run, without peers and agents, and its address for callers.
+func newAlone(t *testing.T, store kv.Store) (g *Gateway, address string) {
+	t.Helper()
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := probe.Addr().String()
+	address = probe.Addr().String()
 	_ = probe.Close()
-	store := stuckStore{standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local(), make(chan time.Time, 1)}
-	g, err := New(Options{
+	g, err = New(Options{
 		Node: settings.Node{Name: "edge", IP: "127.0.0.1", CallerAddress: address, ReadyAddress: "127.0.0.1:0", GracePeriod: time.Second},
 		Log:  zap.NewNop(), Metrics: metrics.New(nil), Store: store, LinkListen: "127.0.0.1:0",
 		RoutesKey: testKey, DecodeRoutes: decodeVersion,
@@ -246,13 +245,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return g, address
+}
+
+// Guards against a planned stop that takes longer than the grace period: a request is left, a caller has sent half
+// of another one, and the store does not answer.
+func TestPlannedStopEndsWithinGracePeriod(t *testing.T) {
+	store := stuckStore{standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local(), make(chan time.Time, 1)}
+	g, address := newAlone(t, store)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
 	var caller net.Conn
 	await(t, "the gateway does not serve", func() bool {
-		caller, err = net.Dial("tcp", address)
+		c, err := net.Dial("tcp", address)
+		caller = c
 		return err == nil
 	})
 	defer caller.Close()
@@ -278,3 +286,17 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a planned stop that is requested while the gateway starts, and ends later than the grace period: the
+// start waits for routes.
+func TestStopDuringStartEndsWithinGracePeriod(t *testing.T) {
+	g, _ := newAlone(t, standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local())
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := g.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if late := g.stopAt.Load().Sub(g.created) - g.drainTimeout(); late >= initialRoutesTimeout {
+		t.Errorf("the time for the stop is counted from %s after the request", late)
+	}
+}
