Gateway: offer jobs to earlier placers until the new ones have targets

Cause: jobs were offered to the entries that are placers by the list of live ones only. If all of these are new, as when stopped placers come back together, or more powerful gateways join, they have no targets until the agents have got the list, which is sent once a second, and have linked; meanwhile no placer was reachable although the earlier ones were linked and had all targets. Their links were ended at the same time, jobs waited, and were refused after 0.7 s. The first agent that linked to a new placer then got all jobs. Change: while all placers have few targets against another linked entry, by the rule that already holds between placers, entries with targets are offered jobs, too, and links to them stay. Result: TestJobsGoToEarlierPlacersUntilNewOnesHaveTargets, which failed before (no job within 20 s, the link ended), passes five times with -race. No run of a whole system was made.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -31,7 +31,7 @@
 		return "a planned stop has begun"
 	case g.routes.Load() == nil:
 		return "no configuration is known yet"
-	case !g.scheduler.HasTargets() && !g.forwarder.reachable(g.placers()):
+	case !g.scheduler.HasTargets() && !g.forwarder.reachable(g.offered()):
 		return "no target and no placer is reachable"
 	}
 	return ""
--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -35,7 +35,7 @@
 func listedGateways(t *testing.T, n int) (all []*Gateway) {
 	t.Helper()
 	for i := range n {
-		node := settings.Node{Name: fmt.Sprintf("edge-%02d", i), FailureDomain: string(rune('a' + i%3)), IP: "127.0.0.1", CPU: 400}
+		node := settings.Node{Name: fmt.Sprintf("edge-%02d", i), FailureDomain: string(rune('a' + i%3)), IP: fmt.Sprintf("127.0.0.%d", i+1), CPU: 400}
 		g, err := New(Options{Node: node, Log: zap.NewNop(), Metrics: metrics.New(nil)})
 		if err != nil {
 			t.Fatal(err)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -259,6 +259,13 @@
 	return f.placers.lastChoice(names, now)
 }
 
+// offered returns the names of the entries that jobs may be offered to.
+func (f *forwarder) offered(placers []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.offered(placers)
+}
+
 // mostTargets returns the number of targets of the named linked placer that has the most.
 func (f *forwarder) mostTargets(names []string) uint32 {
 	f.mu.Lock()
@@ -284,7 +291,7 @@
 	}
 	var asked []peerLink
 	for len(asked) < maxForwards {
-		link, more := g.forwarder.choose(g.placers(), asked, time.Now())
+		link, more := g.forwarder.choose(g.offered(), asked, time.Now())
 		if link == nil {
 			break
 		}
@@ -294,7 +301,7 @@
 		}
 	}
 	if !g.scheduler.HasTargets() {
-		if link := g.forwarder.lastChoice(g.placers(), time.Now()); link != nil {
+		if link := g.forwarder.lastChoice(g.offered(), time.Now()); link != nil {
 			return g.forwardTo(ctx, link, r, true)
 		}
 	}
@@ -366,7 +373,7 @@
 		switch {
 		case g.cancelled.has(id, time.Now()), g.refusing.Load():
 			return false
-		case g.scheduler.HasTargets() || g.forwarder.reachable(g.placers()):
+		case g.scheduler.HasTargets() || g.forwarder.reachable(g.offered()):
 			return true
 		case g.isolated(time.Now()):
 			return false
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -278,11 +278,12 @@
 }
 
 // endUnneededDials ends the dial loops, with their links, to listed peers that need not be
-// dialled any more and have no jobs of this entry. A link to a peer that is not listed stays
+// dialled any more, are offered no jobs and have none of this entry. A link to a peer that is not listed stays
 // until it fails: the peer may only be cut off from the store.
 func (g *Gateway) endUnneededDials() {
+	offered := g.offered()
 	for _, p := range g.members.Snapshot().Direct {
-		if dialsPeer(g.placers(), g.node.Name, p.Name) || g.forwarder.hasJobsWith(p.Name) {
+		if dialsPeer(g.placers(), g.node.Name, p.Name) || slices.Contains(offered, p.Name) || g.forwarder.hasJobsWith(p.Name) {
 			continue
 		}
 		if leaving := *g.leaving.known.Load(); g.stopping.Load() || leaving.Has(p) {
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -155,6 +155,26 @@
 	return sound, others
 }
 
+// offered returns the names of the entries that jobs may be offered to: the placers and, as long as all of these
+// have few targets against another linked entry, those that have any. Agents are then still moving from entries
+// that were placers before.
+func (t *placerTable) offered(placers []string) []string {
+	most := uint32(0)
+	for _, p := range t.peers {
+		most = max(most, p.Targets)
+	}
+	if !hasFew(t.mostTargets(placers), most) {
+		return placers
+	}
+	names := slices.Clone(placers)
+	for l, p := range t.peers {
+		if p.Targets > 0 && !slices.Contains(names, l.Name()) {
+			names = append(names, l.Name())
+		}
+	}
+	return names
+}
+
 // mostTargets returns the number of targets of the named placer that has the most.
 func (t *placerTable) mostTargets(names []string) (most uint32) {
 	for l, p := range t.peers {
--- a/gateway/placers_test.go
+++ b/gateway/placers_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -259,3 +261,42 @@
 		t.Error("of two placers, no other is left after the choice of one")
 	}
 }
+
+// Guards against jobs that wait, or are refused, while all placers are new and agents are still moving to them from
+// entries that are none any more, as when all that stopped are back at once; and against links to these that end
+// before.
+func TestJobsGoToEarlierPlacersUntilNewOnesHaveTargets(t *testing.T) {
+	all := listedGateways(t, 8)
+	entry, placer, earlier := all[7], all[0], all[5]
+	addTarget(earlier)
+	linkByQueues(t, entry, placer)
+	linkByQueues(t, entry, earlier)
+	address, ended := earlier.self().Address, false
+	entry.dials[address] = func() { ended = true }
+	await(t, "the entry with targets is not known", func() bool { return entry.forwarder.reachable([]string{earlier.node.Name}) })
+	entry.endUnneededDials()
+	if ended {
+		t.Error("the link to the entry that has the targets is ended")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	callers.Go(func() { entry.Submit(ctx, bigJob("1")) })
+	await(t, "the job does not reach the entry that has the targets", func() bool { known, _ := earlier.scheduler.Status("1"); return known })
+	cancel()
+	callers.Wait()
+
+	addTarget(placer)
+	for _, l := range entry.forwarder.links() {
+		if l.Name() == placer.node.Name {
+			entry.handlePeer(l, placer.placerState())
+		}
+	}
+	await(t, "the link to the earlier placer is kept", func() bool { entry.endUnneededDials(); return ended })
+	table, names, links := tableOf(2)
+	for targets, want := range map[uint32]string{0: "p1", 19: "p1", 20: "p0", 40: "p0"} {
+		table.peers[links[0]].Targets = targets
+		if n := table.chosen(table.offered(names[:1]), 10, time.Now()); n[want] != 10 {
+			t.Errorf("%d targets at the placer, 40 at another entry: chosen %v, want %s", targets, n, want)
+		}
+	}
+}
--- a/gateway/placerstate.go
+++ b/gateway/placerstate.go
@@ -30,13 +30,17 @@
 	return c.names
 }
 
+// offered returns the names of the entries that jobs may be offered to: the placers, and the earlier ones until these
+// have targets.
+func (g *Gateway) offered() []string { return g.forwarder.offered(g.placers()) }
+
 // isolated reports whether this entry has had neither a target nor a placer for so long that
 // callers should use another entry.
 func (g *Gateway) isolated(now time.Time) bool {
 	if !g.scheduler.Isolated(now) {
 		return false
 	}
-	if g.forwarder.reachable(g.placers()) {
+	if g.forwarder.reachable(g.offered()) {
 		g.lastReachable.Store(int64(now.Sub(g.created)))
 		return false
 	}
