Gateway: end the process when it fails during a planned stop

Cause: a planned stop closed the servers at its end only, and left them open when the process failed before; stop then waited for them without end. Change: the servers are closed upon a failure, too, unless that has begun. Result: TestFailureDuringPlannedStopEndsTheProcess, which failed before (no end within 20 s), passes five times with -race.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -30,6 +30,9 @@
 	for {
 		select {
 		case <-g.tomb.Dying():
+			if closed == nil {
+				<-g.closeConnections(time.Now())
+			}
 			return
 		case <-limit.C:
 			g.giveUp()
@@ -75,7 +78,7 @@
 }
 
 // closeConnections begins to close the servers. Requests that are on their way are answered. It returns a
-// channel that is closed at the end, which comes at half of shutdownReserve after the jobs were given up at
+// channel that is closed at the end, which comes at half of shutdownReserve after the time for jobs ends at
 // the latest.
 func (g *Gateway) closeConnections(stopAt time.Time) chan struct{} {
 	closed := make(chan struct{})
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -300,3 +301,25 @@
 		t.Errorf("the time for the stop is counted from %s after the request", late)
 	}
 }
+
+// Guards against a process that hangs when it fails during a planned stop.
+func TestFailureDuringPlannedStopEndsTheProcess(t *testing.T) {
+	g, _ := newAlone(t, standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local())
+	g.node.GracePeriod = time.Minute
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	stop()
+	await(t, "the stop does not begin", g.stopping.Load)
+	failure := errors.New("the test's failure")
+	g.tomb.Kill(failure)
+	select {
+	case err := <-ended:
+		if !errors.Is(err, failure) {
+			t.Errorf("the gateway ends with %v, want the failure", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the gateway does not end")
+	}
+}
