Gateway: ask placers first to pass a cancelling on

Cause: an entry that is no placer asked any two linked peers to pass a cancelling on. Links to entries that were placers before stay for a while, and longer since they are offered jobs until the new ones have targets; they need not be linked to all entries, so that some did not learn of the cancelling. Change: placers are asked first.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -101,11 +101,21 @@
 	return false
 }
 
-// tellCancelled tells the linked peers that a job was cancelled, and returns their number.
+// tellCancelled tells the linked peers that a job was cancelled, and returns their number. Placers are asked
+// first to pass it on; other peers may be linked to few entries.
 func (g *Gateway) tellCancelled(id string, request uint64) int {
-	links := g.forwarder.links()
+	placers := g.placers()
+	var links, others []peerLink
+	for _, l := range g.forwarder.links() {
+		if slices.Contains(placers, l.Name()) {
+			links = append(links, l)
+		} else {
+			others = append(others, l)
+		}
+	}
+	links = append(links, others...)
 	relays := cancelRelays
-	if slices.Contains(g.placers(), g.node.Name) {
+	if slices.Contains(placers, g.node.Name) {
 		relays = 0 // a placer is linked to all entries
 	}
 	for _, l := range links {
--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -196,3 +196,30 @@
 		t.Error("the only entry does not confirm")
 	}
 }
+
+// Guards against a cancelling that does not reach all entries because those that were placers before, and are still
+// linked, are asked to pass it on in place of the placers: only these are linked to all.
+func TestCancellingIsPassedOnByPlacers(t *testing.T) {
+	g := listedGateways(t, 14)[13]
+	placers := g.placers()
+	links := make(map[string]*recordingLink)
+	for _, name := range append([]string{"edge-09", "edge-10", "edge-11"}, placers...) {
+		links[name] = &recordingLink{silentLink: silentLink{name: name}}
+		g.forwarder.linkUp(links[name])
+	}
+	for i := range 10 {
+		g.tellCancelled(fmt.Sprint(i), 1)
+		relays := 0
+		for name, l := range links {
+			if m := l.sent()[i].(*wire.JobsCancelled); m.Relay {
+				relays++
+				if !slices.Contains(placers, name) {
+					t.Errorf("%s is asked to pass the cancelling on, and is no placer", name)
+				}
+			}
+		}
+		if relays != cancelRelays {
+			t.Errorf("%d entries are asked to pass the cancelling on, want %d", relays, cancelRelays)
+		}
+	}
+}
