--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -35,7 +35,7 @@
 func listedGateways(t *testing.T, n int) (all []*Gateway) {
 	t.Helper()
 	for i := range n {
-		node := settings.Node{Name: fmt.Sprintf("edge-%02d", i), FailureDomain: string(rune('a' + i%3)), IP: "127.0.0.1", CPU: 400}
+		node := settings.Node{Name: fmt.Sprintf("edge-%02d", i), FailureDomain: string(rune('a' + i%3)), IP: fmt.Sprintf("127.0.0.%d", i+1), CPU: 400}
 		g, err := New(Options{Node: node, Log: zap.NewNop(), Metrics: metrics.New(nil)})
 		if err != nil {
 			t.Fatal(err)
@@ -112,9 +112,15 @@
 	if known, _ := g.scheduler.Status("1"); known {
 		t.Error("the job goes on after its cancelling")
 	}
+	// The answer to the first request comes from another goroutine.
+	await(t, "the first request is not answered", func() bool { return len(l.answersTo(1)) > 0 })
 	g.handlePeer(l, &wire.JobForward{RequestID: 2, Job: smallJob("1"), TimeLeft: time.Second})
-	if a, ok := l.sent[len(l.sent)-1].(*wire.JobAnswer); !ok || a.RequestID != 2 || placement.Outcome(a.Outcome) != placement.Cancelled {
-		t.Errorf("a copy of the request gets %+v, want cancelled", l.sent[len(l.sent)-1])
+	sent := l.sent()
+	if a, ok := sent[len(sent)-1].(*wire.JobAnswer); !ok || a.RequestID != 2 || placement.Outcome(a.Outcome) != placement.Cancelled {
+		t.Errorf("a copy of the request gets %+v, want cancelled", sent[len(sent)-1])
+	}
+	if answers := l.answersTo(1); len(answers) != 1 || placement.Outcome(answers[0].Outcome) != placement.Cancelled {
+		t.Errorf("the first request is answered %+v, want one answer, cancelled", answers)
 	}
 }
 
@@ -144,8 +150,8 @@
 	g.cancelHere("1", "test")
 	l := &recordingLink{silentLink: silentLink{name: "peer"}}
 	g.sendCancelled(l)
-	if m, ok := l.sent[0].(*wire.JobsCancelled); !ok || !slices.Equal(m.IDs, []string{"1"}) || m.Relay {
-		t.Errorf("sent %+v, want the cancelled job", l.sent)
+	if m, ok := l.sent()[0].(*wire.JobsCancelled); !ok || !slices.Equal(m.IDs, []string{"1"}) || m.Relay {
+		t.Errorf("sent %+v, want the cancelled job", l.sent())
 	}
 }
 
@@ -179,8 +185,8 @@
 	if g.Cancel(t.Context(), "2") || time.Since(began) > 2*receiptTimeout {
 		t.Errorf("without an answer: confirmed, or not answered in time, after %s", time.Since(began))
 	}
-	if m, ok := deaf.sent[0].(*wire.JobsCancelled); !ok || m.Request == 0 {
-		t.Errorf("sent %+v, want a cancelling that asks for a receipt", deaf.sent)
+	if m, ok := deaf.sent()[0].(*wire.JobsCancelled); !ok || m.Request == 0 {
+		t.Errorf("sent %+v, want a cancelling that asks for a receipt", deaf.sent())
 	}
 	if g.cancelledAnswer("2") == nil {
 		t.Error("the job is not cancelled here")
@@ -190,3 +196,30 @@
 		t.Error("the only entry does not confirm")
 	}
 }
+
+// Guards against a cancelling that does not reach all entries because those that were placers before, and are still
+// linked, are asked to pass it on in place of the placers: only these are linked to all.
+func TestCancellingIsPassedOnByPlacers(t *testing.T) {
+	g := listedGateways(t, 14)[13]
+	placers := g.placers()
+	links := make(map[string]*recordingLink)
+	for _, name := range append([]string{"edge-09", "edge-10", "edge-11"}, placers...) {
+		links[name] = &recordingLink{silentLink: silentLink{name: name}}
+		g.forwarder.linkUp(links[name])
+	}
+	for i := range 10 {
+		g.tellCancelled(fmt.Sprint(i), 1)
+		relays := 0
+		for name, l := range links {
+			if m := l.sent()[i].(*wire.JobsCancelled); m.Relay {
+				relays++
+				if !slices.Contains(placers, name) {
+					t.Errorf("%s is asked to pass the cancelling on, and is no placer", name)
+				}
+			}
+		}
+		if relays != cancelRelays {
+			t.Errorf("%d entries are asked to pass the cancelling on, want %d", relays, cancelRelays)
+		}
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -252,6 +252,20 @@
 	return f.placers.choose(names, exclude, now), len(sound)+len(others) > 1
 }
 
+// lastChoice returns the link to a placer for a job that the others have declined, or nil.
+func (f *forwarder) lastChoice(names []string, now time.Time) peerLink {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.lastChoice(names, now)
+}
+
+// offered returns the names of the entries that jobs may be offered to.
+func (f *forwarder) offered(placers []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.offered(placers)
+}
+
 // mostTargets returns the number of targets of the named linked placer that has the most.
 func (f *forwarder) mostTargets(names []string) uint32 {
 	f.mu.Lock()
@@ -266,7 +280,8 @@
 	return f.placers.reachable(names)
 }
 
-// submitToPlacer offers a job to placers and returns its answer, and whether one accepted it.
+// submitToPlacer offers a job to placers and returns its answer, and whether one accepted it. An entry without
+// targets cannot run it, so that a placer is asked to take it even if it is overloaded.
 func (g *Gateway) submitToPlacer(ctx context.Context, r placement.Request) (placement.Answer, bool) {
 	if link := g.forwarder.linkOf(r.Job.ID); link != nil {
 		return g.forwardTo(ctx, link, r, true)
@@ -276,7 +291,7 @@
 	}
 	var asked []peerLink
 	for len(asked) < maxForwards {
-		link, more := g.forwarder.choose(g.placers(), asked, time.Now())
+		link, more := g.forwarder.choose(g.offered(), asked, time.Now())
 		if link == nil {
 			break
 		}
@@ -285,6 +300,11 @@
 			return a, true
 		}
 	}
+	if !g.scheduler.HasTargets() {
+		if link := g.forwarder.lastChoice(g.offered(), time.Now()); link != nil {
+			return g.forwardTo(ctx, link, r, true)
+		}
+	}
 	return placement.Answer{}, false
 }
 
@@ -351,9 +371,9 @@
 func (g *Gateway) awaitPlacement(ctx context.Context, id string) bool {
 	for {
 		switch {
-		case g.cancelled.has(id, time.Now()):
+		case g.cancelled.has(id, time.Now()), g.refusing.Load():
 			return false
-		case g.scheduler.HasTargets() || g.forwarder.reachable(g.placers()):
+		case g.scheduler.HasTargets() || g.forwarder.reachable(g.offered()):
 			return true
 		case g.isolated(time.Now()):
 			return false
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -115,6 +115,21 @@
 	return sound[first]
 }
 
+// lastChoice returns the link to a named placer with targets, whether it has just declined a job or not, or nil. It
+// is one at random, since the jobs that all have declined come in bursts.
+func (t *placerTable) lastChoice(names []string, now time.Time) peerLink {
+	var links []peerLink
+	for _, name := range names {
+		if l, p := t.find(name); l != nil && p.Targets > 0 && !p.quiet(l, now) {
+			links = append(links, l)
+		}
+	}
+	if len(links) == 0 {
+		return nil
+	}
+	return links[rand.IntN(len(links))]
+}
+
 // fewTargetsShare is the share of the targets of the placer with the most below which another one has few:
 // agents are still moving to it after its start, or away from it. Jobs that are sent to it wait while
 // targets that it does not have are free. Otherwise placers differ by less, since agents choose them by hash.
@@ -140,6 +155,26 @@
 	return sound, others
 }
 
+// offered returns the names of the entries that jobs may be offered to: the placers and, as long as all of these
+// have few targets against another linked entry, those that have any. Agents are then still moving from entries
+// that were placers before.
+func (t *placerTable) offered(placers []string) []string {
+	most := uint32(0)
+	for _, p := range t.peers {
+		most = max(most, p.Targets)
+	}
+	if !hasFew(t.mostTargets(placers), most) {
+		return placers
+	}
+	names := slices.Clone(placers)
+	for l, p := range t.peers {
+		if p.Targets > 0 && !slices.Contains(names, l.Name()) {
+			names = append(names, l.Name())
+		}
+	}
+	return names
+}
+
 // mostTargets returns the number of targets of the named placer that has the most.
 func (t *placerTable) mostTargets(names []string) (most uint32) {
 	for l, p := range t.peers {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,20 +9,18 @@
 	"github.com/catkinline/catkinline/wire"
 )
 
-// drain runs the first phase of a planned stop. The readiness check fails from its
+// drain runs the first phase of a planned stop, which was requested at a time. The readiness check fails from its
 // start, so that the load balancer sends connections elsewhere. Jobs that still arrive are
 // served if they will end in time, until none is left and the callers' connections are closed.
-func (g *Gateway) drain() {
-	started := time.Now()
+func (g *Gateway) drain(started time.Time) {
 	g.log.Info("planned stop begins", zap.Int64("requests", g.requests.Load()))
 	g.stopping.Store(true)
 	g.leaving.add(g.node.Name, g.incarnation)
-	timeout := g.drainTimeout()
-	stopAt := started.Add(timeout)
+	stopAt := started.Add(g.drainTimeout())
 	g.stopAt.Store(&stopAt)
 	g.scheduler.SetStopDeadline(stopAt)
 	g.announceStop()
-	limit := time.NewTimer(timeout)
+	limit := time.NewTimer(time.Until(stopAt))
 	defer limit.Stop()
 	ticker := time.NewTicker(drainIdleTime / 10)
 	defer ticker.Stop()
@@ -32,6 +30,9 @@
 	for {
 		select {
 		case <-g.tomb.Dying():
+			if closed == nil {
+				<-g.closeConnections(time.Now())
+			}
 			return
 		case <-limit.C:
 			g.giveUp()
@@ -77,7 +78,7 @@
 }
 
 // closeConnections begins to close the servers. Requests that are on their way are answered. It returns a
-// channel that is closed at the end, which comes at half of shutdownReserve after the jobs were given up at
+// channel that is closed at the end, which comes at half of shutdownReserve after the time for jobs ends at
 // the latest.
 func (g *Gateway) closeConnections(stopAt time.Time) chan struct{} {
 	closed := make(chan struct{})
@@ -115,10 +116,26 @@
 // shutdownReserve is the part of the grace period that is kept for closing servers and links.
 const shutdownReserve = 300 * time.Millisecond
 
+// exitReserve is the part of shutdownReserve that is kept for the end of the links and of the process, which
+// come last.
+const exitReserve = 50 * time.Millisecond
+
+// closeDeadline returns until when a stop may wait for the store: the servers may have used their part of
+// shutdownReserve before.
+func (g *Gateway) closeDeadline(now time.Time) time.Time {
+	deadline := now.Add(shutdownReserve / 2)
+	if stopAt := g.stopAt.Load(); stopAt != nil {
+		if latest := stopAt.Add(shutdownReserve - exitReserve); latest.Before(deadline) {
+			return latest
+		}
+	}
+	return deadline
+}
+
 // stop refuses new jobs and closes links, the registration, and the servers if no drain has closed them.
 func (g *Gateway) stop() error {
 	g.refusing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
+	ctx, cancel := context.WithDeadline(context.Background(), g.closeDeadline(time.Now()))
 	defer cancel()
 	if !g.stopping.Load() {
 		g.servers.Shutdown(ctx)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -2,13 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/catkinline/catkinline/kv"
+	"github.com/catkinline/catkinline/member"
+	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/routing"
+	"github.com/catkinline/catkinline/settings"
+	"github.com/catkinline/catkinline/standin"
 	"github.com/catkinline/catkinline/wire"
 	"github.com/catkinline/catkinline/workload"
 )
@@ -153,3 +164,162 @@
 		await(t, "a job of a caller of the stopping placer is not handed over", func() bool { known, _ := other.scheduler.Status(id); return known })
 	}
 }
+
+// Guards against a request that is cut although it was read: it waits for a placer when the time for the planned
+// stop is over.
+func TestWaitingJobIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	g := listedGateways(t, 1)[0]
+	answered := make(chan placement.Answer, 1)
+	go func() { answered <- g.Submit(context.Background(), bigJob("1")) }()
+	await(t, "the job does not arrive", func() bool { return g.requests.Load() == 1 })
+	time.Sleep(50 * time.Millisecond) // it waits for a placer
+	g.stopping.Store(true)
+	g.scheduler.SetStopDeadline(time.Now())
+	g.giveUp()
+	select {
+	case a := <-answered:
+		if a.Outcome != placement.Refused {
+			t.Errorf("answered %+v, want refused", a)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the job is not answered")
+	}
+}
+
+// Guards against jobs that are refused, or wait at an entry without targets, because each placer has just declined
+// one, as when the jobs of a stopping placer reach the others at once.
+func TestJobGoesToPlacerThatHasJustDeclined(t *testing.T) {
+	all := listedGateways(t, 3)
+	entry := all[0]
+	for _, placer := range all[1:] {
+		addTarget(placer)
+		linkByQueues(t, entry, placer)
+	}
+	await(t, "the placers are not known", func() bool {
+		_, more := entry.forwarder.choose(entry.placers(), nil, time.Now())
+		return more
+	})
+	for _, l := range entry.forwarder.links() {
+		entry.forwarder.handleAnswer(l, &wire.JobAnswer{RequestID: 1 << 40, Declined: true}, time.Now().Add(time.Hour))
+	}
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	callers.Go(func() { entry.Submit(ctx, bigJob("1")) })
+	await(t, "the job does not reach a placer", func() bool {
+		first, _ := all[1].scheduler.Status("1")
+		second, _ := all[2].scheduler.Status("1")
+		return first || second
+	})
+}
+
+// stuckStore is a store of which no call that ends a lease returns before its time.
+type stuckStore struct {
+	kv.Store
+	revokeBy chan time.Time // the deadline of each call
+}
+
+// RevokeLease implements kv.Store.
+func (s stuckStore) RevokeLease(ctx context.Context, _ kv.LeaseID) error {
+	deadline, _ := ctx.Deadline()
+	s.revokeBy <- deadline
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// newAlone returns a gateway to be run, without peers and agents, and its address for callers.
+func newAlone(t *testing.T, store kv.Store) (g *Gateway, address string) {
+	t.Helper()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = probe.Addr().String()
+	_ = probe.Close()
+	g, err = New(Options{
+		Node: settings.Node{Name: "edge", IP: "127.0.0.1", CallerAddress: address, ReadyAddress: "127.0.0.1:0", GracePeriod: time.Second},
+		Log:  zap.NewNop(), Metrics: metrics.New(nil), Store: store, LinkListen: "127.0.0.1:0",
+		RoutesKey: testKey, DecodeRoutes: decodeVersion,
+		CallerHandler: func(*Gateway) http.Handler { return http.NotFoundHandler() },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g, address
+}
+
+// Guards against a planned stop that takes longer than the grace period: a request is left, a caller has sent half
+// of another one, and the store does not answer.
+func TestPlannedStopEndsWithinGracePeriod(t *testing.T) {
+	store := stuckStore{standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local(), make(chan time.Time, 1)}
+	g, address := newAlone(t, store)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	var caller net.Conn
+	await(t, "the gateway does not serve", func() bool {
+		c, err := net.Dial("tcp", address)
+		caller = c
+		return err == nil
+	})
+	defer caller.Close()
+	if _, err := io.WriteString(caller, "POST /job/1 HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	entries := func() int {
+		listed, _, _ := store.List(t.Context(), member.Prefix)
+		return len(listed)
+	}
+	await(t, "the gateway does not register", func() bool { return entries() == 1 })
+	g.requests.Add(1)
+	stop()
+	select {
+	case deadline := <-store.revokeBy:
+		if limit := g.stopAt.Load().Add(shutdownReserve); !deadline.Before(limit) {
+			t.Errorf("the stop may wait for the store until %s after the end of the grace period", deadline.Sub(limit))
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the registration is not ended")
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a planned stop that is requested while the gateway starts, and ends later than the grace period: the
+// start waits for routes.
+func TestStopDuringStartEndsWithinGracePeriod(t *testing.T) {
+	g, _ := newAlone(t, standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local())
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := g.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if late := g.stopAt.Load().Sub(g.created) - g.drainTimeout(); late >= initialRoutesTimeout {
+		t.Errorf("the time for the stop is counted from %s after the request", late)
+	}
+}
+
+// Guards against a process that hangs when it fails during a planned stop.
+func TestFailureDuringPlannedStopEndsTheProcess(t *testing.T) {
+	g, _ := newAlone(t, standin.NewStore(standin.StoreOptions{FirstRevision: 1}).Local())
+	g.node.GracePeriod = time.Minute
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	stop()
+	await(t, "the stop does not begin", g.stopping.Load)
+	failure := errors.New("the test's failure")
+	g.tomb.Kill(failure)
+	select {
+	case err := <-ended:
+		if !errors.Is(err, failure) {
+			t.Errorf("the gateway ends with %v, want the failure", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the gateway does not end")
+	}
+}
