Sidecar: a run that a poll lists may start late while repeated requests are unanswered

Cause: only a confirming response marked a run as MayStartLate. A run that a poll had listed counted as confirmed, although repetitions of its start request were unanswered; when the target then crashed, its end was reported and its task could start elsewhere, while the target's next process could execute a repetition. Change: the mark is set before a request is repeated, and withdrawn if all others were refused. Result: TestRepeatedStartOfListedRunReachesNextProcess failed before in 9 of 20 cases and passes.

--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -75,7 +75,8 @@
 }
 
 // mayRepeatStart reports whether a run has to be started still: this process goes on, no poll has listed the
-// run, and it was neither given up nor reported as ended. It records that the last request is unanswered.
+// run, and it was neither given up nor reported as ended. It records that the last request is unanswered and
+// that the run may start late; sendStart withdraws the latter when all other requests were refused.
 func (s *Sidecar) mayRepeatStart(r *runs.Run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,5 +84,6 @@
 		return false
 	}
 	s.recordUnanswered("start_attempt")
+	r.MayStartLate = true // a poll may list the run before the requests have responses
 	return true
 }
