Sidecar: repeat no start for an evacuated domain, a lost link, or after a pause

Cause, found in review: the first request of a start is checked against these, its repetitions up to 45 ms later were not.

--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -74,13 +74,19 @@
 	}
 }
 
-// mayRepeatStart reports whether a run has to be started still: this process goes on, no poll has listed the
-// run, and it was neither given up nor reported as ended. It records that the last request is unanswered and
+// mayRepeatStart reports whether a run has to be started still: this process goes on and was not paused, no
+// poll has listed the run, it was neither given up nor reported as ended, and its domain is not evacuated. It records that the last request is unanswered and
 // that the run may start late; sendStart withdraws the latter when all other requests were refused.
 func (s *Sidecar) mayRepeatStart(r *runs.Run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.killed || s.table.Get(r.ID) != r || r.State != runs.Starting || r.StopRequested {
+	if s.opts.Paused() {
+		s.closeStaleLinks()
+	}
+	if s.killed || s.table.Get(r.ID) != r || r.State != runs.Starting || r.StopRequested || s.evacuated() {
+		return false
+	}
+	if state := s.links[r.Owner.Name]; state == nil || ownerOf(state.link) != r.Owner || state.stale {
 		return false
 	}
 	s.recordUnanswered("start_attempt")
