--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -20,6 +20,9 @@
 	outcome := r.Answer.Outcome.String()
 	o.metrics.Add(metrics.JobsEntered, 1)
 	o.metrics.Add(metrics.JobsEnded, 1, metrics.TagWorkspace, r.Route, metrics.TagOutcome, outcome)
+	if r.Overload != "" {
+		o.metrics.Add(metrics.OverloadRefusals, 1, metrics.TagWorkspace, r.Route, metrics.TagState, r.Overload)
+	}
 	o.metrics.RecordDuration(metrics.JobSeconds, r.Took, metrics.TagWorkspace, r.Route, metrics.TagOutcome, outcome)
 	o.log.Info("job ended",
 		zap.String("job", r.ID), zap.String("route", r.Route), zap.Uint64("version", r.Version),
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -19,6 +19,8 @@
 	TasksInFlight = "tasks_out"              // gauge: tasks sent and without an outcome yet
 	QueuedBytes   = "queued_bytes"           // gauge: payload bytes of waiting tasks
 	JobsEnded     = "jobs_ended"             // answered, by workspace and outcome
+	// OverloadRefusals is counted at the placer that has the job.
+	OverloadRefusals = "overload_refusals" // jobs refused since they cannot be answered in useful time, by workspace and state: arrival or waiting
 )
 
 // Counters and gauges of task starts, targets and links.
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -103,6 +103,9 @@
 	return float64(s.inFlight) * min(max(s.expected/s.actual, minYield), maxYield)
 }
 
+// horizon is how long the present demand is expected to last. Demand changes within seconds.
+const horizon = 4 * time.Second
+
 // overtaker is work that arrives at a rate and goes ahead of a waiting job until a time, in seconds
 // from now.
 type overtaker struct{ rate, until float64 }
@@ -120,7 +123,7 @@
 	list := space[:0]
 	net := -rate // change of the work ahead in a second
 	for _, f := range s.flows {
-		until := delay.Seconds() - f.delay
+		until := min(delay.Seconds()-f.delay, horizon.Seconds())
 		if until <= 0 {
 			continue
 		}
@@ -143,7 +146,7 @@
 
 // minNetShare bounds the rate that is left to a waiting job from below, so that rates which are
 // measured a little off do not make a wait endless.
-const minNetShare = 0.05
+const minNetShare = 0.2
 
 // Queue has the waiting work of one service by key, as of one moment.
 type Queue struct {
@@ -179,8 +182,8 @@
 
 const (
 	// waitMargin is the share of the expected wait that a job is taken to wait at least: demand
-	// changes within the wait, and a refused job might have been served when it falls. 0.7 refused
-	// a fifth more of the jobs on the simulated fleet.
+	// changes within the wait, and a refused job might have been served when it falls. 0.65 refused
+	// jobs at normal load on the simulated fleet.
 	waitMargin = 0.5
 	// sunkWaitMargin replaces it after sunkShare of the job's objective. A refusal costs the job's
 	// whole value then, so that a small chance to be served is worth more.
--- a/placement/job.go
+++ b/placement/job.go
@@ -181,6 +181,7 @@
 	InTime       bool          // ended within its latency objective
 	Targets      int           // usable targets when the job ended
 	QueueLength  int           // jobs with waiting tasks when the job ended
+	Overload     string        // "arrival" or "waiting" if the job was refused under overload then
 	Crashes      int           // targets that crashed under the task with the most crashes
 }
 
@@ -196,6 +197,6 @@
 		ID: j.request.Job.ID, Route: j.request.Route.Name, Version: j.request.Version, Answer: a,
 		Tasks: j.request.Job.Tasks(), Runs: j.runs, NoRoom: j.noRoom,
 		Took: now.Sub(j.arrived), FirstRun: first, TimeLeft: j.request.Deadline.Sub(now),
-		InTime: !now.After(j.objective), Targets: s.usableTargets(), QueueLength: len(s.queue), Crashes: s.mostCrashes(j),
+		InTime: !now.After(j.objective), Targets: s.usableTargets(), QueueLength: len(s.queue), Overload: refusalMoments[a.Reason], Crashes: s.mostCrashes(j),
 	})
 }
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -28,6 +28,9 @@
 	reasonOverloadWaiting = "overload: can no longer be answered in useful time"
 )
 
+// refusalMoments has the values of JobReport.Overload by reason.
+var refusalMoments = map[string]string{reasonOverloadArrival: "arrival", reasonOverloadWaiting: "waiting"}
+
 // waitingWork returns the expected work of the job's waiting tasks, in thousandths of core-seconds.
 func (j *activeJob) waitingWork() float64 {
 	sum := 0.0
