Overload: hopeless jobs are declined before the last placer refuses them

A placer sees only the targets linked to it and its own queue, so that it refused jobs that another one could serve. It now declines a hopeless job on arrival while the sender can ask another placer, without the backoff of other declines (JobAnswer.Hopeless). The rate of the forecast is at least the placer's share of the capacity. Waiting jobs are refused early only within a quarter of their objective and when certainly late.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -173,7 +173,7 @@
 	defer f.mu.Unlock()
 	if p := f.placers.peers[l]; p != nil {
 		p.WaitingCPU, p.waitingAt = a.WaitingCPU, now
-		if a.Declined {
+		if a.Declined && !a.Hopeless {
 			p.declinedAt = now
 		}
 	}
@@ -252,6 +252,13 @@
 	return f.placers.choose(names, exclude, now), len(sound)+len(others) > 1
 }
 
+// otherIdle reports whether a named linked placer with targets lately reported that it has no waiting work.
+func (f *forwarder) otherIdle(names []string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placers.anyIdle(names, now)
+}
+
 // mostTargets returns the number of targets of the named linked placer that has the most.
 func (f *forwarder) mostTargets(names []string) uint32 {
 	f.mu.Lock()
@@ -274,6 +281,12 @@
 	if g.placesItself(r.Job.ID) {
 		return placement.Answer{}, false
 	}
+	return g.offer(ctx, r)
+}
+
+// offer offers a job to one placer after the other, and returns its answer, and whether one accepted it. The
+// last one refuses a hopeless job, the others decline it.
+func (g *Gateway) offer(ctx context.Context, r placement.Request) (placement.Answer, bool) {
 	var asked []peerLink
 	for len(asked) < maxForwards {
 		link, more := g.forwarder.choose(g.placers(), asked, time.Now())
--- a/gateway/forward_receive.go
+++ b/gateway/forward_receive.go
@@ -22,11 +22,17 @@
 		return
 	}
 	g.requests.Add(1)
-	r := placement.Request{Job: m.Job, Route: m.Route, Version: m.RoutesVersion, Deadline: now.Add(m.TimeLeft), Origin: l}
+	r := placement.Request{Job: m.Job, Route: m.Route, Version: m.RoutesVersion, Deadline: now.Add(m.TimeLeft), Origin: l, MayDecline: !m.LastChoice}
 	if m.StopIn > 0 {
 		r.StopAt = now.Add(m.StopIn)
 	}
 	ticket, refusal := g.submitHere(r, now)
+	if refusal != nil && refusal.Outcome == placement.Withdrawn {
+		g.requests.Add(-1)
+		// As above.
+		_ = l.Send(&wire.JobAnswer{RequestID: m.RequestID, Declined: true, Hopeless: true, WaitingCPU: g.scheduler.WaitingCPU()})
+		return
+	}
 	if refusal != nil {
 		g.sendForwardAnswer(l, m.RequestID, *refusal)
 		return
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -93,3 +93,18 @@
 		t.Errorf("answer to a job of a peer that may have died: %+v, want declined", l.sent[0])
 	}
 }
+
+// Guards against a placer that gets no jobs for a while because it declined one that was hopeless there, and against
+// jobs that are sent to one that declines all.
+func TestDeclineOfHopelessJobIsNoBackoff(t *testing.T) {
+	for _, hopeless := range []bool{false, true} {
+		f, now := newForwarder(), time.Now()
+		l := &recordingLink{silentLink: silentLink{name: "peer"}}
+		f.linkUp(l)
+		f.handleState(l, &wire.PlacerState{Targets: 1}, now)
+		f.handleAnswer(l, &wire.JobAnswer{Declined: true, Hopeless: hopeless}, now)
+		if chosen, _ := f.choose([]string{"peer"}, nil, now); (chosen != nil) != hopeless {
+			t.Errorf("hopeless %v: chosen %v", hopeless, chosen)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,6 +131,7 @@
 		Observer:       observer{log: o.Log, metrics: o.Metrics},
 		LostRunTimeout: LostRunTimeout,
 		Entries:        func() int { return o.Topology.LinksPerTarget(len(g.entries())) },
+		OtherIdle:      func(now time.Time) bool { return g.forwarder.otherIdle(g.placers(), now) },
 		Paused:         g.pauseDetector.Watch(),
 		FarFactor:      o.Node.FarFactor,
 	})
@@ -260,7 +261,19 @@
 	if reason := g.outdated(ctx, r); reason != "" {
 		return g.refuse(r, reason)
 	}
+	other, _ := g.forwarder.choose(g.placers(), nil, time.Now())
+	r.MayDecline = other != nil
 	ticket, refusal := g.submitHere(r, time.Now())
+	if refusal != nil && refusal.Outcome == placement.Withdrawn {
+		if a, accepted := g.offer(ctx, r); accepted {
+			return a
+		}
+		if reason := g.outdated(ctx, r); reason != "" {
+			return g.refuse(r, reason)
+		}
+		r.MayDecline = false
+		ticket, refusal = g.submitHere(r, time.Now())
+	}
 	if refusal != nil {
 		return *refusal
 	}
--- a/gateway/placers.go
+++ b/gateway/placers.go
@@ -80,6 +80,17 @@
 	return p.WaitingCPU
 }
 
+// anyIdle reports whether a named peer with targets lately reported that it has no waiting work.
+func (t *placerTable) anyIdle(names []string, now time.Time) bool {
+	for l, p := range t.peers {
+		known := now.Sub(p.waitingAt) <= waitingTTL && !p.quiet(l, now)
+		if known && p.WaitingCPU == 0 && p.Targets > 0 && !p.Stopping && slices.Contains(names, l.Name()) {
+			return true
+		}
+	}
+	return false
+}
+
 // reachable reports whether a named peer is linked and has targets.
 func (t *placerTable) reachable(names []string) bool {
 	for l, p := range t.peers {
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -31,6 +31,8 @@
 // other placers take is not in it, since a placer's runs occupy only what the others leave.
 type Supply struct {
 	inFlight         int64 // CPU of the runs in flight, in thousandths of a core
+	capacity         int64 // CPU of the linked targets, in thousandths of a core
+	placers          int64 // placers that share the capacity
 	expected, actual float64
 	flows            map[flowKey]*flow
 	agedAt           time.Time
@@ -52,6 +54,11 @@
 // NewSupply returns a Supply without observations.
 func NewSupply() *Supply { return &Supply{flows: make(map[flowKey]*flow)} }
 
+// SetCapacity sets the CPU of the targets, in thousandths of a core, and the number of placers that share it.
+func (s *Supply) SetCapacity(cpu int64, placers int) {
+	s.capacity, s.placers = cpu, int64(max(1, placers))
+}
+
 // Started records the start of a run of a kind of job, whose key in the queue is the arrival of its
 // job plus delay.
 func (s *Supply) Started(kind string, late bool, cpu int64, expected, delay time.Duration) {
@@ -95,12 +102,35 @@
 	}
 }
 
-// Rate returns the work completed in a second, or 0 if nothing is in flight.
+// Rate returns the work completed in a second, or 0 if nothing is in flight. It is at least this placer's share of
+// the capacity: when a burst begins, the runs in flight are fewer than the placer will get.
 func (s *Supply) Rate() float64 {
+	if s.inFlight == 0 {
+		return 0
+	}
+	cpu := s.inFlight
+	if s.placers > 0 {
+		cpu = max(cpu, s.capacity/s.placers)
+	}
+	return float64(cpu) * s.yield()
+}
+
+// yield returns the recent ratio of expected to actual run times.
+func (s *Supply) yield() float64 {
 	if s.actual < minObservedWork {
-		return float64(s.inFlight)
+		return 1
+	}
+	return min(max(s.expected/s.actual, minYield), maxYield)
+}
+
+// ShortestWait returns how long a job waits at least, with the work ahead of it in the queue: all of the capacity serves
+// this queue, and nothing overtakes the job. Without a known capacity it returns 0.
+func (s *Supply) ShortestWait(ahead float64) time.Duration {
+	rate := float64(max(s.capacity, s.inFlight)) * max(1, s.yield())
+	if s.capacity <= 0 || rate <= 0 {
+		return 0
 	}
-	return float64(s.inFlight) * min(max(s.expected/s.actual, minYield), maxYield)
+	return seconds(ahead / rate)
 }
 
 // horizon is how long the present demand is expected to last. Demand changes within seconds.
@@ -180,16 +210,13 @@
 	return q.until[at-1]
 }
 
-const (
-	// waitMargin is the share of the expected wait that a job is taken to wait at least: demand
-	// changes within the wait, and a refused job might have been served when it falls. 0.65 refused
-	// jobs at normal load on the simulated fleet.
-	waitMargin = 0.5
-	// sunkWaitMargin replaces it after sunkShare of the job's objective. A refusal costs the job's
-	// whole value then, so that a small chance to be served is worth more.
-	sunkWaitMargin = 0.3
-	sunkShare      = 0.25
-)
+// waitMargin is the share of the expected wait that an arriving job is taken to wait at least: demand
+// changes within the wait, and a refused job might have been served when it falls. 0.5 raised the share of
+// unserved jobs in bursts on the simulated fleet.
+const waitMargin = 0.4
+
+// sunkShare is the share of a job's objective after which a refusal costs its whole value, as callers value it.
+const sunkShare = 0.25
 
 // Job has the times of a job of which nothing has run.
 type Job struct {
@@ -204,18 +231,24 @@
 	return !j.earliestEnd(now, wait).After(j.Objective)
 }
 
-// Hopeless reports whether a job cannot be answered in useful time, even if its wait is shorter than
-// expected by the margin.
+// Hopeless reports whether an arriving job cannot be answered in useful time, even if its wait is
+// shorter than expected by the margin.
 func (j Job) Hopeless(now time.Time, wait time.Duration) bool {
 	return j.earliestEnd(now, wait).After(j.Useful)
 }
 
-func (j Job) earliestEnd(now time.Time, wait time.Duration) time.Time {
-	margin := waitMargin
+// CertainlyLate reports whether a job cannot be answered in useful time after its shortest wait. It is false after
+// sunkShare of the objective: a refusal costs the whole value then, so that a small chance to be served, when others
+// give up, is worth more.
+func (j Job) CertainlyLate(now time.Time, shortest time.Duration) bool {
 	if now.Sub(j.Arrived).Seconds() > sunkShare*j.Objective.Sub(j.Arrived).Seconds() {
-		margin = sunkWaitMargin
+		return false
 	}
-	return now.Add(time.Duration(margin*float64(wait)) + j.Run)
+	return now.Add(shortest + j.Run).After(j.Useful)
+}
+
+func (j Job) earliestEnd(now time.Time, wait time.Duration) time.Time {
+	return now.Add(time.Duration(waitMargin*float64(wait)) + j.Run)
 }
 
 // Bounds of RetryAfter. Demand changes within seconds.
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -63,12 +63,11 @@
 	return time.Duration(float64(declared) * math.Exp(b.logRatio))
 }
 
-// estimate sets a job's expected run times, its latency objective and its weight in the queue.
+// estimate sets a job's expected run times and its latency objective.
 func (s *Scheduler) estimate(j *activeJob) {
 	for i, step := range j.request.Job.Steps {
 		j.expected[i] = s.estimates.expect(j.request.Route.Name, step.Estimate)
 	}
-	j.delayWeight = s.loadOf(j.request.Route.Service).shares.Weight(j.request.Route.Name)
 	j.objective = j.arrived.Add(j.allowedTime())
 }
 
--- a/placement/job.go
+++ b/placement/job.go
@@ -68,26 +68,25 @@
 
 // activeJob is an accepted job. It leaves the scheduler when it ends.
 type activeJob struct {
-	request     Request
-	arrived     time.Time
-	objective   time.Time       // an answer by then is in time
-	tasks       [][]task        // by step
-	doneTasks   []int           // by step
-	expected    []time.Duration // by step, run time of one task
-	waiting     int             // waiting tasks of all steps
-	inFlight    int             // runs that were sent and have not ended
-	unfinished  int             // tasks that are not done
-	ran         bool            // a run ended that may have done work
-	ended       bool
-	queued      bool // in the scheduler's queue
-	prime       bool // a task of it has most likely crashed a target
-	timeliness  timeliness
-	key         float64 // position in the queue, see orderKey
-	delayWeight float64 // multiplier of the aging delay, see overload.Shares
-	firstRun    time.Time
-	runs        int      // runs sent
-	noRoom      int      // runs refused for lack of free capacity
-	callers     []caller // those that wait for the answer
+	request    Request
+	arrived    time.Time
+	objective  time.Time       // an answer by then is in time
+	tasks      [][]task        // by step
+	doneTasks  []int           // by step
+	expected   []time.Duration // by step, run time of one task
+	waiting    int             // waiting tasks of all steps
+	inFlight   int             // runs that were sent and have not ended
+	unfinished int             // tasks that are not done
+	ran        bool            // a run ended that may have done work
+	ended      bool
+	queued     bool // in the scheduler's queue
+	prime      bool // a task of it has most likely crashed a target
+	timeliness timeliness
+	key        float64 // position in the queue, see orderKey
+	firstRun   time.Time
+	runs       int      // runs sent
+	noRoom     int      // runs refused for lack of free capacity
+	callers    []caller // those that wait for the answer
 }
 
 // caller is a caller of a job, or another entry that passes its answer on.
@@ -213,6 +212,6 @@
 		ID: j.request.Job.ID, Route: j.request.Route.Name, Version: j.request.Version, Answer: a,
 		Tasks: j.request.Job.Tasks(), Runs: j.runs, NoRoom: j.noRoom,
 		Took: now.Sub(j.arrived), FirstRun: first, TimeLeft: j.request.Deadline.Sub(now),
-		InTime: !now.After(j.objective), Targets: s.usableTargets(), QueueLength: len(s.queue), Overload: refusalMoments[a.Reason], Crashes: s.mostCrashes(j),
+		InTime: !now.After(j.objective), Targets: s.usableTargets(), QueueLength: len(s.queue), Overload: refusalMoment(a), Crashes: s.mostCrashes(j),
 	})
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -55,7 +55,7 @@
 	if end == wire.EndDone {
 		done = took
 	}
-	s.loadOf(j.request.Route.Service).supply.Ended(r.need.CPU, r.expected, done)
+	s.loadOf(j.request.Route.Service).supply.Ended(r.need.CPU, r.work, done)
 	s.observe(t, r, end, took, now)
 	if s.opts.Observer != nil {
 		s.opts.Observer.RunEnded(RunReport{
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinline/catkinline/overload"
@@ -9,14 +10,13 @@
 // serviceLoad is the waiting work of a service and the rate at which it is done.
 type serviceLoad struct {
 	supply *overload.Supply
-	shares *overload.Shares
 	queue  overload.Queue // as of the last Tick
 }
 
 func (s *Scheduler) loadOf(service string) *serviceLoad {
 	l := s.loads[service]
 	if l == nil {
-		l = &serviceLoad{supply: overload.NewSupply(), shares: overload.NewShares()}
+		l = &serviceLoad{supply: overload.NewSupply()}
 		s.loads[service] = l
 	}
 	return l
@@ -31,6 +31,14 @@
 // refusalMoments has the values of JobReport.Overload by reason.
 var refusalMoments = map[string]string{reasonOverloadArrival: "arrival", reasonOverloadWaiting: "waiting"}
 
+// refusalMoment returns the value of JobReport.Overload for an answer. A withdrawn job is not refused.
+func refusalMoment(a Answer) string {
+	if a.Outcome != Refused {
+		return ""
+	}
+	return refusalMoments[a.Reason]
+}
+
 // waitingWork returns the expected work of the job's waiting tasks, in thousandths of core-seconds.
 func (j *activeJob) waitingWork() float64 {
 	sum := 0.0
@@ -54,15 +62,14 @@
 	j := r.job
 	l := s.loadOf(j.request.Route.Service)
 	delay := seconds(j.key - float64(j.arrived.UnixMicro())/1e6)
-	l.supply.Started(j.request.Route.Name, j.timeliness != inTime, r.need.CPU, r.expected, delay)
-	l.shares.Served(j.request.Route.Name, float64(r.need.CPU)*r.expected.Seconds())
+	l.supply.Started(j.request.Route.Name, j.timeliness != inTime, r.need.CPU, r.work, delay)
 }
 
-// hopeless reports whether a job of which nothing has run is expected to be answered too late: not
+// hopeless reports whether an arriving job is expected to be answered too late: not
 // in time from its place in the queue, and not in useful time from its place among late jobs.
 func (s *Scheduler) hopeless(j *activeJob, now time.Time) bool {
 	l := s.loadOf(j.request.Route.Service)
-	times := overload.Job{Arrived: j.arrived, Objective: j.objective, Useful: j.usefulUntil(), Run: j.criticalPath()}
+	times := j.times()
 	at := float64(now.UnixMicro()) / 1e6
 	wait := l.supply.Wait(l.queue.Ahead(j.key), seconds(j.key-at))
 	if times.InTime(now, wait) {
@@ -74,12 +81,54 @@
 	return times.Hopeless(now, wait)
 }
 
+func (j *activeJob) times() overload.Job {
+	return overload.Job{Arrived: j.arrived, Objective: j.objective, Useful: j.usefulUntil(), Run: j.criticalPath()}
+}
+
+// certainlyLate reports whether a waiting job of which nothing has run cannot be answered in useful
+// time, even if all linked targets serve this queue and nothing overtakes it. Late in its time it is kept: see
+// overload.Job.CertainlyLate.
+func (s *Scheduler) certainlyLate(j *activeJob, now time.Time) bool {
+	l := s.loadOf(j.request.Route.Service)
+	return j.times().CertainlyLate(now, l.supply.ShortestWait(l.queue.Ahead(j.key)))
+}
+
+// capacityLeft reports whether a linked target has free capacity for a waiting task of the job, or another
+// placer has no waiting work: then a forecast refuses nothing.
+func (s *Scheduler) capacityLeft(j *activeJob, now time.Time) bool {
+	if s.opts.OtherIdle != nil && s.opts.OtherIdle(now) {
+		return true
+	}
+	return slices.ContainsFunc(s.ordered, func(t *target) bool {
+		return t.placeable() && t.state.Service == j.request.Route.Service && s.hasRoomFor(t, j)
+	})
+}
+
+// hasRoomFor reports whether a target has free capacity for a waiting task of a job.
+func (s *Scheduler) hasRoomFor(t *target, j *activeJob) bool {
+	free := t.free()
+	for step := range j.tasks {
+		spec := &j.request.Job.Steps[step]
+		if j.waitingTasks(step) > 0 && j.stepReady(step) && t.hasLabel(spec.RequiredLabel) && spec.Need.FitsIn(free) {
+			return true
+		}
+	}
+	return false
+}
+
 // refuseOnArrival returns the refusal of a job that has just been queued and found no free capacity,
-// if it is hopeless, or nil.
+// if it is hopeless, or nil. While the sender can ask another placer, the job is withdrawn: the targets that
+// only others are linked to may have free capacity.
 func (s *Scheduler) refuseOnArrival(j *activeJob, now time.Time) *Answer {
 	if j.ended || !j.queued || j.runs > 0 || !s.hopeless(j, now) {
 		return nil
 	}
+	if j.request.MayDecline && s.withdrawable(j) {
+		return &Answer{Outcome: Withdrawn, Reason: reasonOverloadArrival}
+	}
+	if s.capacityLeft(j, now) {
+		return nil
+	}
 	return &Answer{Outcome: Refused, Reason: reasonOverloadArrival, RetryAfter: s.retryAfter(j)}
 }
 
@@ -87,14 +136,31 @@
 func (s *Scheduler) updateLoads(now time.Time) {
 	for _, l := range s.loads {
 		l.supply.Age(now)
-		l.shares.Age(now)
 		l.queue.Reset()
 	}
+	s.updateCapacity()
 	for _, j := range s.queue {
 		s.loadOf(j.request.Route.Service).queue.Add(j.key, j.waitingWork())
 	}
 }
 
+// updateCapacity records the capacity of the linked targets of each service.
+func (s *Scheduler) updateCapacity() {
+	placers := 1
+	if s.opts.Entries != nil {
+		placers = s.opts.Entries()
+	}
+	for service, l := range s.loads {
+		cpu := int64(0)
+		for _, t := range s.ordered {
+			if t.state.Service == service && t.placeable() {
+				cpu += t.state.Capacity.CPU
+			}
+		}
+		l.supply.SetCapacity(cpu, placers)
+	}
+}
+
 // retryAfter returns the hint for a refused job: when the waiting work of its service is done.
 func (s *Scheduler) retryAfter(j *activeJob) time.Duration {
 	l := s.loadOf(j.request.Route.Service)
--- a/placement/place.go
+++ b/placement/place.go
@@ -45,20 +45,15 @@
 		return arrived + tooLateOffsetSeconds + j.remainingWork().Seconds()
 	}
 	if as == late {
-		return arrived + j.delayWeight*agingFactor*j.remainingWork().Seconds()
+		return arrived + agingFactor*j.remainingWork().Seconds()
 	}
-	key := arrived + agingDelay(j).Seconds()
+	key := arrived + agingFactor*j.criticalPath().Seconds()
 	if j.runs > j.noRoom {
 		key -= startedBonusSeconds
 	}
 	return key
 }
 
-// agingDelay returns the aging delay of a job that can be answered in time.
-func agingDelay(j *activeJob) time.Duration {
-	return seconds(j.delayWeight * agingFactor * j.criticalPath().Seconds())
-}
-
 // timeliness classifies a job by the earliest time at which it can be answered.
 type timeliness uint8
 
@@ -84,11 +79,11 @@
 }
 
 // demote moves queued jobs whose timeliness has become worse. It refuses jobs that have not
-// started when they have become hopeless.
+// started when they can certainly no longer be answered in useful time.
 func (s *Scheduler) demote(now time.Time) {
 	for _, j := range slices.Clone(s.queue) {
 		current := j.timelinessAt(now)
-		if !j.started() && (current == tooLate || s.hopeless(j, now)) {
+		if !j.started() && (current > j.timeliness && current == tooLate || s.certainlyLate(j, now) && !s.capacityLeft(j, now)) {
 			s.endJob(j, Answer{Outcome: Refused, Reason: reasonOverloadWaiting, RetryAfter: s.retryAfter(j)}, now)
 			continue
 		}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -52,6 +52,9 @@
 	FarFactor float64
 	// Entries returns the number of live entries, including this one. Nil means one.
 	Entries func() int
+	// OtherIdle reports whether another placer last reported that it has no waiting work. It is called under the
+	// scheduler's lock. Nil means that none has.
+	OtherIdle func(now time.Time) bool
 	// Paused reports whether this process was paused since the last call, so that callers may have
 	// been served elsewhere. It is asked before any task starts. Nil means that it never is.
 	Paused func() bool
@@ -130,6 +133,8 @@
 	ReadAt   time.Time // when the entry that received the job read the request; zero: not known
 	StopAt   time.Time // when the entry that received the job ends a planned stop; zero: no stop
 	Origin   Origin    // the entry that received the job; nil: this one
+	// MayDecline says that the sender can ask another placer, so that a hopeless job is withdrawn and not refused.
+	MayDecline bool
 }
 
 // Submit accepts a job and returns a ticket, or returns the refusal of a job of which
@@ -147,7 +152,6 @@
 	j := newJob(r, now)
 	s.estimate(j)
 	s.demand.add(j)
-	s.loadOf(r.Route.Service).shares.Wanted(r.Route.Name, j.waitingWork())
 	if refusal := s.admit(j, now); refusal != nil {
 		s.reportJob(j, *refusal, now)
 		return nil, refusal
--- a/placement/simfleet_test.go
+++ b/placement/simfleet_test.go
@@ -39,6 +39,7 @@
 	pickEntry func() *simEntry
 	// messages counts the agents' reports of free capacity other than with ends of runs.
 	messages int
+	declined int // jobs that a placer declined so that another one was asked
 }
 
 // event is a function to be called at a time; seq orders events of the same time.
@@ -114,6 +115,7 @@
 	down        bool  // its process has crashed
 	cpu         int64 // capacity, thousandths of a core
 	rack        string
+	freeSince   time.Time         // when it last became free for a task of the largest need
 	told        *wire.TargetSpeed // the speed that an entry told last
 }
 
@@ -248,7 +250,32 @@
 	h.sendRoom()
 }
 
+// freeAfter is how long a target has to be free to count as free: capacity that was just freed is offered and taken
+// in four link delays.
+const freeAfter = 2 * placement.TickInterval
+
+// recordFree records since when the target has had free capacity for a task of any need.
+func (h *simHost) recordFree() {
+	largest := int64(h.f.taskCPU * maxTaskCPU / meanTaskCPU)
+	if h.down || h.table.Free().CPU < largest {
+		h.freeSince = time.Time{}
+	} else if h.freeSince.IsZero() {
+		h.freeSince = h.f.now
+	}
+}
+
+// hasRoom reports whether a target has had free capacity for a need for some time.
+func (f *simFleet) hasRoom(need workload.Resources) bool {
+	for _, h := range f.hosts {
+		if !h.freeSince.IsZero() && f.now.Sub(h.freeSince) >= freeAfter && need.FitsIn(h.table.Free()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *simHost) sendRoom() {
+	h.recordFree()
 	if again := h.offers.Update(h.table.Free(), h.f.now); !again.IsZero() {
 		h.f.after(again.Sub(h.f.now), h.sendRoom)
 	}
@@ -284,6 +311,7 @@
 		return
 	}
 	h.typicalNeed = m.Need
+	h.recordFree()
 	h.started++
 	h.running[m.Run] = &simRun{started: h.f.now, cpu: m.Need.CPU, route: m.Route, link: l}
 	work, err := time.ParseDuration(m.Spec)
@@ -316,6 +344,7 @@
 	r.ended = true
 	delete(h.running, id)
 	h.table.Remove(id)
+	h.recordFree()
 	took := h.f.now.Sub(r.started)
 	h.runTime += took
 	h.cpuTime += took.Seconds() * float64(r.cpu)
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -37,6 +37,9 @@
 	// WaitingCPU is the sum of the CPU needs of the tasks that wait at the receiver, in
 	// thousandths of a core.
 	WaitingCPU int64 `cbor:"7,keyasint,omitempty"`
+	// Hopeless says that the job was declined because it cannot be answered in useful time there. Other jobs
+	// may still be sent.
+	Hopeless bool `cbor:"8,keyasint,omitempty"`
 }
 
 // PlacerState tells a peer whether this entry places jobs, and how much work waits. It is
