--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/evacuation"
+	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/placement"
 	"github.com/catkinline/catkinline/routing"
@@ -108,3 +109,35 @@
 		}
 	}
 }
+
+// Guards against a placer that refuses a job that cannot be answered in useful time there while the sender can ask
+// another placer, and against the last one that keeps it.
+func TestHopelessJobIsRefusedByLastPlacerOnly(t *testing.T) {
+	g := newPlacer(t)
+	g.members = member.New(nil, g.self(), member.Options{Log: zap.NewNop()})
+	l := &recordingLink{silentLink: silentLink{name: "peer"}}
+	g.forwarder.linkUp(l)
+	forward := func(number uint64, tasks int, last bool) {
+		g.handleForward(l, &wire.JobForward{
+			RequestID: number, LastChoice: last, TimeLeft: time.Minute,
+			Route: routing.Route{Name: "C", MaxAttempts: 1, Stretch: 1.6, TargetDuration: 60 * time.Millisecond, Timeout: time.Minute},
+			Job: workload.Job{ID: fmt.Sprint(number), Steps: []workload.Step{{
+				Tasks: tasks, Need: workload.Resources{CPU: 32000}, Estimate: time.Second,
+			}}},
+		})
+	}
+	g.scheduler.Tick(time.Now())
+	forward(1, 21, false) // one task starts and occupies the target; 20 s of work wait
+	g.scheduler.Tick(time.Now())
+	forward(2, 1, false)
+	forward(3, 1, true)
+	if len(l.sent) != 2 {
+		t.Fatalf("%d answers, want 2: %v", len(l.sent), l.sent)
+	}
+	if a := l.sent[0].(*wire.JobAnswer); a.RequestID != 2 || !a.Declined || !a.Hopeless {
+		t.Errorf("answer while another placer can be asked: %+v, want a decline as hopeless", a)
+	}
+	if a := l.sent[1].(*wire.JobAnswer); a.RequestID != 3 || a.Declined || a.Outcome != uint8(placement.Refused) || a.RetryAfter == 0 {
+		t.Errorf("answer of the last placer: %+v, want a refusal with a hint", a)
+	}
+}
