--- a/sidecar/start.go
+++ b/sidecar/start.go
@@ -75,8 +75,9 @@
 }
 
 // mayRepeatStart reports whether a run has to be started still: this process goes on and was not paused, no
-// poll has listed the run, it was neither given up nor reported as ended, and its domain is not evacuated. It records that the last request is unanswered and
-// that the run may start late; sendStart withdraws the latter when all other requests were refused.
+// poll has listed the run, it was neither given up nor reported as ended, and its domain is not evacuated. It
+// records that the last request is unanswered, and that the run may start late; sendStart withdraws the
+// latter when all other requests were refused.
 func (s *Sidecar) mayRepeatStart(r *runs.Run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
