--- a/placement/cold.go
+++ b/placement/cold.go
@@ -10,8 +10,8 @@
 // meanwhile, and its run times say nothing about it or the tasks.
 
 const (
-	// coldPenalty puts cold targets behind all warm ones: it exceeds the sum of the other terms of the
-	// score but avoidPenalty.
+	// coldPenalty puts cold targets behind warm ones, but for those that the task avoids, or on which it would
+	// take over three times as long as on the best one.
 	coldPenalty = 3.5
 	// coldFactor is how much longer a run may take on a cold target before that says anything about the task
 	// or the target. Targets report how long they are cold, not how slow.
