--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/catkinline/catkinline/workload"
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/workload"
+)
 
 // Weights of the terms of a target's score. Scoring by free capacity spreads work over
 // targets, so that entries that place tasks at the same time collide less often.
@@ -14,7 +18,7 @@
 )
 
 // choose returns the candidate with the highest score that a task may run on, or nil.
-func (s *Scheduler) choose(j *activeJob, step int, k *task, candidates []candidate, kind confinement) *candidate {
+func (s *Scheduler) choose(j *activeJob, step int, k *task, candidates []candidate, kind confinement, now time.Time) *candidate {
 	spec := &j.request.Job.Steps[step]
 	var best *candidate
 	bestScore := 0.0
@@ -37,6 +41,12 @@
 			continue
 		}
 		score := s.score(spec, k, c)
+		if c.target.cold(&j.request.Route, now) {
+			if now.Before(c.target.nextColdStart) {
+				continue
+			}
+			score -= coldPenaltyOf(j, step)
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = c, score
 		}
--- /dev/null
+++ b/placement/cold.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/catkinline/catkinline/routing"
+)
+
+// A target is cold, and slow, for a while after its start or an evacuation. It takes few tasks
+// meanwhile, and its run times say nothing about it or the tasks.
+
+const (
+	// coldPenalty puts cold targets behind all warm ones: it exceeds the sum of the other terms of the
+	// score but avoidPenalty.
+	coldPenalty = 3.5
+	// coldLongTask is the expected run time from which a task goes to a warm target, if one has free
+	// capacity: what a slow target adds to it is more than the allowance in its objective.
+	coldLongTask = 250 * time.Millisecond
+	// coldReportDelay is how long after a revocation targets are taken for cold that have not said so
+	// yet: they report every 1.5 s.
+	coldReportDelay = 2 * time.Second
+)
+
+// cold reports whether a target is slow: as it reports, or for a moment after the evacuation of its
+// domain was revoked, if the service's targets are slow then.
+func (t *target) cold(route *routing.Route, now time.Time) bool {
+	return now.Before(t.coldUntil) || route.ColdStart > 0 && now.Sub(t.revokedAt) < min(route.ColdStart, coldReportDelay)
+}
+
+// countColdStart delays the next start on a cold target, so that the placers together do not exceed
+// the rate that it takes without harm.
+func (s *Scheduler) countColdStart(t *target, route *routing.Route, now time.Time) {
+	if route.ColdRate <= 0 {
+		return
+	}
+	placers := 1.0
+	if s.opts.Entries != nil {
+		placers = max(1, float64(s.opts.Entries()))
+	}
+	t.nextColdStart = now.Add(seconds(placers / route.ColdRate))
+}
+
+// coldPenaltyOf returns what a cold target loses in the score for a step: urgent and long tasks go to
+// a warm one if there is one with free capacity.
+func coldPenaltyOf(j *activeJob, step int) float64 {
+	if j.request.Route.Priority == 0 || j.expected[step] >= coldLongTask {
+		return coldPenalty
+	}
+	return 0
+}
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -19,7 +19,11 @@
 	defer s.mu.Unlock()
 	s.evacuations = e
 	for _, t := range s.ordered {
-		t.evacuated = e.Covers(t.state.FailureDomain)
+		evacuated := e.Covers(t.state.FailureDomain)
+		if t.evacuated && !evacuated {
+			t.revokedAt = now
+		}
+		t.evacuated = evacuated
 	}
 	s.updateSandbox(now)
 	s.refuseEvacuated(now)
--- a/placement/health.go
+++ b/placement/health.go
@@ -96,6 +96,11 @@
 	switch end {
 	case wire.EndDone:
 		t.backoff = 0
+		if r.cold || now.Before(t.coldUntil) {
+			h.faultScore = max(0, h.faultScore-successCredit)
+			s.restore(t) // it is slow as announced, and works
+			return
+		}
 		reference, _ := r.reference()
 		ratio := float64(max(took, minRunTime)) / float64(max(reference, minRunTime)+startOverhead)
 		h.weight = min(h.weight+1, slownessWindow)
@@ -194,7 +199,7 @@
 
 func (r *run) overdue(now time.Time) bool {
 	reference, fromSiblings := r.reference()
-	if fromSiblings {
+	if fromSiblings && !r.cold {
 		return now.Sub(r.sent) > time.Duration(overdueFactor*float64(reference))+overdueSlack
 	}
 	return now.Sub(r.sent) > time.Duration(estimateOverdueFactor*float64(reference))+estimateOverdueSlack
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -66,7 +66,9 @@
 	if end == wire.EndDone {
 		k.doneOn, k.took = t, took
 		s.crashes.Done(r.id.Task, now)
-		s.estimates.observe(j.request.Route.Name, j.request.Job.Steps[r.step].Estimate, took)
+		if !r.cold {
+			s.estimates.observe(j.request.Route.Name, j.request.Job.Steps[r.step].Estimate, took)
+		}
 		s.completeTask(j, r, k, now)
 		return
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -224,7 +224,7 @@
 				complete = false
 				continue
 			}
-			c := s.choose(j, step, k, candidates, kind)
+			c := s.choose(j, step, k, candidates, kind, now)
 			if c == nil {
 				complete = false
 				if kind == unconfined {
@@ -256,6 +256,10 @@
 		sent:        now,
 		expected:    j.expected[step],
 		alone:       kind == alone,
+		cold:        t.cold(&j.request.Route, now),
+	}
+	if r.cold {
+		s.countColdStart(t, &j.request.Route, now)
 	}
 	k.state, k.run = taskInFlight, r
 	t.runs[r.id] = r
--- a/placement/target.go
+++ b/placement/target.go
@@ -23,25 +23,29 @@
 	expected       time.Duration
 	stopping       bool
 	alone          bool // no run of another job may be beside it
+	cold           bool // the target was cold at the start, see cold.go
 	overdueCounted bool // has added to its target's fault score as overdue
 }
 
 // target is an agent and its target, as this entry sees them.
 type target struct {
-	name         string // of the agent
-	rank         uint64 // see targetRank
-	incarnation  wire.Incarnation
-	link         Sender // nil while there is no link
-	stateKnown   bool   // a state has arrived on this link
-	evacuated    bool   // its failure domain is evacuated
-	state        wire.TargetState
-	startsSent   uint64 // starts sent on this link
-	runs         map[workload.RunID]*run
-	linkLostAt   time.Time
-	backoff      time.Duration // after a refusal by the target; zero without one
-	backoffUntil time.Time     // no start is sent before this time
-	health       health
-	crashedAt    time.Time // of its last process
+	name          string // of the agent
+	rank          uint64 // see targetRank
+	incarnation   wire.Incarnation
+	link          Sender    // nil while there is no link
+	stateKnown    bool      // a state has arrived on this link
+	evacuated     bool      // its failure domain is evacuated
+	revokedAt     time.Time // when it last ceased to be
+	coldUntil     time.Time // the target is slow until then, as it reports
+	nextColdStart time.Time // the next start on the cold target, see cold.go
+	state         wire.TargetState
+	startsSent    uint64 // starts sent on this link
+	runs          map[workload.RunID]*run
+	linkLostAt    time.Time
+	backoff       time.Duration // after a refusal by the target; zero without one
+	backoffUntil  time.Time     // no start is sent before this time
+	health        health
+	crashedAt     time.Time // of its last process
 	// lostRuns are the runs that were given up after the agent's link was lost.
 	lostRuns []crash.Suspect
 }
@@ -194,6 +198,7 @@
 	first := !t.stateKnown
 	t.state, t.stateKnown = *m, true
 	t.evacuated = s.evacuations.Covers(m.FailureDomain)
+	t.coldUntil = now.Add(m.ColdLeft)
 	t.linkLostAt = time.Time{}
 	if before.Target != m.Target {
 		t.health = health{}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -29,6 +29,10 @@
 	// Unguarded says that targets of the service start what does not fit: nobody else keeps them
 	// within their capacity.
 	Unguarded bool `cbor:"10,keyasint,omitempty"`
+	// ColdStart is how long a target of the service is slow after its start or an evacuation, and
+	// ColdRate how many tasks a second it takes without harm meanwhile; 0: no limit.
+	ColdStart time.Duration `cbor:"11,keyasint,omitempty"`
+	ColdRate  float64       `cbor:"12,keyasint,omitempty"`
 }
 
 // Table is one version of the configured routes. It is immutable after Build and so
--- a/sidecar/evacuation_test.go
+++ b/sidecar/evacuation_test.go
@@ -104,3 +104,31 @@
 		b.expectRefusal(l, 9)
 	})
 }
+
+// Guards against entries that do not hear that a target is slow after its start, or still take it for
+// slow, and against a message to each of them for each report meanwhile.
+func TestColdTimeIsAnnounced(t *testing.T) {
+	runFixture(t, withRunTime(time.Second), func(b *fixture) {
+		l := b.open("a")
+		report := func(left time.Duration) {
+			b.number++
+			b.sidecar.HandleReport(targets.Report{
+				Target: "i-standin", Service: "frames", Capacity: workload.Resources{CPU: 32000, Memory: 131072}, Born: b.born(), Sequence: b.number, ColdLeft: left,
+			})
+		}
+		report(10 * time.Second)
+		if left := l.state().ColdLeft; left != 10*time.Second {
+			t.Errorf("announced %s, want 10 s", left)
+		}
+		sent := len(l.messages())
+		time.Sleep(1500 * time.Millisecond)
+		report(8400 * time.Millisecond)
+		if n := len(l.messages()); n != sent {
+			t.Errorf("%d further messages after a report without news", n-sent)
+		}
+		report(0)
+		if left := l.state().ColdLeft; left != 0 {
+			t.Errorf("announced %s after the target is warm", left)
+		}
+	})
+}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -169,10 +169,11 @@
 	before, wasAccepting, wasUsable := s.report, s.acceptsRuns(), s.reportUsable
 	s.report, s.reportUsable, s.restored = r, true, false
 	s.reportedAt = time.Now()
+	coldChanged := s.setCold(r.ColdLeft, s.reportedAt)
 	s.target.leaves = s.target.leaves || r.Draining
 	s.saveReport(r)
 	s.table.SetCapacity(r.Capacity)
-	if !wasUsable || wasAccepting != s.acceptsRuns() || describesOtherwise(before, r) {
+	if !wasUsable || wasAccepting != s.acceptsRuns() || coldChanged || describesOtherwise(before, r) {
 		s.log.Info("target reported", zap.String("target", r.Target), zap.String("service", r.Service), zap.Bool("draining", r.Draining),
 			zap.Int64("cpu", r.Capacity.CPU), zap.Int64("memory_mb", r.Capacity.Memory), zap.Strings("labels", r.Labels), zap.Uint64("sequence", r.Sequence))
 		s.broadcastState()
@@ -181,6 +182,24 @@
 	s.updateStaleness(s.reportedAt)
 }
 
+// minColdChange is the change of the end of the slow time that entries are told of. Reports are
+// rounded and delayed by less.
+const minColdChange = time.Second
+
+// setCold sets how much longer the target is slow, and reports whether entries have to know.
+func (s *Sidecar) setCold(left time.Duration, now time.Time) bool {
+	until := now.Add(left)
+	known := s.coldUntil
+	if known.Before(now) {
+		known = now
+	}
+	if until.Sub(known).Abs() < minColdChange {
+		return false
+	}
+	s.coldUntil = until
+	return true
+}
+
 // describesOtherwise reports whether two reports differ in what entries have to know.
 func describesOtherwise(a, b targets.Report) bool {
 	return a.Target != b.Target || a.Service != b.Service || a.Draining != b.Draining || a.Capacity != b.Capacity || !slices.Equal(a.Labels, b.Labels)
--- a/sidecar/report_store.go
+++ b/sidecar/report_store.go
@@ -85,9 +85,11 @@
 	}
 }
 
-// equalIgnoringSequence reports whether two reports differ at most in their sequence numbers.
+// equalIgnoringSequence reports whether two reports differ at most in their sequence numbers and in
+// what is not saved.
 func equalIgnoringSequence(a, b targets.Report) bool {
 	a.Sequence, b.Sequence = 0, 0
+	a.ColdLeft, b.ColdLeft = 0, 0
 	return reflect.DeepEqual(a, b)
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -129,6 +129,7 @@
 	crashes      *crash.History // of the target's processes
 	report       targets.Report
 	reportUsable bool      // report is from the target itself, or was confirmed by a poll
+	coldUntil    time.Time // the target is slow until then, as it reports
 	reportedAt   time.Time // when the target last reported to this process; zero: not, or the process was paused since
 	saidStale    bool      // the entries were told that the capacity is stale
 	saidSilent   bool      // it was logged that an entry is silent and the lease is shortened
@@ -289,6 +290,7 @@
 		Closed:        !s.acceptsRuns() || state.retiring,
 		Born:          s.target.born,
 		CapacityStale: s.saidStale,
+		ColdLeft:      max(0, time.Until(s.coldUntil)),
 	}
 	if !state.announced {
 		state.announced = true
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -25,6 +25,9 @@
 	Left          bool   // the target has ended as planned
 	Born          int64  // start of the target process, Unix milliseconds; 0: unknown
 	Sequence      uint64 // increases with each report of one process
+	// ColdLeft is how much longer the target is slow, after its start or an evacuation. It changes
+	// with each report, and is not saved.
+	ColdLeft time.Duration `json:"-"`
 	// FencingToken is the highest token that the agent has sent to the target, which the agent adds
 	// before it saves the report; targets do not report it.
 	FencingToken uint64 `json:",omitempty"`
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -31,6 +31,8 @@
 	// Runs are the runs of the receiving entry process that the agent has. It is complete in the
 	// first state on a link, and empty in others: what it leaves out has ended or never began.
 	Runs []workload.RunID `cbor:"10,keyasint,omitempty"`
+	// ColdLeft is how much longer the target is slow, after its start or an evacuation.
+	ColdLeft time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Room is a target's free capacity. StartsReceived is the number of RunStarts that
