Entry: bound heads and connections of callers

Callers saw: an entry that was ended for want of memory, or that accepted nobody. 300 heads of 1 MB that never end took 5,881 MB, 5,000 silent connections 5,017 descriptors.

Cause: the server for callers was net/http's with two timeouts. A head may have 1 MB there and is parsed line by line, and nothing counts connections.

Callers are now served by internal/httpserve, as at a gateway: heads are held back until they are whole, 16 KB at most (limits.head_bytes), and a budget of package ingress closes those that hold the most for the longest time. The settings get machine.memory_mb and machine.descriptors, of an agent too; without them descriptors are the limit of the process, and a full queue of one service fits. Refusals are answers with result codes (head_too_large, request_timeout, busy), all not run.

--- a/command/node.go
+++ b/command/node.go
@@ -122,10 +122,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
-	if limit := ingress.NewPlan(node.Machine).GoMemory; limit > 0 {
-		// The second line of defence: the garbage collector runs as often as the limit needs.
-		debug.SetMemoryLimit(limit)
-	}
+	limitGoMemory(node.Machine)
 	registry := metrics.New(map[string]string{"role": role, "instance": node.Name})
 	p, err := build(nodeProcess{node: node, log: log, metrics: registry, store: store})
 	if err != nil {
@@ -139,6 +136,14 @@
 	return exitOK
 }
 
+// limitGoMemory makes the garbage collector run as often as the memory of the machine needs, as a second line of
+// defence behind the limits of clients. It does nothing if the memory is not known.
+func limitGoMemory(m ingress.Machine) {
+	if limit := ingress.NewPlan(m).GoMemory; limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 func (a nodeArgs) path() string {
 	if a.Settings != "" {
 		return a.Settings
--- a/command/process.go
+++ b/command/process.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinline/catkinline/agent"
 	"github.com/catkinline/catkinline/entry"
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/platform"
 	"github.com/catkinline/catkinline/settings"
@@ -44,6 +45,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
+	limitGoMemory(httpserve.Machine(s.Machine))
 	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store kv.Store) (process, error) {
 		return entry.New(entry.Options{Settings: s, Log: log, Store: store})
 	})
@@ -72,6 +74,7 @@
 	if err != nil {
 		return failed(stderr, err)
 	}
+	limitGoMemory(httpserve.Machine(s.Machine))
 	return runProcess(ctx, stderr, s.Log, s.Store, func(log *zap.Logger, store kv.Store) (process, error) {
 		return agent.NewProcess(s, store, log)
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/catkinline/catkinline/claim"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/member"
@@ -65,6 +66,7 @@
 	peers      map[*transport.Link]bool
 	confirmed  map[string]uint64 // revision last received from each peer, by name
 	listener   *transport.Listener
+	servers    *httpserve.Servers
 	callerAddr net.Addr
 }
 
@@ -161,28 +163,22 @@
 }
 
 func (e *Entry) serveCallers() error {
-	l, err := net.Listen("tcp", e.settings.CallerAddress)
+	e.servers = e.newServers()
+	e.tomb.Go(e.shutDownServers)
+	address, err := e.servers.Serve(httpserve.Callers, e.settings.CallerAddress, e.callerRoutes())
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	e.callerAddr = l.Addr()
-	e.serveHTTP(l, e.callerRoutes())
+	e.callerAddr = address
 	return nil
 }
 
-// headerTimeout limits how long a client may take to send a request's header;
-// idleTimeout closes keep-alive connections without a new request.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-)
-
 // serveHTTP serves until the entry stops. A planned stop waits for the job requests
 // before that, so that Shutdown finds none in progress.
 func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
 	server := &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          settings.ServerLogger(e.log),
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,10 +169,10 @@
 	if err != nil {
 		return err
 	}
-	if err := g.servers.Serve(httpserve.Callers, g.node.CallerAddress, g.opts.CallerHandler(g)); err != nil {
+	if _, err := g.servers.Serve(httpserve.Callers, g.node.CallerAddress, g.opts.CallerHandler(g)); err != nil {
 		return err
 	}
-	if err := g.servers.Serve(httpserve.Readiness, g.node.ReadyAddress, g.readyHandler()); err != nil {
+	if _, err := g.servers.Serve(httpserve.Readiness, g.node.ReadyAddress, g.readyHandler()); err != nil {
 		return err
 	}
 	if err := g.servers.ServeMetrics(g.node.IP, g.opts.AdminPort, g.opts.Metrics); err != nil {
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -90,6 +90,7 @@
 	// IdleTimeout is how long a connection may stay without a byte: before the first request, between
 	// requests, and within a body.
 	IdleTimeout time.Duration
+	BodyTimeout time.Duration // from the first to the last byte of a body; 0: none
 }
 
 // DefaultRules are in force until the operators' are known. They are the limits that the platform's
--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -38,6 +38,9 @@
 // counted in the budget of the client's group. After an error that BodyStatus knows the connection is closed.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
 	b := body{r: r, c: connOf(r.Context()), limit: limit}
+	if total := b.rules().BodyTimeout; total > 0 {
+		b.end = time.Now().Add(total)
+	}
 	if limit == 0 {
 		b.limit = b.rules().MaxBody
 	}
@@ -57,6 +60,7 @@
 	r     *http.Request
 	c     *conn // nil: not a connection of this package
 	limit int
+	end   time.Time // when it has to be whole; zero: no limit
 }
 
 func (b *body) read() ([]byte, error) {
@@ -130,7 +134,7 @@
 	n := 0
 	for n < len(buf) {
 		if b.c != nil {
-			_ = b.c.SetReadDeadline(time.Now().Add(b.rules().IdleTimeout)) // fails only on a closed connection
+			_ = b.c.SetReadDeadline(b.deadline(time.Now())) // fails only on a closed connection
 		}
 		read, err := b.r.Body.Read(buf[n:])
 		n += read
@@ -144,6 +148,15 @@
 	return buf, false, nil
 }
 
+// deadline returns when the next byte has to arrive.
+func (b *body) deadline(now time.Time) time.Time {
+	next := now.Add(b.rules().IdleTimeout)
+	if !b.end.IsZero() && b.end.Before(next) {
+		return b.end
+	}
+	return next
+}
+
 func (b *body) readError(err error) error {
 	switch {
 	case b.c != nil && b.c.isEvicted():
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -209,7 +209,7 @@
 	// The server wants more of a head of which it has some: bytes that it read ahead, or lines after what
 	// looked like an end. They are parsed already.
 	if cost := ingress.HeadCost(c.passed, c.passed/shortestLine); cost > 0 && !c.hold(cost, now) {
-		return 0, c.refuse(refusedBusy, p)
+		return 0, c.refuse(c.group.refusals.busy, p)
 	}
 	if c.taken > 0 { // sent ahead, with the body before
 		c.held = append([]byte(nil), c.held[c.taken:]...)
@@ -223,7 +223,7 @@
 	for {
 		buf, ok := c.buffer(p, now)
 		if !ok {
-			return 0, c.refuse(refusedBusy, p)
+			return 0, c.refuse(c.group.refusals.busy, p)
 		}
 		if err := c.SetReadDeadline(c.headDeadline()); err != nil {
 			return 0, err
@@ -294,10 +294,10 @@
 	c.headBytes += len(p)
 	c.headLines += bytes.Count(p, lineFeed)
 	if c.headBytes > c.group.rules().MaxHead {
-		return false, refusedHead
+		return false, c.group.refusals.head
 	}
 	if cost := ingress.HeadCost(c.headBytes, c.headLines); whole && cost > 0 && !c.hold(cost, now) {
-		return false, refusedBusy
+		return false, c.group.refusals.busy
 	}
 	return whole, nil
 }
@@ -318,11 +318,11 @@
 	}
 	switch {
 	case c.isEvicted() && c.headBytes > 0:
-		return c.refuse(refusedBusy, p)
+		return c.refuse(c.group.refusals.busy, p)
 	case c.isEvicted():
 		return errRefused // counted when it was chosen
 	case c.headBytes > 0:
-		return c.refuse(refusedSlowHead, p)
+		return c.refuse(c.group.refusals.slowHead, p)
 	}
 	c.group.count(metrics.ReasonIdle)
 	return errRefused
--- a/internal/httpserve/group.go
+++ b/internal/httpserve/group.go
@@ -22,6 +22,7 @@
 	opts     Options
 	budget   *ingress.Budget
 	rulesNow atomic.Pointer[ingress.Rules]
+	refusals refusals
 	series   map[string]*atomic.Int64 // by reason: Unix time in ns of the last refusal
 }
 
@@ -30,7 +31,14 @@
 	if name == Readiness || name == Metrics {
 		limits = o.Plan.Probes
 	}
-	g := &group{name: name, opts: o, budget: ingress.NewBudget(limits), series: make(map[string]*atomic.Int64)}
+	refusalBody := reasonBody
+	if name == Callers && o.RefusalBody != nil {
+		refusalBody = o.RefusalBody
+	}
+	g := &group{
+		name: name, opts: o, budget: ingress.NewBudget(limits),
+		refusals: newRefusals(refusalBody), series: make(map[string]*atomic.Int64),
+	}
 	for _, reason := range []string{
 		metrics.ReasonHeadTooLarge, metrics.ReasonHeadTimeout, metrics.ReasonBodyTooLarge, metrics.ReasonBodyTimeout,
 		metrics.ReasonBusy, metrics.ReasonChosen, metrics.ReasonConnections, metrics.ReasonIdle,
@@ -91,7 +99,7 @@
 			w.Header().Set("Retry-After", "1")
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusServiceUnavailable)
-			_, _ = w.Write(busyBody) // fails only if the client has gone
+			_, _ = w.Write(g.refusals.busy.body) // fails only if the client has gone
 			return
 		}
 		h.ServeHTTP(w, r)
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -42,7 +42,7 @@
 
 // Groups of clients.
 const (
-	Callers   Group = "callers"   // at a gateway
+	Callers   Group = "callers"   // at a gateway or an entry
 	Reports   Group = "reports"   // the target beside a sidecar
 	Readiness Group = "readiness" // the load balancer
 	Metrics   Group = "metrics"   // the operators
@@ -53,6 +53,9 @@
 	Log     *zap.Logger
 	Metrics *metrics.Registry
 	Plan    ingress.Plan
+	// RefusalBody returns the body of a refusal for callers whose request did not get to a handler, with
+	// status 408, 431 or 503. Nothing of the request has run. Nil: an object with the reason.
+	RefusalBody func(status int, reason string) []byte
 }
 
 // Servers are the HTTP servers of one process. The methods must not be called
@@ -81,15 +84,16 @@
 	s.groups[Callers].rulesNow.Store(&r)
 }
 
-// Serve listens on a TCP ip:port and serves it in the background until Shutdown.
-func (s *Servers) Serve(name Group, address string, h http.Handler) error {
+// Serve listens on a TCP ip:port and serves it in the background until Shutdown. It returns the address that it is
+// bound to.
+func (s *Servers) Serve(name Group, address string, h http.Handler) (net.Addr, error) {
 	config := net.ListenConfig{Control: setBuffers}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	s.serveOn(s.groups[name], l, h)
-	return nil
+	return l.Addr(), nil
 }
 
 // serveOn serves a listener for a group in the background until Shutdown.
@@ -150,7 +154,8 @@
 	}
 	router := bunrouter.New()
 	router.GET("/metrics", bunrouter.HTTPHandler(r.Handler()))
-	return s.Serve(Metrics, net.JoinHostPort(ip, strconv.Itoa(port)), router)
+	_, err := s.Serve(Metrics, net.JoinHostPort(ip, strconv.Itoa(port)), router)
+	return err
 }
 
 // Shutdown shuts down every server. Requests are served until no connection has one and the callers
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -43,7 +43,7 @@
 	registry := metrics.New(nil)
 	b.servers = New(&life, Options{Log: zap.NewNop(), Metrics: registry, Plan: ingress.Plan{Clients: limits}})
 	b.servers.SetRules(rules)
-	if err := b.servers.Serve(Callers, address, http.HandlerFunc(b.handle)); err != nil {
+	if _, err := b.servers.Serve(Callers, address, http.HandlerFunc(b.handle)); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
--- a/internal/httpserve/refusal.go
+++ b/internal/httpserve/refusal.go
@@ -11,27 +11,33 @@
 type refusal struct {
 	reason   string // for the metric
 	linger   bool   // the client may still be sending
-	response []byte
+	body     []byte
+	response []byte // the whole response, with the body
 }
 
-// Refusals of heads. Nothing of such a request has run.
-var (
-	refusedHead     = newRefusal(metrics.ReasonHeadTooLarge, true, http.StatusRequestHeaderFieldsTooLarge, "", "the head of the request is too large")
-	refusedSlowHead = newRefusal(metrics.ReasonHeadTimeout, false, http.StatusRequestTimeout, "", "the head of the request did not arrive in time")
-	refusedBusy     = newRefusal(metrics.ReasonBusy, true, http.StatusServiceUnavailable, "Retry-After: 1\r\n", busyText)
-)
+// refusals are those of a group. Nothing of such a request has run.
+type refusals struct{ head, slowHead, busy *refusal }
+
+// newRefusals returns refusals whose bodies are made by a function.
+func newRefusals(body func(status int, reason string) []byte) refusals {
+	return refusals{
+		head:     newRefusal(metrics.ReasonHeadTooLarge, true, http.StatusRequestHeaderFieldsTooLarge, body, "the head of the request is too large"),
+		slowHead: newRefusal(metrics.ReasonHeadTimeout, false, http.StatusRequestTimeout, body, "the head of the request did not arrive in time"),
+		busy:     newRefusal(metrics.ReasonBusy, true, http.StatusServiceUnavailable, body, busyText),
+	}
+}
 
 // busyText tells a caller that its connection was closed for others, or that its request does not fit.
 const busyText = "clients hold too much of this process; not run"
 
-// busyBody is the body of answers with busyText.
-var busyBody = reasonBody(busyText)
-
-func reasonBody(text string) []byte { return fmt.Appendf(nil, "{\"reason\":%q}", text) }
+func reasonBody(_ int, reason string) []byte { return fmt.Appendf(nil, "{\"reason\":%q}", reason) }
 
-func newRefusal(reason string, linger bool, status int, header, text string) *refusal {
-	body := reasonBody(text)
-	return &refusal{reason: reason, linger: linger, response: fmt.Appendf(nil,
+func newRefusal(reason string, linger bool, status int, encode func(status int, reason string) []byte, text string) *refusal {
+	body, header := encode(status, text), ""
+	if status == http.StatusServiceUnavailable {
+		header = "Retry-After: 1\r\n"
+	}
+	return &refusal{reason: reason, linger: linger, body: body, response: fmt.Appendf(nil,
 		"HTTP/1.1 %d %s\r\n%sContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), header, len(body), body)}
 }
--- a/result/code.go
+++ b/result/code.go
@@ -24,6 +24,8 @@
 	MissingKey       Code = 112
 	BadLabel         Code = 113
 	BadHint          Code = 114
+	HeadTooLarge     Code = 115
+	RequestTimeout   Code = 116
 )
 
 // Codes 200 to 299: the system refused the job and did not run it.
@@ -38,6 +40,7 @@
 	NotConfigured      Code = 207
 	ExpiredInQueue     Code = 208
 	CancelledInQueue   Code = 209
+	Busy               Code = 210
 )
 
 // Codes 300 to 399: the job was accepted and failed.
@@ -50,6 +53,7 @@
 	TargetTimeout    Code = 305
 	AttemptsSpent    Code = 306
 	TargetLost       Code = 307
+	AnswerDropped    Code = 308
 )
 
 // Codes 400 to 499: an agent refused one start; the task was not run and the
--- a/result/table.go
+++ b/result/table.go
@@ -19,6 +19,8 @@
 	MissingKey:       {"missing_key", http.StatusBadRequest, NotRun, "the job has no request key"},
 	BadLabel:         {"bad_label", http.StatusBadRequest, NotRun, "a label's key or value has characters that are not allowed"},
 	BadHint:          {"bad_hint", http.StatusBadRequest, NotRun, "a declared size or run time is negative"},
+	HeadTooLarge:     {"head_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "the head of the request is over the size limit"},
+	RequestTimeout:   {"request_timeout", http.StatusRequestTimeout, NotRun, "the request did not arrive in time"},
 
 	NoMatchingTarget:   {"no_matching_target", http.StatusUnprocessableEntity, NotRun, "no announced target matches the selectors"},
 	QueueFull:          {"queue_full", http.StatusServiceUnavailable, NotRun, "the queue is full"},
@@ -30,6 +32,7 @@
 	NotConfigured:      {"not_configured", http.StatusServiceUnavailable, NotRun, "this entry has no configuration yet"},
 	ExpiredInQueue:     {"expired_in_queue", http.StatusServiceUnavailable, NotRun, "the deadline passed before any task started"},
 	CancelledInQueue:   {"cancelled_in_queue", statusClientClosedRequest, NotRun, "the caller went away before any task started"},
+	Busy:               {"busy", http.StatusServiceUnavailable, NotRun, "clients hold too much of this entry"},
 
 	TaskFailed:       {"task_failed", http.StatusBadGateway, RanYes, "a task failed on its target"},
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, RanUnknown, "the outcome of a task is not known"},
@@ -39,6 +42,7 @@
 	TargetTimeout:    {"target_timeout", http.StatusGatewayTimeout, RanUnknown, "the target did not answer within the time limit"},
 	AttemptsSpent:    {"attempts_spent", http.StatusServiceUnavailable, NotRun, "every attempt to start a task was refused"},
 	TargetLost:       {"target_lost", http.StatusBadGateway, RanUnknown, "the agent or target was lost while a task was out"},
+	AnswerDropped:    {"answer_dropped", http.StatusBadGateway, RanYes, "the job is done, but clients hold too much of this entry for its answer"},
 
 	GrantExpired:   {"grant_expired", http.StatusServiceUnavailable, NotRun, "the grant is unknown, used or expired"},
 	OldRevision:    {"old_revision", http.StatusServiceUnavailable, NotRun, "the start carries an older configuration revision"},
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -7,6 +7,7 @@
 	DefaultStoreTimeoutMS      = 1000 // a healthy store responds within milliseconds
 	DefaultSlots               = 8
 	DefaultConnections         = 64
+	DefaultHeadBytes           = 16 << 10 // callers send a few short header lines; proxies add some
 	DefaultBodyBytes           = 32 << 20
 	DefaultPayloadBytes        = 1 << 20
 	DefaultResultBytes         = 4 << 20
@@ -50,6 +51,7 @@
 
 // SetDefaults sets zero fields to their defaults and keeps all others.
 func (l *Limits) SetDefaults() {
+	setIfZero(&l.HeadBytes, DefaultHeadBytes)
 	setIfZero(&l.BodyBytes, DefaultBodyBytes)
 	setIfZero(&l.PayloadBytes, DefaultPayloadBytes)
 	setIfZero(&l.ResultBytes, DefaultResultBytes)
--- a/settings/types.go
+++ b/settings/types.go
@@ -20,6 +20,7 @@
 	TLS             TLS      `json:"tls"`
 	Log             Log      `json:"log"`
 	Limits          Limits   `json:"limits"`
+	Machine         Machine  `json:"machine"`
 	Policy          Policy   `json:"policy"`
 	// ClaimRetentionHours is how long the request key of a non-idempotent job is kept
 	// after the job's end, to reject duplicates; default 24.
@@ -40,6 +41,7 @@
 	TLS           TLS      `json:"tls"`
 	Log           Log      `json:"log"`
 	Target        Target   `json:"target"`
+	Machine       Machine  `json:"machine"`
 	Policy        Policy   `json:"policy"`
 }
 
@@ -79,6 +81,7 @@
 
 // Limits are the size limits of one entry. Absent fields are set to the defaults.
 type Limits struct {
+	HeadBytes    int   `json:"head_bytes"`    // of the head of a request; default 16 KiB
 	BodyBytes    int64 `json:"body_bytes"`    // of one job; default 32 MiB
 	PayloadBytes int   `json:"payload_bytes"` // of one task; default 1 MiB
 	ResultBytes  int   `json:"result_bytes"`  // of one task; default 4 MiB
@@ -89,6 +92,12 @@
 	QueuedBytes  int64 `json:"queued_bytes"`  // payload bytes of waiting tasks; default 256 MiB
 }
 
+// Machine is what a process may use of its machine. Clients are refused before they exceed it.
+type Machine struct {
+	MemoryMB    int `json:"memory_mb"`   // 0 (default): not known, see package ingress
+	Descriptors int `json:"descriptors"` // 0 (default): the limit of the process
+}
+
 // Policy selects the scheduling policies. The values other than the defaults are baselines for
 // measurements.
 type Policy struct {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -10,7 +10,8 @@
 	maxTimeoutMS    = 60_000
 	maxDrainSeconds = 600
 	maxClaimHours   = 24 * 366
-	minClaimHours   = 0.25 // the longest deadline; with a shorter retention a claim could expire while its job runs
+	minClaimHours   = 0.25    // the longest deadline; with a shorter retention a claim could expire while its job runs
+	maxHeadBytes    = 1 << 20 // more is not read by net/http
 	maxBodyBytes    = 1 << 30
 	maxAnswerBytes  = 1 << 30
 	maxTasks        = 10_000 // keeps index ranges and acknowledgements far below the wire limits
@@ -20,6 +21,10 @@
 	maxSlots        = 4096
 	maxEntryLinks   = 256 // number of entry names that an agent's slot table keeps
 	maxConnections  = 1 << 16
+	minMemoryMB     = 64 // less leaves nothing for clients
+	maxMemoryMB     = 1 << 20
+	minDescriptors  = 256
+	maxDescriptors  = 1 << 24
 
 	// A payload or a result is sent in one message; 64 KiB are left for the header.
 	maxPayloadBytes = wire.MaxMessageBytes - 64<<10
@@ -43,6 +48,7 @@
 	e.TLS.check(c)
 	e.Log.check(c)
 	e.Limits.check(c)
+	e.Machine.check(c)
 	e.Policy.check(c)
 	CheckRange(c, "claim_retention_hours", e.ClaimRetentionHours, minClaimHours, maxClaimHours)
 	CheckRange(c, "drain_seconds", e.DrainSeconds, 0, maxDrainSeconds)
@@ -82,6 +88,7 @@
 	a.TLS.check(c)
 	a.Log.check(c)
 	a.Target.check(c)
+	a.Machine.check(c)
 	a.Policy.check(c)
 }
 
@@ -129,6 +136,7 @@
 }
 
 func (l *Limits) check(c *Checker) {
+	CheckRange(c, "limits.head_bytes", l.HeadBytes, 1, maxHeadBytes)
 	CheckRange(c, "limits.body_bytes", l.BodyBytes, 1, maxBodyBytes)
 	CheckRange(c, "limits.payload_bytes", l.PayloadBytes, 1, maxPayloadBytes)
 	CheckRange(c, "limits.result_bytes", l.ResultBytes, 1, maxPayloadBytes)
@@ -148,6 +156,15 @@
 	}
 }
 
+func (m *Machine) check(c *Checker) {
+	if m.MemoryMB != 0 {
+		CheckRange(c, "machine.memory_mb", m.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
+	if m.Descriptors != 0 {
+		CheckRange(c, "machine.descriptors", m.Descriptors, minDescriptors, maxDescriptors)
+	}
+}
+
 func (p *Policy) check(c *Checker) {
 	c.OneOf("policy.order", p.Order, "remaining", "fifo")
 	c.OneOf("policy.binding", p.Binding, "late", "random", "two-choices")
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -126,7 +126,7 @@
 		Paused:        p.pauseDetector.Paused,
 		SaveReport:    reports.Save,
 	})
-	if err := p.servers.Serve(httpserve.Reports, p.node.ReportAddress, p.opts.ReportHandler(p.sidecar)); err != nil {
+	if _, err := p.servers.Serve(httpserve.Reports, p.node.ReportAddress, p.opts.ReportHandler(p.sidecar)); err != nil {
 		return err
 	}
 	if err := p.servers.ServeMetrics(p.node.IP, p.opts.AdminPort, p.opts.Metrics); err != nil {
