Entry: count the bodies of jobs and read them as they arrive

Callers saw: an entry that was ended for want of memory by bodies of legal size that stop just short of their end, or that are whole and wait. 1,500 of 256 KB took 583 MB.

Cause: io.ReadAll takes up to three times a body, and nothing counts what is held.

Bodies are read by httpserve.ReadBody, in parts that grow with what arrives and count in the budget of callers; after decoding, a job counts with its payloads until it is answered. Large jobs are decoded one at a time.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,20 +3,23 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/catkinline/catkinline/api"
+	"github.com/catkinline/catkinline/ingress"
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/result"
 	"github.com/uptrace/bunrouter"
 )
 
-// readTimeout limits how long a caller may take to send a job, so that stalled
-// connections do not hold memory.
+// readTimeout limits how long a caller may take to send a job, so that no caller delays a planned
+// stop for longer.
 const readTimeout = 30 * time.Second
 
 // writeTimeout limits how long writing an answer may take.
@@ -56,10 +59,7 @@
 	defer e.requests.Add(-1)
 	e.counts.entered.Add(1)
 	e.metrics.Add(metrics.JobsEntered, 1)
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(readTimeout))
-	spec, failure := job.Decode(req.Body, e.jobLimits(req.Param("service")))
-	_ = controller.SetReadDeadline(time.Time{})
+	spec, failure := e.readJob(w, req)
 	if failure != nil {
 		return e.refuse(w, failure)
 	}
@@ -68,10 +68,38 @@
 		return e.refuse(w, failure)
 	}
 	answer := pending.wait(req.Context())
-	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	return writeAnswer(w, answer)
 }
 
+// readJob reads and decodes a job. Until the request is answered, its payloads count as held by its client.
+func (e *Entry) readJob(w http.ResponseWriter, req bunrouter.Request) (*job.Spec, *result.Error) {
+	limits := e.jobLimits(req.Param("service"))
+	raw, err := httpserve.ReadBody(w, req.Request, int(limits.BodyBytes))
+	switch status := httpserve.BodyStatus(err); {
+	case errors.Is(err, httpserve.ErrBodyTooLarge):
+		return nil, result.Newf(result.BodyTooLarge, "the limit is %d bytes", limits.BodyBytes)
+	case err != nil:
+		return nil, refusalOf(status)
+	}
+	spec, failure := decodeJob(raw, limits)
+	if failure == nil {
+		httpserve.KeepOfBody(req.Request, spec.PayloadBytes())
+	}
+	return spec, failure
+}
+
+// largeDecodes is a semaphore of one: the decoder takes a multiple of a large body while it works.
+var largeDecodes = make(chan struct{}, 1)
+
+func decodeJob(raw []byte, l job.Limits) (*job.Spec, *result.Error) {
+	if len(raw) > ingress.SmallRequest {
+		largeDecodes <- struct{}{}
+		defer func() { <-largeDecodes }()
+	}
+	return job.DecodeBytes(raw, l)
+}
+
 // refuse counts a job that was not accepted and writes its answer.
 func (e *Entry) refuse(w http.ResponseWriter, failure *result.Error) error {
 	e.counts.refused.Add(1)
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -35,6 +35,7 @@
 		code    result.Code
 	}{
 		{"POST " + framesPath + " HTTP/1.1\r\nHost: a\r\n" + long + "\r\n", 431, result.HeadTooLarge},
+		{"POST " + framesPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: 4096\r\n\r\n", 413, result.BodyTooLarge},
 		{"POST " + framesPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}", 400, result.MissingKey},
 	} {
 		conn, err := net.Dial("tcp", e.CallerAddress())
--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -55,6 +55,14 @@
 	return data, err
 }
 
+// KeepOfBody records how many bytes of a request and its body are kept until it is answered, if they are fewer than
+// those counted by ReadBody.
+func KeepOfBody(r *http.Request, bytes int64) {
+	if c := connOf(r.Context()); c != nil {
+		c.client.Reset(c.heldSize + bytes)
+	}
+}
+
 // body is the body of a request that is being read.
 type body struct {
 	r     *http.Request
