Transport: read the end of each stream of a large message

Callers saw: once some hundred messages over 32 KB had passed on a link, no further one did. Results of that size, large jobs and specs never arrived, while heartbeats kept the link up: jobs expired, and new ones were refused as infeasible, until one of the processes ended.

Cause: a receiver read exactly the bytes of a message. Where the end of the stream came in a packet of its own it was never read, so that the stream counted as open; after 64 of these the sender waited for a stream for ever. Found by TestEntryAnswersThatAreNotRead: a dump of the stuck processes showed eight senders in OpenUniStreamSync and no stream at the receiver.

The receiver now reads the end after it has handled the message; further bytes close the link.

--- a/transport/link.go
+++ b/transport/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -286,16 +287,38 @@
 			return Error.Wrap(err)
 		}
 		l.tomb.Go(func() error {
-			m, n, err := wire.Read(s)
-			if err != nil {
-				return Error.Wrap(err)
+			if err := l.readLarge(s); err != nil {
+				return err
 			}
-			l.handle(m, n)
-			return nil
+			return readEnd(s)
 		})
 	}
 }
 
+// readLarge reads and handles a message on a stream of its own.
+func (l *Link) readLarge(s io.Reader) error {
+	m, n, err := wire.Read(s)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	l.handle(m, n)
+	return nil
+}
+
+// readEnd reads the end of a stream after its message. Until then the stream counts as open, and the peer may open no
+// more than maxLargeStreams.
+func readEnd(s io.Reader) error {
+	var rest [1]byte
+	switch _, err := io.ReadFull(s, rest[:]); err {
+	case io.EOF:
+		return nil
+	case nil:
+		return Error.New("bytes follow the message of a stream")
+	default:
+		return Error.Wrap(err)
+	}
+}
+
 func (l *Link) writeLoop() error {
 	for {
 		select {
--- a/transport/link_test.go
+++ b/transport/link_test.go
@@ -171,3 +171,35 @@
 		t.Errorf("the sender was last known to be alive %s ago", age)
 	}
 }
+
+// Guards against streams of large messages that are never complete: after as many as may be open at once, no further
+// large message would arrive on the link.
+func TestLinkCarriesManyLargeMessages(t *testing.T) {
+	entry, agent := newRecordingHandler(), newRecordingHandler()
+	l := listen(t, entry)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go Dial(ctx, l.Address().String(), options(t, wire.RoleAgent, "a", agent))
+	up := <-agent.up
+	large := bytes.Repeat([]byte("x"), 1<<20) // more than is received ahead
+	const batch, batches = 8, 5 * maxLargeStreams / 8
+	for i := range batches {
+		for range batch {
+			if err := up.Send(&wire.Outcome{State: wire.StateDone, Result: large}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		arrived := make(chan bool, 1)
+		go func() {
+			for range batch {
+				entry.next(wire.TypeOutcome)
+			}
+			close(arrived)
+		}()
+		select {
+		case <-arrived:
+		case <-time.After(30 * time.Second):
+			t.Fatalf("batch %d of %d has not arrived", i+1, batches)
+		}
+	}
+}
