--- a/integration/tasks_notrun_test.go
+++ b/integration/tasks_notrun_test.go
@@ -1,11 +1,13 @@
 package integration
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -309,12 +311,78 @@
 	f.checkCounts(0)
 }
 
+// Guards against jobs that run although an entry refused their request for its head, its slowness, or the memory
+// that callers hold together.
+func TestTasksNotRunWhenClientsHoldTooMuch(t *testing.T) {
+	f := startTasksFleet(t, func(o *fleet.Options) {
+		edit := o.EditEntry
+		o.EditEntry = func(i int, s *settings.Entry) {
+			edit(i, s)
+			s.Machine.MemoryMB = 64
+		}
+	})
+	head := tasksJob("large-head", 20_000, 20)
+	f.checkNotRun(head, f.sendRaw(head, "X: "+strings.Repeat("x", 17<<10)+"\r\n\r\n"), result.HeadTooLarge)
+	slow := tasksJob("slow-head", 20_000, 20)
+	f.checkNotRun(slow, f.sendRaw(slow, "X: y\r\n"), result.RequestTimeout)
+
+	f.setTargetFaults(0, standin.TargetFaults{Hang: true})
+	f.setTargetFaults(1, standin.TargetFaults{Hang: true})
+	const jobs, payloadBytes = 60, 900 << 10 // three times the memory for callers
+	var sent []api.Job
+	var answers []<-chan tasksAnswer
+	for i := range jobs {
+		j := tasksJob(fmt.Sprintf("heavy-%d", i), 50_000)
+		j.Tasks = []api.Task{{Payload: fmt.Sprintf(`{"run_ms": 1, "echo": %q, "padding": %q}`, tasksEcho(j.Key, 0), strings.Repeat("x", payloadBytes))}}
+		sent, answers = append(sent, j), append(answers, f.submit(0, j))
+	}
+	busy := 0
+	f.waitFor("a refusal", func() bool { return strings.Contains(f.metricsPage(0), result.Busy.String()) })
+	f.setTargetFaults(0, standin.TargetFaults{})
+	f.setTargetFaults(1, standin.TargetFaults{})
+	for i, answer := range answers {
+		a := f.waitAnswer(answer)
+		switch {
+		case a.err != nil: // its connection was closed for others
+			if n := f.startCount(sent[i]); n != 0 {
+				t.Errorf("%d tasks started of a job whose connection was closed: %v", n, a.err)
+			}
+		case a.State != api.StateComplete:
+			f.checkNotRun(sent[i], a.Answer, result.Busy)
+			busy++
+		}
+	}
+	if busy == 0 || busy == jobs {
+		t.Errorf("%d of %d jobs were refused", busy, jobs)
+	}
+	f.checkNoRepeatedStarts()
+}
+
+// sendRaw sends the head of a job's request with further lines, and returns the answer.
+func (f *tasksFleet) sendRaw(j api.Job, lines string) api.Answer {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.EntryURLs()[0], "http://"))
+	f.must(err)
+	defer conn.Close()
+	body, err := json.Marshal(j)
+	f.must(err)
+	f.must(conn.SetDeadline(time.Now().Add(tasksWaitTimeout)))
+	_, err = fmt.Fprintf(conn, "POST /v1/services/%s/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n%s", tasksService, len(body), lines)
+	f.must(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	f.must(err)
+	defer response.Body.Close()
+	var a api.Answer
+	f.must(json.NewDecoder(response.Body).Decode(&a))
+	return a
+}
+
 // Guards against a result code that reports "not run" to callers and that no test in this
 // file causes.
 func TestTasksNotRunCodesAreCovered(t *testing.T) {
 	covered := func(code result.Code) bool {
-		return code >= result.BadRequest && code <= result.BadHint ||
-			code >= result.NoMatchingTarget && code <= result.CancelledInQueue || code == result.AttemptsSpent
+		return code >= result.BadRequest && code <= result.RequestTimeout ||
+			code >= result.NoMatchingTarget && code <= result.Busy || code == result.AttemptsSpent
 	}
 	for code := result.Code(100); code < 400; code++ {
 		if info, ok := result.Lookup(code); ok && info.Ran == result.NotRun && !covered(code) {
