Entry: answers that are not read make space for others

Callers saw: an entry that was ended for want of memory by clients that ask for large answers and do not read them. 40 answers of 8 MB took 681 MB.

Cause: an answer was held as results and as encoded text for as long as its client read nothing, up to 30 s, and counted nowhere. All answers could be encoded at once.

A large answer now counts in the budget of callers while it is sent, and its connection can be chosen to be closed (phase Answering). One that does not fit waits up to 1 s for those that were chosen, and is then replaced by answer_dropped (ran). Large answers are encoded one at a time and drop their results. A reader that is slow in calm gets 5 s for each 64 KB, and 30 s for all as before.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -67,9 +67,40 @@
 	if failure != nil {
 		return e.refuse(w, failure)
 	}
-	answer := pending.wait(req.Context())
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
-	return writeAnswer(w, answer)
+	return sendAnswer(w, req, pending.wait(req.Context()))
+}
+
+// largeAnswers is a semaphore of one: while an answer is encoded, it is in memory twice.
+var largeAnswers = make(chan struct{}, 1)
+
+// sendAnswer writes an answer. Its memory counts as held by the client until the client has read it.
+func sendAnswer(w http.ResponseWriter, req bunrouter.Request, a job.Answer) error {
+	body, status := encodeLarge(req, &a)
+	return writeEncoded(w, a.Err, body, status)
+}
+
+// encodeLarge encodes an answer and drops its results. An answer that does not fit into the memory for callers is
+// replaced by a failure.
+func encodeLarge(req bunrouter.Request, a *job.Answer) ([]byte, int) {
+	size := resultBytes(a)
+	if size > ingress.SmallRequest {
+		largeAnswers <- struct{}{}
+		defer func() { <-largeAnswers }()
+		if !httpserve.BeginAnswer(req.Request, size, writeTimeout) {
+			*a = job.Answer{Err: result.New(result.AnswerDropped, "")}
+		}
+	}
+	body, status := encodeAnswer(*a)
+	a.Results = nil
+	return body, status
+}
+
+func resultBytes(a *job.Answer) int {
+	n := 0
+	for _, r := range a.Results {
+		n += len(r)
+	}
+	return n
 }
 
 // readJob reads and decodes a job. Until the request is answered, its payloads count as held by its client.
@@ -109,11 +140,15 @@
 
 func writeAnswer(w http.ResponseWriter, a job.Answer) error {
 	body, status := encodeAnswer(a)
+	return writeEncoded(w, a.Err, body, status)
+}
+
+func writeEncoded(w http.ResponseWriter, failure *result.Error, body []byte, status int) error {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	if a.Err != nil && a.Err.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.Err.RetryAfter.Seconds()))))
+	if failure != nil && failure.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(status)
 	_, err := w.Write(body)
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -31,13 +31,15 @@
 // Phase is what a connection waits for.
 type Phase int32
 
-// Phases of a connection. One that is Serving has sent a whole request and is never chosen to be closed.
+// Phases of a connection. One that is Serving has sent a whole request and is never chosen to be closed. One
+// that is Answering may not read what it asked for, and can be chosen.
 const (
-	Silent  Phase = iota // accepted, and nothing was received yet
-	Head                 // some of a head was received
-	Body                 // a whole head, but not the whole body
-	Serving              // a whole request that is being answered
-	Idle                 // an answer was sent, and nothing was received since
+	Silent    Phase = iota // accepted, and nothing was received yet
+	Head                   // some of a head was received
+	Body                   // a whole head, but not the whole body
+	Serving                // a whole request that is being answered
+	Answering              // a large answer that is being sent
+	Idle                   // an answer was sent, and nothing was received since
 )
 
 // idleWeight is the part that an idle connection's time counts: it has sent whole requests, and the
@@ -90,6 +92,9 @@
 	return len(b.clients), b.used.Load()
 }
 
+// Leaving returns the bytes of clients that were chosen to be closed and have not left yet.
+func (b *Budget) Leaving() int64 { return b.leaving.Load() }
+
 // Admit adds a connection. It returns nil if it is to be closed at once, as too many others are not closed
 // yet, and the clients whose connections are to be closed for it.
 func (b *Budget) Admit(c Connection, now time.Time) (client *Client, evict []*Client) {
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// writeTimeout bounds the time for which a client does not read an answer. Answers fit into the
+	// writeTimeout bounds the time for which a client reads nothing of an answer. Most answers fit into the
 	// kernel's buffer, unless a client sends further requests and reads nothing.
 	writeTimeout = 5 * time.Second
+	// maxWrite is how many bytes are written at once: a client that reads slowly gets writeTimeout for each.
+	maxWrite = 64 << 10
 	// lingerTimeout and lingerBytes bound what is read after a refusal, so that a client that is still
 	// sending can read it: the kernel drops what the client has not read when bytes arrive after the close.
 	lingerTimeout = 200 * time.Millisecond
@@ -59,9 +61,11 @@
 	passable int    // how many of them belong to a whole head
 	heldSize int64  // of held, as counted in the budget
 
-	mu      sync.Mutex // orders evictions with the end of requests
-	whole   bool       // a whole request was received, and its answer was not sent yet
-	evicted bool
+	mu        sync.Mutex // orders evictions with the end of requests
+	whole     bool       // a whole request was received, and its answer was not sent yet
+	answering bool       // the answer is large and being sent
+	answerEnd time.Time  // when it has to be sent
+	evicted   bool
 }
 
 type connKey struct{}
@@ -79,10 +83,56 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.drainConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		part := p[written:min(written+maxWrite, len(p))]
+		if err := c.setWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.drainConn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// setWriteDeadline sets the deadline of one write. It is not after that of the whole answer and, once the connection
+// was chosen to be closed, in the past.
+func (c *conn) setWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.answering && c.evicted:
+		t = past
+	case c.answering && c.answerEnd.Before(t):
+		t = c.answerEnd
+	}
+	return c.drainConn.SetWriteDeadline(t)
+}
+
+// leaveTimeout bounds the wait for the memory of clients that were chosen to be closed. They close as soon as their
+// goroutines run.
+const leaveTimeout = time.Second
+
+// leavePoll is the interval at which that memory is looked for.
+const leavePoll = 2 * time.Millisecond
+
+// beginAnswer records that a large answer is about to be sent, and when that has to end. It returns false if the
+// answer does not fit into the budget.
+func (c *conn) beginAnswer(bytes int64, limit time.Duration) bool {
+	c.client.Reset(0) // the request is no longer needed
+	for end := time.Now().Add(leaveTimeout); !c.hold(bytes, time.Now()); time.Sleep(leavePoll) {
+		if c.group.budget.Leaving() == 0 || time.Now().After(end) {
+			return false
+		}
 	}
-	return c.drainConn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.answering, c.answerEnd = true, now.Add(limit)
+	c.client.Begin(ingress.Answering, now)
+	return true
 }
 
 // Close implements net.Conn.
@@ -105,11 +155,14 @@
 func (c *conn) Evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.whole {
+	if c.whole && !c.answering {
 		return false
 	}
 	c.evicted = true
-	_ = c.drainConn.SetReadDeadline(past) // fails only on a closed connection
+	if c.answering {
+		_ = c.drainConn.SetWriteDeadline(past) // this and the next call fail only on a closed connection
+	}
+	_ = c.drainConn.SetReadDeadline(past)
 	return true
 }
 
@@ -133,7 +186,7 @@
 // idle prepares the connection for the next head, after an answer. The server may have read bytes of it already.
 func (c *conn) idle(now time.Time) {
 	c.mu.Lock()
-	c.whole = false
+	c.whole, c.answering = false, false
 	c.mu.Unlock()
 	c.inHead, c.passable = true, 0
 	c.client.Reset(c.heldSize)
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -25,7 +25,8 @@
 	t       testing.TB
 	servers *Servers
 	address string
-	hold    chan struct{} // closed: requests for /wait are answered
+	hold    chan struct{}    // closed: requests for /wait are answered
+	answer  http.HandlerFunc // of requests for /answer
 }
 
 func serve(t testing.TB, limits ingress.Limits, rules ingress.Rules) *bed {
@@ -60,6 +61,10 @@
 }
 
 func (b *bed) handle(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/answer" {
+		b.answer(w, r)
+		return
+	}
 	if r.URL.Path == "/unread" {
 		w.WriteHeader(http.StatusNotFound)
 		return
