Entry: bound connections, handshakes and bodies of operators

Operators saw: no connection at the address of the operator API once clients without a certificate had taken all descriptors of the entry; 5,000 silent connections are kept.

Cause: net/http's server behind a TLS listener counts nothing.

The address is served by httpserve with TLS over its connections: 32 connections and 4 MB of bodies, of which those that hold the most for the longest time without a whole request are closed. A handshake counts as silence. Bodies are read as they arrive; one that does not fit is answered busy.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,29 +172,6 @@
 	return nil
 }
 
-// serveHTTP serves until the entry stops. A planned stop waits for the job requests
-// before that, so that Shutdown finds none in progress.
-func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
-	server := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          settings.ServerLogger(e.log),
-	}
-	e.tomb.Go(func() error {
-		<-e.tomb.Dying()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		return server.Shutdown(ctx)
-	})
-	e.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			return Error.Wrap(err)
-		}
-		return nil
-	})
-}
-
 // CallerAddress returns the address of the callers' API. It must not be called before
 // Run has opened the address.
 func (e *Entry) CallerAddress() string { return e.callerAddr.String() }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/operator"
 	"github.com/catkinline/catkinline/outlier"
@@ -22,12 +21,8 @@
 	if e.settings.OperatorAddress == "" || e.store == nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", e.settings.OperatorAddress)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	e.serveHTTP(tls.NewListener(l, e.credentials.TLS("http/1.1")), e.operatorRoutes())
-	return nil
+	_, err := e.servers.ServeTLS(httpserve.Operators, e.settings.OperatorAddress, e.credentials.TLS("http/1.1"), e.operatorRoutes())
+	return Error.Wrap(err)
 }
 
 func (e *Entry) operatorRoutes() http.Handler {
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -50,6 +50,10 @@
 	probeMemory      = 2 << 20
 )
 
+// operatorMemory serves one configuration of the largest size, 1 MB, which counts twice when it is whole. An entry
+// has one address for operators in place of two for probes.
+const operatorMemory = 2 * probeMemory
+
 // Limits bound what the clients of one group of addresses hold.
 type Limits struct {
 	Connections int
@@ -58,9 +62,10 @@
 
 // Plan divides a machine.
 type Plan struct {
-	GoMemory int64  // limit for Go's runtime, in bytes; 0: none
-	Clients  Limits // callers at a gateway, the target at a sidecar
-	Probes   Limits // readiness and metrics, each
+	GoMemory  int64  // limit for Go's runtime, in bytes; 0: none
+	Clients   Limits // callers at a gateway or an entry, the target at a sidecar
+	Probes    Limits // readiness and metrics, each
+	Operators Limits // at an entry
 }
 
 // NewPlan divides a machine.
@@ -77,6 +82,7 @@
 	clients := (m.Memory - otherMemory - ownMemory) * clientShare / 100
 	p.Clients.Bytes = max(clients-2*probeMemory, minClientMemory)
 	p.Probes = Limits{Connections: probeConnections, Bytes: probeMemory}
+	p.Operators = Limits{Connections: probeConnections, Bytes: operatorMemory}
 	descriptors := max(m.Descriptors-ownDescriptors-2*probeConnections, m.Descriptors/4)
 	p.Clients.Connections = descriptors * overshoot / (overshoot + 1)
 	return p
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -45,8 +48,10 @@
 // the deadlines.
 type conn struct {
 	*drainConn
-	group  *group
-	client *ingress.Client
+	tls        *tls.Conn // over drainConn; nil: plain
+	handshaken bool      // of TLS
+	group      *group
+	client     *ingress.Client
 
 	inHead    bool // the next bytes belong to a head
 	end       headEnd
@@ -89,7 +94,7 @@
 		if err := c.setWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return written, err
 		}
-		n, err := c.drainConn.Write(part)
+		n, err := c.stream().Write(part)
 		written += n
 		if err != nil || written == len(p) {
 			return written, err
@@ -135,10 +140,49 @@
 	return true
 }
 
+// stream returns the connection on which requests and answers are.
+func (c *conn) stream() net.Conn {
+	if c.tls != nil {
+		return c.tls
+	}
+	return c.drainConn
+}
+
+// handshake performs that of TLS, within the time for which a connection may be silent.
+func (c *conn) handshake() error {
+	if c.tls == nil || c.handshaken {
+		return nil
+	}
+	end := c.client.Since().Add(c.group.rules().IdleTimeout)
+	if err := c.SetReadDeadline(end); err != nil {
+		return err
+	}
+	if err := c.setWriteDeadline(end); err != nil {
+		return err
+	}
+	if err := c.tls.Handshake(); err != nil {
+		if !c.isEvicted() {
+			c.group.count(metrics.ReasonHandshake)
+		}
+		return err
+	}
+	c.handshaken = true
+	c.drainConn.setState(http.StateIdle) // none of the bytes belonged to a request
+	return nil
+}
+
+// CloseWrite closes this side of the connection. The server uses it to end connections in order.
+func (c *conn) CloseWrite() error {
+	if c.tls != nil {
+		_ = c.tls.CloseWrite() // fails if the handshake is not complete, or the client has gone
+	}
+	return c.drainConn.CloseWrite()
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.client.Leave()
-	return c.drainConn.Close()
+	return c.stream().Close()
 }
 
 // SetReadDeadline implements net.Conn. After an eviction only the deadline that ends reads is set.
@@ -223,17 +267,20 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		return 0, errRefused
+	}
 	// A read of one byte is that by which the server learns that a client leaves. It may run beside
 	// the handler.
 	switch background := len(p) == 1; {
 	case len(c.held) > c.taken && (background || !c.inHead):
 		return c.take(p, len(c.held)), nil
 	case background:
-		n, err := c.drainConn.Read(p)
+		n, err := c.stream().Read(p)
 		c.end.note(p[:n])
 		return n, err
 	case !c.inHead:
-		n, err := c.drainConn.Read(p)
+		n, err := c.stream().Read(p)
 		c.passed += n
 		c.end.note(p[:n])
 		return n, err
@@ -281,7 +328,7 @@
 		if err := c.SetReadDeadline(c.headDeadline()); err != nil {
 			return 0, err
 		}
-		n, err := c.drainConn.Read(buf)
+		n, err := c.stream().Read(buf)
 		if n == 0 {
 			return 0, c.headFailed(err, p)
 		}
@@ -409,10 +456,10 @@
 	if !r.linger || c.isEvicted() {
 		return errRefused
 	}
-	_ = c.drainConn.CloseWrite()
+	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	for left := lingerBytes; left > 0; {
-		n, err := c.drainConn.Read(p)
+		n, err := c.stream().Read(p)
 		if err != nil {
 			break
 		}
--- a/internal/httpserve/drain_test.go
+++ b/internal/httpserve/drain_test.go
@@ -38,7 +38,7 @@
 	}
 	var lives tomb.Tomb
 	s := New(&lives, Options{Log: zap.NewNop(), Metrics: metrics.New(nil), Plan: ingress.NewPlan(ingress.Machine{})})
-	s.serveOn(s.groups[Callers], l, h)
+	s.serveOn(s.groups[Callers], l, nil, h)
 	t.Cleanup(func() {
 		lives.Kill(nil) // ends the loop of the gauges; an earlier error of the server stays
 		if err := lives.Wait(); err != nil {
--- a/internal/httpserve/group.go
+++ b/internal/httpserve/group.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,8 +29,11 @@
 
 func newGroup(name Group, o Options) *group {
 	limits := o.Plan.Clients
-	if name == Readiness || name == Metrics {
+	switch name {
+	case Readiness, Metrics:
 		limits = o.Plan.Probes
+	case Operators:
+		limits = o.Plan.Operators
 	}
 	refusalBody := reasonBody
 	if name == Callers && o.RefusalBody != nil {
@@ -41,7 +45,7 @@
 	}
 	for _, reason := range []string{
 		metrics.ReasonHeadTooLarge, metrics.ReasonHeadTimeout, metrics.ReasonBodyTooLarge, metrics.ReasonBodyTimeout,
-		metrics.ReasonBusy, metrics.ReasonChosen, metrics.ReasonConnections, metrics.ReasonIdle,
+		metrics.ReasonBusy, metrics.ReasonChosen, metrics.ReasonConnections, metrics.ReasonIdle, metrics.ReasonHandshake,
 	} {
 		g.series[reason] = new(atomic.Int64)
 	}
@@ -93,6 +97,10 @@
 func (g *group) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
+		if c.tls != nil {
+			state := c.tls.ConnectionState()
+			r.TLS = &state
+		}
 		if !c.headRead(r.ContentLength) {
 			g.count(metrics.ReasonBusy)
 			w.Header().Set("Connection", "close")
@@ -110,6 +118,7 @@
 type listener struct {
 	net.Listener
 	group *group
+	tls   *tls.Config // nil: plain
 }
 
 // Accept implements net.Listener.
@@ -129,6 +138,9 @@
 		l.group.evict(evict)
 		if client != nil {
 			c.client = client
+			if l.tls != nil {
+				c.tls = tls.Server(tracked, l.tls)
+			}
 			return c, nil
 		}
 		l.group.count(metrics.ReasonConnections)
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,6 +44,7 @@
 // Groups of clients.
 const (
 	Callers   Group = "callers"   // at a gateway or an entry
+	Operators Group = "operators" // at an entry
 	Reports   Group = "reports"   // the target beside a sidecar
 	Readiness Group = "readiness" // the load balancer
 	Metrics   Group = "metrics"   // the operators
@@ -72,7 +74,7 @@
 // error.
 func New(t *tomb.Tomb, o Options) *Servers {
 	s := &Servers{tomb: t, opts: o, groups: make(map[Group]*group)}
-	for _, name := range []Group{Callers, Reports, Readiness, Metrics} {
+	for _, name := range []Group{Callers, Operators, Reports, Readiness, Metrics} {
 		s.groups[name] = newGroup(name, o)
 	}
 	return s
@@ -87,17 +89,22 @@
 // Serve listens on a TCP ip:port and serves it in the background until Shutdown. It returns the address that it is
 // bound to.
 func (s *Servers) Serve(name Group, address string, h http.Handler) (net.Addr, error) {
+	return s.ServeTLS(name, address, nil, h)
+}
+
+// ServeTLS is Serve for connections with TLS, unless config is nil.
+func (s *Servers) ServeTLS(name Group, address string, tlsConfig *tls.Config, h http.Handler) (net.Addr, error) {
 	config := net.ListenConfig{Control: setBuffers}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s.serveOn(s.groups[name], l, h)
+	s.serveOn(s.groups[name], l, tlsConfig, h)
 	return l.Addr(), nil
 }
 
 // serveOn serves a listener for a group in the background until Shutdown.
-func (s *Servers) serveOn(g *group, l net.Listener, h http.Handler) {
+func (s *Servers) serveOn(g *group, l net.Listener, tlsConfig *tls.Config, h http.Handler) {
 	drained := newDrainListener(l)
 	server := &http.Server{
 		Handler:     g.handler(h),
@@ -109,7 +116,7 @@
 	s.tomb.Go(func() error {
 		defer close(drained.served)
 		s.tomb.Go(func() error { return g.gaugeLoop(s.tomb.Dying()) })
-		if err := server.Serve(&listener{Listener: drained, group: g}); err != http.ErrServerClosed {
+		if err := server.Serve(&listener{Listener: drained, group: g, tls: tlsConfig}); err != http.ErrServerClosed {
 			return Error.Wrap(err)
 		}
 		return nil
--- a/metrics/reasons.go
+++ b/metrics/reasons.go
@@ -10,4 +10,5 @@
 	ReasonChosen       = "chosen"         // closed for others; counted again as busy if part of a request was there
 	ReasonConnections  = "connections"    // closed at once, as there are too many
 	ReasonIdle         = "idle"           // closed, as nothing was received in time
+	ReasonHandshake    = "handshake"      // closed, as its TLS handshake failed or took too long
 )
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/result"
 	"github.com/catkinline/catkinline/settings"
@@ -86,6 +87,14 @@
 	return refusedResponse(result.ConfigInvalid, settings.Errors{{Field: field, Message: message}})
 }
 
+// unreadResponse returns the response to a request whose body was not read.
+func unreadResponse(err error) ChangeResponse {
+	if errors.Is(err, httpserve.ErrBusy) {
+		return refusedResponse(result.Busy, nil)
+	}
+	return invalidResponse("", "the body cannot be read: "+err.Error())
+}
+
 func (h *handler) writeChangeResponse(w http.ResponseWriter, c ChangeResponse) {
 	status := http.StatusOK
 	if info, ok := result.Lookup(c.Code); ok {
@@ -131,10 +140,14 @@
 		h.writeChangeResponse(w, invalidResponse("If-Match", "the header must contain the revision that the document is based on, or 0 if there is no document yet"))
 		return nil
 	}
-	// One byte more than the limit shows that the body is too large.
-	body, err := io.ReadAll(io.LimitReader(req.Body, kv.MaxValueBytes+1))
+	// One byte more than the limit shows the applier that the document is too large.
+	body, err := httpserve.ReadBody(w, req.Request, kv.MaxValueBytes+1)
+	if errors.Is(err, httpserve.ErrBodyTooLarge) {
+		h.writeChangeResponse(w, refusedResponse(result.ConfigTooLarge, nil))
+		return nil
+	}
 	if err != nil {
-		h.writeChangeResponse(w, invalidResponse("", "the body cannot be read: "+err.Error()))
+		h.writeChangeResponse(w, unreadResponse(err))
 		return nil
 	}
 	h.applyAndRespond(w, req, func(ctx context.Context, id string) config.Result {
@@ -171,9 +184,9 @@
 
 func (h *handler) handleEdit(parse editParser) bunrouter.HandlerFunc {
 	return func(w http.ResponseWriter, req bunrouter.Request) error {
-		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxLabelsBytes))
+		body, err := httpserve.ReadBody(w, req.Request, maxLabelsBytes)
 		if err != nil {
-			h.writeChangeResponse(w, invalidResponse("", "the body cannot be read: "+err.Error()))
+			h.writeChangeResponse(w, unreadResponse(err))
 			return nil
 		}
 		e, errs := parse(req.Param("name"), body)
