Agent: bound heads and connections at the address for metrics

Operators saw: an agent that was ended for want of memory or descriptors by anyone who reaches its admin_address, and its target lost. 30 heads of 1 MB took 628 MB, 1,024 silent connections 1,036 descriptors.

Cause: net/http's server with a timeout for heads, as at entries.

The address is served by httpserve with 32 connections and 2 MB, as those for metrics of gateways and sidecars.

The tests of answers set no field of a running server any more: the race detector reported it.

--- a/agent/process.go
+++ b/agent/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,6 +14,8 @@
 
 	"github.com/catkinline/catkinline/agent/runner"
 	"github.com/catkinline/catkinline/config"
+	"github.com/catkinline/catkinline/ingress"
+	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/kv"
 	"github.com/catkinline/catkinline/member"
 	"github.com/catkinline/catkinline/metrics"
@@ -33,9 +34,8 @@
 	// linked. Linked agents receive the list of entries on their links, so that the
 	// number of reads does not grow with the fleet.
 	lookupInterval = 2 * time.Second
-	// headerTimeout limits how long a client of the admin address may take to send
-	// a request's header.
-	headerTimeout = 5 * time.Second
+	// shutdownTimeout limits the time for probes that are being answered when the agent stops.
+	shutdownTimeout = 200 * time.Millisecond
 )
 
 // Process runs an agent, its links to entries and its admin HTTP server.
@@ -317,23 +317,21 @@
 	if p.settings.AdminAddress == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", p.settings.AdminAddress)
-	if err != nil {
-		return Error.Wrap(err)
-	}
 	r := bunrouter.New()
 	r.GET("/healthz", writeOK)
 	r.GET("/readyz", writeOK)
 	r.GET("/metrics", bunrouter.HTTPHandler(p.metrics.Handler()))
-	server := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, ErrorLog: settings.ServerLogger(p.log)}
-	p.tomb.Go(func() error {
-		<-p.tomb.Dying()
-		return server.Close()
+	servers := httpserve.New(&p.tomb, httpserve.Options{
+		Log: p.log, Metrics: p.metrics, Plan: ingress.NewPlan(httpserve.Machine(p.settings.Machine)),
 	})
+	if _, err := servers.Serve(httpserve.Metrics, p.settings.AdminAddress, r); err != nil {
+		return Error.Wrap(err)
+	}
 	p.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			return Error.Wrap(err)
-		}
+		<-p.tomb.Dying()
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		servers.Shutdown(ctx)
 		return nil
 	})
 	return nil
--- a/internal/httpserve/answer_test.go
+++ b/internal/httpserve/answer_test.go
@@ -15,25 +15,21 @@
 // largeAnswer is larger than what the kernel's buffers of both sides hold.
 const largeAnswer = 8 << 20
 
-// serveAnswers is serve with a handler that answers each request with largeAnswer bytes.
-func serveAnswers(t *testing.T, limits ingress.Limits) *bed {
-	b := serve(t, limits, ingress.Rules{})
-	b.answer = func(w http.ResponseWriter, r *http.Request) {
-		if !BeginAnswer(r, largeAnswer, testTimeout) {
-			w.WriteHeader(http.StatusBadGateway)
-			return
-		}
-		w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
-		_, _ = w.Write(bytes.Repeat([]byte("x"), largeAnswer)) // the client may have been closed
+// answerLarge answers a request with largeAnswer bytes.
+func answerLarge(w http.ResponseWriter, r *http.Request) {
+	if !BeginAnswer(r, largeAnswer, testTimeout) {
+		w.WriteHeader(http.StatusBadGateway)
+		return
 	}
-	return b
+	w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
+	_, _ = w.Write(bytes.Repeat([]byte("x"), largeAnswer)) // the client may have been closed
 }
 
 const answerRequest = "GET /answer HTTP/1.1\r\nHost: a\r\n\r\n"
 
 // Guards against answers that are kept for clients that do not read them while others' do not fit.
 func TestUnreadAnswersMakeSpaceForOthers(t *testing.T) {
-	b := serveAnswers(t, ingress.Limits{Connections: 100, Bytes: largeAnswer + largeAnswer/2})
+	b := serve(t, ingress.Limits{Connections: 100, Bytes: largeAnswer + largeAnswer/2}, ingress.Rules{})
 	var unread []net.Conn
 	for range 5 {
 		c, _ := b.dial()
@@ -64,7 +60,7 @@
 
 // Guards against a client that is closed because it reads slowly in calm.
 func TestSlowReadersGetTheWholeAnswer(t *testing.T) {
-	b := serveAnswers(t, wide)
+	b := serve(t, wide, ingress.Rules{})
 	c, r := b.dial()
 	b.write(c, answerRequest)
 	resp, err := http.ReadResponse(r, nil)
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -25,8 +25,7 @@
 	t       testing.TB
 	servers *Servers
 	address string
-	hold    chan struct{}    // closed: requests for /wait are answered
-	answer  http.HandlerFunc // of requests for /answer
+	hold    chan struct{} // closed: requests for /wait are answered
 }
 
 func serve(t testing.TB, limits ingress.Limits, rules ingress.Rules) *bed {
@@ -62,7 +61,7 @@
 
 func (b *bed) handle(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/answer" {
-		b.answer(w, r)
+		answerLarge(w, r)
 		return
 	}
 	if r.URL.Path == "/unread" {
