Links: bound what large messages hold until they are handled

Operators saw: a gateway or an entry that was ended for want of memory by a few faulty processes that hold a link.

Cause: a link may have 64 messages of 5 MB on the way, each of which was kept as far as it had arrived; nothing counted them over links. Messages on the control stream could have 5 MB, too, although senders put 32 KB there at most.

Messages of more than 32 KB now count from their first byte until they are handled (ingress.Messages), an eighth of the memory of the machine together. When that is exceeded, the link of the one that holds the most for the longest time is closed: messages of sound peers are whole after milliseconds. Buffers grow twofold, so that copies take no more than the message. Without machine.memory_mb an entry and an agent have no limit.

--- a/agent/process.go
+++ b/agent/process.go
@@ -49,6 +49,7 @@
 	agent       *Agent
 	tomb        tomb.Tomb
 	dialling    sync.Map // entry addresses that have a dial loop
+	messages    *ingress.Messages
 
 	mu    sync.Mutex
 	links map[*transport.Link]Link
@@ -70,12 +71,15 @@
 		incarnation: wire.NewIncarnation(time.Now()),
 		credentials: credentials,
 		store:       store,
+		messages:    ingress.NewMessages(plan(s).Messages),
 		links:       make(map[*transport.Link]Link),
 		peers:       make(map[string]map[string]bool),
 		subset:      newSubsetLinks(),
 	}, nil
 }
 
+func plan(s settings.Agent) ingress.Plan { return ingress.NewPlan(httpserve.Machine(s.Machine)) }
+
 // Run serves until ctx is cancelled, which begins a planned stop, and returns when
 // the stop is complete.
 func (p *Process) Run(ctx context.Context) error {
@@ -263,6 +267,7 @@
 		Revision:    p.agent.Revision,
 		Counter:     metrics.MessageCounter{Registry: p.metrics},
 		Idle:        func(l *transport.Link) bool { return p.agent.Idle(l.Name()) },
+		Messages:    p.messages,
 	}
 }
 
@@ -322,7 +327,7 @@
 	r.GET("/readyz", writeOK)
 	r.GET("/metrics", bunrouter.HTTPHandler(p.metrics.Handler()))
 	servers := httpserve.New(&p.tomb, httpserve.Options{
-		Log: p.log, Metrics: p.metrics, Plan: ingress.NewPlan(httpserve.Machine(p.settings.Machine)),
+		Log: p.log, Metrics: p.metrics, Plan: plan(p.settings),
 	})
 	if _, err := servers.Serve(httpserve.Metrics, p.settings.AdminAddress, r); err != nil {
 		return Error.Wrap(err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/catkinline/catkinline/claim"
 	"github.com/catkinline/catkinline/config"
 	"github.com/catkinline/catkinline/dispatch"
+	"github.com/catkinline/catkinline/ingress"
 	"github.com/catkinline/catkinline/internal/httpserve"
 	"github.com/catkinline/catkinline/job"
 	"github.com/catkinline/catkinline/kv"
@@ -66,6 +67,7 @@
 	confirmed  map[string]uint64 // revision last received from each peer, by name
 	listener   *transport.Listener
 	servers    *httpserve.Servers
+	messages   *ingress.Messages
 	callerAddr net.Addr
 }
 
@@ -99,6 +101,7 @@
 		confirmed:   make(map[string]uint64),
 		calls:       storeCallReporter{reported: make(map[kv.CallCount]uint64)},
 	}
+	e.messages = ingress.NewMessages(e.plan().Messages)
 	e.quotas = newQuotaTracker(o.Settings.Name, e.incarnation)
 	e.schedulers.Store(&map[string]*dispatch.Scheduler{})
 	if o.Store != nil {
@@ -116,6 +119,7 @@
 		Revision:    e.announced.Load,
 		Counter:     metrics.MessageCounter{Registry: e.metrics},
 		Idle:        e.idleLink,
+		Messages:    e.messages,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	// rejections bounds the log lines about requests that did not become jobs.
 	rejections ingress.LogLimiter
 	servers    *httpserve.Servers
+	messages   *ingress.Messages
 
 	mu     sync.Mutex
 	agents map[*transport.Link]bool
@@ -130,6 +131,7 @@
 		pauseDetector: pausedetect.New(maxPause),
 	}
 	g.plan = ingress.NewPlan(o.Node.Machine)
+	g.messages = ingress.NewMessages(g.plan.Messages)
 	g.servers = httpserve.New(&g.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: g.plan})
 	g.scheduler = placement.New(placement.Options{
 		FailureDomain:  o.Node.FailureDomain,
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -26,6 +26,7 @@
 		Timing:      LinkTiming,
 		Idle:        g.idle,
 		OriginAge:   g.originAge,
+		Messages:    g.messages,
 		HandshakeRefused: func() {
 			g.opts.Metrics.Add(metrics.HandshakesRefused, 1)
 		},
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -35,6 +35,11 @@
 	// 4 MiB, which counts twice when it is whole, and 100 connections.
 	minClientMemory = 10 << 20
 
+	// messageShare is the part of the memory for large messages that are being received, one in so many.
+	messageShare = 8
+	// minMessageMemory serves two messages of the largest size, 5 MiB.
+	minMessageMemory = 10 << 20
+
 	// ownDescriptors are reserved for links, the store, the target and files: a sidecar holds up to 64
 	// connections to its target and 32 to the store, a gateway one socket for each peer.
 	ownDescriptors = 112
@@ -66,12 +71,14 @@
 	Clients   Limits // callers at a gateway or an entry, the target at a sidecar
 	Probes    Limits // readiness and metrics, each
 	Operators Limits // at an entry
+	Messages  int64  // bytes of large messages that are being received; 0: no limit
 }
 
 // NewPlan divides a machine.
 func NewPlan(m Machine) Plan {
 	var p Plan
 	if m.Memory > 0 {
+		p.Messages = max(m.Memory/messageShare, minMessageMemory)
 		p.GoMemory = max((m.Memory-otherMemory)*goShare/100, m.Memory/2)
 	} else {
 		m.Memory = defaultMemory
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -77,6 +77,7 @@
 	pauseDetector *pausedetect.Detector
 	tomb          tomb.Tomb
 	servers       *httpserve.Servers
+	messages      *ingress.Messages
 
 	created time.Time
 
@@ -106,7 +107,9 @@
 		keep:        make(map[string]wire.Peer),
 		dials:       make(map[string]bool),
 	}
-	p.servers = httpserve.New(&p.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: ingress.NewPlan(o.Node.Machine)})
+	plan := ingress.NewPlan(o.Node.Machine)
+	p.messages = ingress.NewMessages(plan.Messages)
+	p.servers = httpserve.New(&p.tomb, httpserve.Options{Log: o.Log, Metrics: o.Metrics, Plan: plan})
 	return p, nil
 }
 
@@ -201,6 +204,7 @@
 		Revision:    func() uint64 { return 0 },
 		Counter:     metrics.MessageCounter{Registry: p.opts.Metrics},
 		Timing:      p.opts.Timing,
+		Messages:    p.messages,
 		Idle:        func(l *transport.Link) bool { return p.sidecar.Idle(l) },
 	}
 }
--- a/transport/link.go
+++ b/transport/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/catkinline/catkinline/ingress"
 	"github.com/catkinline/catkinline/internal/heartbeat"
 	defaults "github.com/catkinline/catkinline/internal/options"
 	"github.com/catkinline/catkinline/internal/pausedetect"
@@ -28,6 +29,8 @@
 	handshakeTimeout  = 2 * time.Second
 )
 
+var errMessagesHeld = Error.New("large messages of the peer are not whole and hold too much memory")
+
 // Heartbeat timing of links with work. Such a link is closed after PeerTimeout without
 // a message from the peer, which bounds how long tasks are held up by a connection
 // that has silently failed.
@@ -98,6 +101,8 @@
 	// OriginAge returns how long ago the processes for which this one has work on a link were all
 	// known to be alive. Nil: it acts for itself only.
 	OriginAge func(l *Link) time.Duration
+	// Messages bounds what large messages hold until they are handled, on all links of the process. Nil: no limit.
+	Messages *ingress.Messages
 }
 
 // Link is a connection to a peer process. Its methods are safe for concurrent use.
@@ -125,6 +130,9 @@
 
 func newLink(opts Options, conn *quic.Conn, control *quic.Stream) *Link {
 	opts.Timing = opts.Timing.withDefaults()
+	if opts.Messages == nil {
+		opts.Messages = ingress.NewMessages(0)
+	}
 	l := &Link{
 		heartbeat:    heartbeat.New(opts.Timing.heartbeats()),
 		opts:         opts,
@@ -239,6 +247,12 @@
 	return nil
 }
 
+// Evict implements ingress.Connection. It closes the link for the memory of other links' messages.
+func (l *Link) Evict() bool {
+	l.Close(errMessagesHeld)
+	return true
+}
+
 // run serves the link until it closes. It returns nil if either side closed the link
 // without an error.
 func (l *Link) run() error {
@@ -262,7 +276,7 @@
 
 func (l *Link) readControl() error {
 	for {
-		m, n, err := wire.Read(l.reader)
+		m, n, err := wire.ReadLimited(l.reader, largeMessageBytes)
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -295,9 +309,16 @@
 	}
 }
 
-// readLarge reads and handles a message on a stream of its own.
+// readLarge reads and handles a message on a stream of its own. It counts until it is handled.
 func (l *Link) readLarge(s io.Reader) error {
-	m, n, err := wire.Read(s)
+	message := l.opts.Messages.Begin(l, time.Now())
+	defer message.End()
+	m, n, err := wire.ReadReserved(s, wire.MaxMessageBytes, func(bytes int) error {
+		if !message.Hold(int64(bytes), time.Now()) {
+			return errMessagesHeld
+		}
+		return nil
+	})
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -144,6 +144,12 @@
 
 // ReadLimited is like Read for frames whose body has at most limit bytes.
 func ReadLimited(r io.Reader, limit uint32) (Message, int, error) {
+	return ReadReserved(r, limit, func(int) error { return nil })
+}
+
+// ReadReserved is like ReadLimited. It calls reserve before it allocates bytes for a body, and ends with
+// its error.
+func ReadReserved(r io.Reader, limit uint32, reserve func(bytes int) error) (Message, int, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, 0, err
@@ -152,7 +158,7 @@
 	if n > limit {
 		return nil, 0, Error.New("frame declares a body of %d bytes, over the limit of %d", n, limit)
 	}
-	body, err := readBody(r, int(n))
+	body, err := readBody(r, int(n), reserve)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -160,19 +166,23 @@
 	return m, headerBytes + int(n), err
 }
 
-// readChunkBytes is the most memory that readBody allocates ahead of the received
-// bytes, so that a frame's declared length alone cannot exhaust memory.
+// readChunkBytes is the most memory that readBody allocates before any byte is received. It allocates as
+// much again as was received, so that a frame's declared length alone cannot exhaust memory.
 const readChunkBytes = 64 << 10
 
-func readBody(r io.Reader, n int) ([]byte, error) {
-	body := make([]byte, 0, min(n, readChunkBytes))
+func readBody(r io.Reader, n int, reserve func(bytes int) error) ([]byte, error) {
+	var body []byte
 	for len(body) < n {
-		chunk := min(n-len(body), readChunkBytes)
-		start := len(body)
-		body = append(body, make([]byte, chunk)...)
-		if _, err := io.ReadFull(r, body[start:]); err != nil {
+		size := min(n, max(readChunkBytes, 2*len(body)))
+		if err := reserve(size - len(body)); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, size)
+		copy(grown, body)
+		if _, err := io.ReadFull(r, grown[len(body):]); err != nil {
 			return nil, err
 		}
+		body = grown
 	}
 	return body, nil
 }
