Serving: bound what waits in the kernel for all connections together

Operators saw: a gateway with many descriptors for its memory over its limit, although the process itself stayed below: 3,000 small legal jobs with 64 KB behind each had 123 MB there with what waited in the kernel, of 80.

Cause: each connection may have 32 KB in the kernel, and up to 4,096 more wait there to be accepted, some 22 KB each; both were bounded by the connection only.

The receive buffer is 8 KB, which the kernel doubles, and grows once a large body is read. Connections and those that wait to be accepted (a fifth of them) have 16 KB each in the memory that Go may not use.

--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -53,15 +53,25 @@
 const (
 	probeConnections = 32
 	probeMemory      = 2 << 20
+	// probeBacklog is more than their clients open at once.
+	probeBacklog = 128
 )
 
+// backlogShare is the part of the connections with space in the kernel that wait to be accepted, one in so many.
+const backlogShare = 5
+
 // operatorMemory serves one configuration of the largest size, 1 MB, which counts twice when it is whole. An entry
 // has one address for operators in place of two for probes.
 const operatorMemory = 2 * probeMemory
 
+// ReceiveBuffer is how many bytes of a connection with a small request may wait in the kernel. They are
+// memory of the machine.
+const ReceiveBuffer = 16 << 10
+
 // Limits bound what the clients of one group of addresses hold.
 type Limits struct {
 	Connections int
+	Backlog     int // connections that wait in the kernel to be accepted; 0: as many as the system allows
 	Bytes       int64
 }
 
@@ -88,9 +98,14 @@
 	}
 	clients := (m.Memory - otherMemory - ownMemory) * clientShare / 100
 	p.Clients.Bytes = max(clients-2*probeMemory, minClientMemory)
-	p.Probes = Limits{Connections: probeConnections, Bytes: probeMemory}
-	p.Operators = Limits{Connections: probeConnections, Bytes: operatorMemory}
+	p.Probes = Limits{Connections: probeConnections, Backlog: probeBacklog, Bytes: probeMemory}
+	p.Operators = Limits{Connections: probeConnections, Backlog: probeBacklog, Bytes: operatorMemory}
 	descriptors := max(m.Descriptors-ownDescriptors-2*probeConnections, m.Descriptors/4)
+	if p.GoMemory > 0 { // what waits in the kernel fits into the rest
+		buffers := int((m.Memory - otherMemory - p.GoMemory) / ReceiveBuffer)
+		p.Clients.Backlog = max(buffers/backlogShare, probeBacklog)
+		descriptors = min(descriptors, max(buffers-p.Clients.Backlog, probeBacklog))
+	}
 	p.Clients.Connections = descriptors * overshoot / (overshoot + 1)
 	return p
 }
--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -88,6 +89,7 @@
 // readParts reads a body in parts that grow with it, so that what is only declared costs nothing, and joins
 // them once all are there.
 func (b *body) readParts() ([]byte, error) {
+	b.growReceiveBuffer()
 	var parts [][]byte
 	total, size := 0, ingress.SmallRequest/2
 	for {
@@ -115,6 +117,16 @@
 	}
 }
 
+// growReceiveBuffer lets the kernel receive more ahead: a large body takes fewer round trips.
+func (b *body) growReceiveBuffer() {
+	if b.c == nil {
+		return
+	}
+	if tcp, ok := b.c.drainConn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(bodyReceiveBuffer) // fails only on a closed connection
+	}
+}
+
 // remaining returns how many bytes may follow those that were read. Where the size is not declared, one more than
 // is legal shows that a body is too large.
 func (b *body) remaining(total int) int {
--- a/internal/httpserve/group.go
+++ b/internal/httpserve/group.go
@@ -27,20 +27,24 @@
 	series   map[string]*atomic.Int64 // by reason: Unix time in ns of the last refusal
 }
 
-func newGroup(name Group, o Options) *group {
-	limits := o.Plan.Clients
+// limits returns the part of a plan for a group.
+func limits(name Group, p ingress.Plan) ingress.Limits {
 	switch name {
 	case Readiness, Metrics:
-		limits = o.Plan.Probes
+		return p.Probes
 	case Operators:
-		limits = o.Plan.Operators
+		return p.Operators
 	}
+	return p.Clients
+}
+
+func newGroup(name Group, o Options) *group {
 	refusalBody := reasonBody
 	if name == Callers && o.RefusalBody != nil {
 		refusalBody = o.RefusalBody
 	}
 	g := &group{
-		name: name, opts: o, budget: ingress.NewBudget(limits),
+		name: name, opts: o, budget: ingress.NewBudget(limits(name, o.Plan)),
 		refusals: newRefusals(refusalBody), series: make(map[string]*atomic.Int64),
 	}
 	for _, reason := range []string{
@@ -54,6 +58,9 @@
 	return g
 }
 
+// backlog returns how many connections may wait to be accepted.
+func (g *group) backlog() int { return limits(g.name, g.opts.Plan).Backlog }
+
 func (g *group) rules() *ingress.Rules { return g.rulesNow.Load() }
 
 // count counts a refusal, and logs it if it is the first of a series.
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -30,10 +30,12 @@
 const (
 	// receiveBuffer and sendBuffer are the sizes in bytes of the kernel's buffers of a connection; the kernel
 	// takes twice as much. What waits there is memory of the machine, too, and by default the kernel lets
-	// one connection have several MB. A job of 400 bytes fits into it many times; one of 256 KB took 0.39 to 0.46 ms over
-	// loopback with it, and 0.28 ms with 32 KB, with which 1,500 connections had 40 MB waiting.
-	receiveBuffer = 16 << 10
+	// one connection have several MB. A job of 400 bytes fits into it many times.
+	receiveBuffer = ingress.ReceiveBuffer / 2
 	sendBuffer    = 32 << 10
+	// bodyReceiveBuffer is that of a connection whose large body is being read: one of 256 KB took 0.39 to 0.46 ms
+	// over loopback with it, and 0.28 ms with 32 KB, with which 1,500 connections had 40 MB waiting.
+	bodyReceiveBuffer = 16 << 10
 	// gaugeInterval is the interval at which gauges are updated; they are scraped every few seconds.
 	gaugeInterval = time.Second
 )
@@ -99,6 +101,10 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if err := setBacklog(l, s.groups[name].backlog()); err != nil {
+		_ = l.Close()
+		return nil, Error.Wrap(err)
+	}
 	s.serveOn(s.groups[name], l, tlsConfig, h)
 	return l.Addr(), nil
 }
@@ -137,6 +143,23 @@
 	return sockoptErr
 }
 
+// setBacklog sets how many connections may wait to be accepted; 0 leaves it as it is.
+func setBacklog(l net.Listener, n int) error {
+	s, ok := l.(syscall.Conn)
+	if !ok || n == 0 {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), n) }); err != nil {
+		return err
+	}
+	return listenErr
+}
+
 // connContext makes the connection of a request known to this package and to connstate.
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(connstate.NewContext(ctx, c), connKey{}, c)
