Agent: read a result that is too large in no more memory than the limit

Operators saw: an agent that was ended for want of memory by its target.

Cause: the buffer of a result grew by copies, up to three times the limit of 4 MiB for each slot, also where the declared size showed that it is too large.

A result is read in parts of 64 KB, which are joined once it has ended; a declared size over the limit is not read.

--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -43,16 +44,19 @@
 )
 
 const (
-	reasonBytes    = 256      // of a failed response's body that are included in the reason
-	statusBytes    = 64 << 10 // of an answer to GET /status
-	headerBytes    = 64 << 10 // of a response's headers
-	initialResults = 64 << 10 // allocated for a declared result length before its bytes arrive
+	reasonBytes = 256      // of a failed response's body that are included in the reason
+	statusBytes = 64 << 10 // of an answer to GET /status
+	headerBytes = 64 << 10 // of a response's headers
+	resultPart  = 64 << 10 // in which a result is read
 )
 
 // Error is the class of errors from the status request.
 var Error = errs.Class("target")
 
-var errRunLimit = errors.New("the run-time limit has passed")
+var (
+	errRunLimit       = errors.New("the run-time limit has passed")
+	errResultTooLarge = errors.New("the result is too large")
+)
 
 // Config describes a target. URL is required; zero fields take the defaults.
 type Config struct {
@@ -146,16 +150,51 @@
 }
 
 func (r *Runner) readResult(ctx context.Context, resp *http.Response) Report {
-	limit := int64(r.cfg.ResultBytes)
-	body := bytes.NewBuffer(make([]byte, 0, min(max(0, resp.ContentLength)+bytes.MinRead, initialResults)))
-	n, err := body.ReadFrom(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
+	body, err := readParts(resp, r.cfg.ResultBytes)
+	switch {
+	case errors.Is(err, errResultTooLarge):
+		return possiblyRunning(wire.StateFailed, result.ResultTooLarge, "")
+	case err != nil:
 		return broken(ctx, err, true)
 	}
-	if n > limit {
-		return possiblyRunning(wire.StateFailed, result.ResultTooLarge, "")
+	return Report{Outcome: wire.Outcome{State: wire.StateDone, Result: body}}
+}
+
+// readParts reads a body of at most limit bytes in parts of resultPart, so that a body that is too large takes no
+// more than the limit. Buffers that grow to it would take three times as much.
+func readParts(resp *http.Response, limit int) ([]byte, error) {
+	if resp.ContentLength > int64(limit) {
+		return nil, errResultTooLarge
+	}
+	var parts [][]byte
+	for total := 0; ; {
+		size := resultPart
+		if resp.ContentLength >= 0 {
+			size = min(size, int(resp.ContentLength)-total+1) // one more shows the end
+		}
+		part, err := readPart(resp.Body, size)
+		parts, total = append(parts, part), total+len(part)
+		switch {
+		case total > limit:
+			return nil, errResultTooLarge
+		case err == io.EOF:
+			return slices.Concat(parts...), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// readPart reads until a part is full. The error is io.EOF if the body has ended.
+func readPart(body io.Reader, size int) ([]byte, error) {
+	part := make([]byte, size)
+	for n := 0; ; {
+		read, err := body.Read(part[n:])
+		n += read
+		if err != nil || n == len(part) {
+			return part[:n], err
+		}
 	}
-	return Report{Outcome: wire.Outcome{State: wire.StateDone, Result: body.Bytes()}}
 }
 
 // readFailure reports a response that is neither a result nor a refusal. The
