Entry: bound the results of all jobs together, and release them once they are delivered

Causes: results of jobs that were not answered yet had no bound together (on OPERATIONS.md as such); an ended job stays in the heap of deadlines until its own has passed, and kept its results there; an answer was encoded in copies that took several times its size.

Where machine.memory_mb is set, results of more than 4 KB count in the budget of callers when they arrive. A job whose next one does not fit ends with answer_dropped, ran. A job releases its results when its answer is delivered. An answer is encoded result by result into one buffer, and drops each result after it.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -214,6 +214,7 @@
 		s.opts.OnJobEnd(answer)
 	}
 	j.done <- answer
+	j.job.ReleaseResults() // the job stays in the expiry heap until its deadline
 }
 
 // cancelInFlight asks the agents to stop the in-flight tasks of an ended job. Each
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -67,26 +67,26 @@
 	if failure != nil {
 		return e.refuse(w, failure)
 	}
-	return sendAnswer(w, req, pending.wait(req.Context()))
+	return e.sendAnswer(w, req, pending.wait(req.Context()))
 }
 
 // largeAnswers is a semaphore of one: while an answer is encoded, it is in memory twice.
 var largeAnswers = make(chan struct{}, 1)
 
 // sendAnswer writes an answer. Its memory counts as held by the client until the client has read it.
-func sendAnswer(w http.ResponseWriter, req bunrouter.Request, a job.Answer) error {
-	body, status := encodeLarge(req, &a)
+func (e *Entry) sendAnswer(w http.ResponseWriter, req bunrouter.Request, a job.Answer) error {
+	body, status := e.encodeLarge(req, &a)
 	return writeEncoded(w, a.Err, body, status)
 }
 
-// encodeLarge encodes an answer and drops its results. An answer that does not fit into the memory for callers is
-// replaced by a failure.
-func encodeLarge(req bunrouter.Request, a *job.Answer) ([]byte, int) {
+// encodeLarge encodes an answer and drops its results. Where the memory of the machine is known, an answer that does not
+// fit into that for callers is replaced by a failure.
+func (e *Entry) encodeLarge(req bunrouter.Request, a *job.Answer) ([]byte, int) {
 	size := resultBytes(a)
 	if size > ingress.SmallRequest {
 		largeAnswers <- struct{}{}
 		defer func() { <-largeAnswers }()
-		if !httpserve.BeginAnswer(req.Request, size, writeTimeout) {
+		if !httpserve.BeginAnswer(req.Request, size, writeTimeout) && e.settings.Machine.MemoryMB > 0 {
 			*a = job.Answer{Err: result.New(result.AnswerDropped, "")}
 		}
 	}
@@ -114,10 +114,14 @@
 		return nil, refusalOf(status)
 	}
 	spec, failure := decodeJob(raw, limits)
-	if failure == nil {
-		httpserve.KeepOfBody(req.Request, spec.PayloadBytes())
+	if failure != nil {
+		return nil, failure
+	}
+	httpserve.KeepOfBody(req.Request, spec.PayloadBytes())
+	if e.settings.Machine.MemoryMB > 0 {
+		spec.HoldResult = func(bytes int) bool { return httpserve.HoldResult(req.Request, bytes) }
 	}
-	return spec, failure
+	return spec, nil
 }
 
 // largeDecodes is a semaphore of one: the decoder takes a multiple of a large body while it works.
@@ -158,22 +162,44 @@
 // encodeAnswer encodes the whole body before the status is sent, so that an answer
 // that cannot be encoded is not sent in part.
 func encodeAnswer(a job.Answer) ([]byte, int) {
-	out := api.Answer{State: api.StateComplete}
-	status := http.StatusOK
 	if a.Err != nil {
-		out = failedAnswer(a.Err)
 		info, _ := result.Lookup(a.Err.Code)
-		status = info.Status
-	}
-	for _, r := range a.Results {
-		out.Results = append(out.Results, api.Result(r))
+		return encodeFailure(a.Err), info.Status
 	}
-	body, err := json.Marshal(out)
+	body, err := encodeResults(a.Results)
 	if err != nil {
-		body, _ = json.Marshal(failedAnswer(result.New(result.OutcomeUnknown, "the answer cannot be encoded")))
-		return body, http.StatusInternalServerError
+		return encodeFailure(result.New(result.OutcomeUnknown, "the answer cannot be encoded")), http.StatusInternalServerError
+	}
+	return body, http.StatusOK
+}
+
+func encodeFailure(err *result.Error) []byte {
+	body, _ := json.Marshal(failedAnswer(err)) // encoding these field types cannot fail
+	return append(body, '\n')
+}
+
+// encodeResults encodes an api.Answer with results one by one, and drops each once it is encoded, so that a large
+// answer is not in memory several times.
+func encodeResults(results [][]byte) ([]byte, error) {
+	size := len(`{"state":"complete","results":[]}`) + 1
+	for _, r := range results {
+		size += len(r) + len(`"",`)
+	}
+	body := make([]byte, 0, size+size/16) // some characters are escaped
+	body = append(body, `{"state":"`+api.StateComplete+`"`...)
+	separator := `,"results":[`
+	for i, r := range results {
+		text, err := json.Marshal(api.Result(r))
+		if err != nil {
+			return nil, err
+		}
+		body = append(append(body, separator...), text...)
+		results[i], separator = nil, ","
+	}
+	if len(results) > 0 {
+		body = append(body, ']')
 	}
-	return append(body, '\n'), status
+	return append(body, "}\n"...), nil
 }
 
 func failedAnswer(err *result.Error) api.Answer {
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -229,3 +229,22 @@
 		t.Errorf("a service that is not configured has no default: %v", refusal)
 	}
 }
+
+// Guards against an answer whose encoding result by result differs from that of api.Answer.
+func TestAnswerIsEncodedAsDocumented(t *testing.T) {
+	for _, results := range [][]string{nil, {""}, {"a\"<&>\u2028", "\xff\x00", strings.Repeat("x", 1000)}} {
+		want := api.Answer{State: api.StateComplete}
+		a := job.Answer{}
+		for _, r := range results {
+			want.Results = append(want.Results, api.Result(r))
+			a.Results = append(a.Results, []byte(r))
+		}
+		text, err := json.Marshal(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, status := encodeAnswer(a); status != http.StatusOK || string(body) != string(text)+"\n" {
+			t.Errorf("status %d, %s, want %s", status, body, text)
+		}
+	}
+}
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -298,3 +298,39 @@
 	}, gen.SliceOfN(60, gen.IntRange(0, 9999))))
 	props.TestingRun(t)
 }
+
+// Guards against results of many jobs that exhaust the entry's memory together, and against a job that is reported as not
+// run although a task has run.
+func TestResultThatDoesNotFitEndsTheJob(t *testing.T) {
+	j := newJob(2)
+	left := 7
+	j.spec.HoldResult = func(bytes int) bool {
+		left -= bytes
+		return left >= 0
+	}
+	ids := []wire.TaskID{sendNext(t, j), sendNext(t, j)}
+	for _, id := range ids {
+		j.Apply(wire.Outcome{Task: id, State: wire.StateDone, Result: make([]byte, 5)})
+	}
+	a, ok := j.Answer()
+	if !ok || a.Err == nil || a.Err.Code != result.AnswerDropped || a.Err.Ran != result.RanYes || len(a.Results) > 0 {
+		t.Errorf("answered %t: %+v", ok, a)
+	}
+	if j.OutstandingCount() != 0 || j.tasks[0].result != nil {
+		t.Errorf("%d tasks outstanding, or results still held", j.OutstandingCount())
+	}
+}
+
+// Guards against results that an ended job keeps until its deadline, and against an answer that loses them.
+func TestDeliveredResultsAreReleased(t *testing.T) {
+	j := newJob(1)
+	j.Apply(wire.Outcome{Task: sendNext(t, j), State: wire.StateDone, Result: []byte("r")})
+	answer, _ := j.Answer()
+	j.ReleaseResults()
+	if again, ok := j.Answer(); !ok || len(again.Results) != 0 || j.tasks[0].result != nil {
+		t.Errorf("answered %t, results %q, %q are kept", ok, again.Results, j.tasks[0].result)
+	}
+	if len(answer.Results) != 1 || string(answer.Results[0]) != "r" {
+		t.Errorf("the delivered answer has %q", answer.Results)
+	}
+}
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -112,8 +112,11 @@
 		j.resolve(index, taskFailed)
 		return j.endWithError(result.Newf(result.ResultTooLarge, "the results including that of task %d have %d bytes, the limit is %d", index, j.resultBytes+int64(len(o.Result)), limit))
 	}
-	j.resultBytes += int64(len(o.Result))
 	j.resolve(index, taskDone)
+	if j.spec.HoldResult != nil && !j.spec.HoldResult(len(o.Result)) {
+		return j.endWithError(result.New(result.AnswerDropped, ""))
+	}
+	j.resultBytes += int64(len(o.Result))
 	j.tasks[index].result = o.Result
 	j.spec.Tasks[index].Payload = nil
 	j.done++
@@ -210,6 +213,16 @@
 	return true
 }
 
+// ReleaseResults releases the results of a job whose answer was delivered. Answer returns none after it.
+func (j *Job) ReleaseResults() {
+	for i := range j.tasks {
+		j.tasks[i].result = nil
+	}
+	if j.answer != nil {
+		j.answer.Results = nil
+	}
+}
+
 func (j *Job) endWithResults() bool {
 	results := make([][]byte, len(j.tasks))
 	for i := range j.tasks {
--- a/job/spec.go
+++ b/job/spec.go
@@ -28,6 +28,9 @@
 	Tasks       []Task
 	ResultBytes int   // limit on the result of one task; zero: none
 	AnswerBytes int64 // limit on the total size of the results; zero: none
+	// HoldResult reports whether a result fits into the memory for the results of all jobs, and counts it there until
+	// the job is answered. It must not block. Nil: all results fit.
+	HoldResult func(bytes int) bool
 }
 
 // PayloadBytes returns the sum of the payloads' sizes.
