Serving: count a kept body without the state of the next head

KeepOfBody read how much of the next head is held while the server may read it in the background: a data race, found by reading; no test has shown it. It now counts the largest head in its place. Tests of entry and httpserve passed.

--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -60,7 +60,7 @@
 // those counted by ReadBody.
 func KeepOfBody(r *http.Request, bytes int64) {
 	if c := connOf(r.Context()); c != nil {
-		c.client.Reset(c.heldSize + bytes)
+		c.client.Reset(bytes + int64(c.group.rules().MaxHead)) // part of the next head may be held
 	}
 }
 
