Job: one form of Decode

Since entries read bodies by httpserve.ReadBody, and only tests called Decode with a reader. It takes the bytes now, in place of DecodeBytes beside it.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -132,7 +132,7 @@
 		largeDecodes <- struct{}{}
 		defer func() { <-largeDecodes }()
 	}
-	return job.DecodeBytes(raw, l)
+	return job.Decode(raw, l)
 }
 
 // refuse counts a job that was not accepted and writes its answer.
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -221,11 +221,11 @@
 func TestJobWithoutDeadlineUsesServiceDefault(t *testing.T) {
 	e, _ := newTestEntry(t)
 	body := `{"key":"k","workspace":"t","idempotent":true,"tasks":[{}]}`
-	spec, refusal := job.Decode(strings.NewReader(body), e.jobLimits("frames"))
+	spec, refusal := job.Decode([]byte(body), e.jobLimits("frames"))
 	if refusal != nil || spec.Deadline != 30*time.Second {
 		t.Fatalf("%+v, refusal %v", spec, refusal)
 	}
-	if _, refusal := job.Decode(strings.NewReader(body), e.jobLimits("unknown")); refusal == nil || refusal.Code != result.BadDeadline {
+	if _, refusal := job.Decode([]byte(body), e.jobLimits("unknown")); refusal == nil || refusal.Code != result.BadDeadline {
 		t.Errorf("a service that is not configured has no default: %v", refusal)
 	}
 }
--- a/job/decode.go
+++ b/job/decode.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"time"
 	"unicode/utf8"
 
@@ -28,18 +27,9 @@
 	RunMS     float64 `json:"run_ms"`
 }
 
-// Decode reads and validates a job. It is DecodeBytes for a reader.
-func Decode(r io.Reader, l Limits) (*Spec, *result.Error) {
-	raw, err := io.ReadAll(io.LimitReader(r, l.BodyBytes+1))
-	if err != nil {
-		return nil, result.New(result.BadRequest, "the request body could not be read completely")
-	}
-	return DecodeBytes(raw, l)
-}
-
-// DecodeBytes validates a job from a caller's request body. Every error is the caller's fault,
+// Decode decodes and validates a job from a caller's request body. Every error is the caller's fault,
 // has a code from 100 to 114 and says that no task ran. The job does not refer to the body.
-func DecodeBytes(raw []byte, l Limits) (*Spec, *result.Error) {
+func Decode(raw []byte, l Limits) (*Spec, *result.Error) {
 	if int64(len(raw)) > l.BodyBytes {
 		return nil, result.Newf(result.BodyTooLarge, "the limit is %d bytes", l.BodyBytes)
 	}
--- a/job/decode_test.go
+++ b/job/decode_test.go
@@ -62,7 +62,7 @@
 		"negative size":      {bodyPrefix + `"tasks":[{"size_bytes":-1}]}`, result.BadHint},
 	}
 	for name, c := range cases {
-		spec, err := Decode(strings.NewReader(c.body), testLimits())
+		spec, err := Decode([]byte(c.body), testLimits())
 		if err == nil || spec != nil {
 			t.Errorf("%s: accepted", name)
 			continue
@@ -77,7 +77,7 @@
 // overflow.
 func TestDecodeAccepts(t *testing.T) {
 	text := bodyPrefix + `"idempotent":true,"labels":{"a":"b"},"tasks":[{"payload":"\ud83e\ude81 \"[{\\","run_ms":1e300},{"run_ms":2.5,"size_bytes":7}]}`
-	spec, err := Decode(strings.NewReader(text), testLimits())
+	spec, err := Decode([]byte(text), testLimits())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,7 +98,7 @@
 	f.Add([]byte(bodyPrefix + `"tasks":[{}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		l := testLimits()
-		spec, err := Decode(strings.NewReader(string(raw)), l)
+		spec, err := Decode(raw, l)
 		if err != nil {
 			if err.Code < 100 || err.Code > 114 || err.Ran != result.NotRun {
 				t.Fatalf("%v ran=%s", err, err.Ran)
