--- a/agent/process.go
+++ b/agent/process.go
@@ -326,19 +326,11 @@
 	r.GET("/healthz", writeOK)
 	r.GET("/readyz", writeOK)
 	r.GET("/metrics", bunrouter.HTTPHandler(p.metrics.Handler()))
-	servers := httpserve.New(&p.tomb, httpserve.Options{
-		Log: p.log, Metrics: p.metrics, Plan: plan(p.settings),
-	})
+	servers := httpserve.New(&p.tomb, httpserve.Options{Log: p.log, Metrics: p.metrics, Plan: plan(p.settings)})
 	if _, err := servers.Serve(httpserve.Metrics, p.settings.AdminAddress, r); err != nil {
 		return Error.Wrap(err)
 	}
-	p.tomb.Go(func() error {
-		<-p.tomb.Dying()
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		servers.Shutdown(ctx)
-		return nil
-	})
+	servers.ShutdownWhenDying(shutdownTimeout)
 	return nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,7 +167,7 @@
 
 func (e *Entry) serveCallers() error {
 	e.servers = e.newServers()
-	e.tomb.Go(e.shutDownServers)
+	e.servers.ShutdownWhenDying(shutdownTimeout)
 	address, err := e.servers.Serve(httpserve.Callers, e.settings.CallerAddress, e.callerRoutes())
 	if err != nil {
 		return Error.Wrap(err)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -47,15 +46,6 @@
 	return p
 }
 
-// shutDownServers ends the servers when the entry stops.
-func (e *Entry) shutDownServers() error {
-	<-e.tomb.Dying()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	e.servers.Shutdown(ctx)
-	return nil
-}
-
 // refusalBody returns the answer to a request that did not get to a handler.
 func refusalBody(status int, _ string) []byte {
 	body, _ := encodeAnswer(job.Answer{Err: refusalOf(status)})
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -188,6 +188,17 @@
 	return err
 }
 
+// ShutdownWhenDying shuts the servers down when the tomb is dying, within a time.
+func (s *Servers) ShutdownWhenDying(limit time.Duration) {
+	s.tomb.Go(func() error {
+		<-s.tomb.Dying()
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		s.Shutdown(ctx)
+		return nil
+	})
+}
+
 // Shutdown shuts down every server. Requests are served until no connection has one and the callers
 // know that the connections end, or ctx ends. Requests that remain then are aborted when the
 // process exits.
