Tests: one way to read a process's memory, and one server for tests with TLS and without

The tests of TLS use the server of the others, which no longer looks for a free port itself. Tests of answers close their connections, since a whole one stayed open for 15 s.

--- a/internal/fleet/single.go
+++ b/internal/fleet/single.go
@@ -37,6 +37,9 @@
 	p.process.awaitExit()
 }
 
+// Memory returns the current and the peak resident set size of the current run in bytes. They are 0 once it has exited.
+func (p *Process) Memory() (now, peak int64) { return memory(p.ID()) }
+
 // ID returns the process id of the current run.
 func (p *Process) ID() int {
 	command, _, _ := p.process.state()
--- a/internal/httpserve/answer_test.go
+++ b/internal/httpserve/answer_test.go
@@ -25,7 +25,7 @@
 	_, _ = w.Write(bytes.Repeat([]byte("x"), largeAnswer)) // the client may have been closed
 }
 
-const answerRequest = "GET /answer HTTP/1.1\r\nHost: a\r\n\r\n"
+const answerRequest = "GET /answer HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 // Guards against answers that are kept for clients that do not read them while others' do not fit.
 func TestUnreadAnswersMakeSpaceForOthers(t *testing.T) {
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -30,22 +30,23 @@
 
 func serve(t testing.TB, limits ingress.Limits, rules ingress.Rules) *bed {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	b := newBed(t, ingress.Plan{Clients: limits})
+	b.servers.SetRules(rules)
+	address, err := b.servers.Serve(Callers, "127.0.0.1:0", http.HandlerFunc(b.handle))
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := free.Addr().String()
-	if err := free.Close(); err != nil {
-		t.Fatal(err)
-	}
+	b.address = address.String()
+	return b
+}
+
+// newBed returns a bed whose servers are ended with the test.
+func newBed(t testing.TB, plan ingress.Plan) *bed {
+	t.Helper()
 	var life tomb.Tomb
-	b := &bed{t: t, address: address, hold: make(chan struct{})}
+	b := &bed{t: t, hold: make(chan struct{})}
 	registry := metrics.New(nil)
-	b.servers = New(&life, Options{Log: zap.NewNop(), Metrics: registry, Plan: ingress.Plan{Clients: limits}})
-	b.servers.SetRules(rules)
-	if _, err := b.servers.Serve(Callers, address, http.HandlerFunc(b.handle)); err != nil {
-		t.Fatal(err)
-	}
+	b.servers = New(&life, Options{Log: zap.NewNop(), Metrics: registry, Plan: plan})
 	t.Cleanup(func() {
 		for _, s := range b.servers.servers {
 			_ = s.Close()
--- a/internal/httpserve/tls_test.go
+++ b/internal/httpserve/tls_test.go
@@ -10,11 +10,7 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-	"gopkg.in/tomb.v2"
-
 	"github.com/catkinline/catkinline/ingress"
-	"github.com/catkinline/catkinline/metrics"
 	"github.com/catkinline/catkinline/settings"
 	"github.com/catkinline/catkinline/transport"
 	"github.com/catkinline/catkinline/wire"
@@ -26,10 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var life tomb.Tomb
-	b = &bed{t: t, hold: make(chan struct{})}
-	registry := metrics.New(nil)
-	b.servers = New(&life, Options{Log: zap.NewNop(), Metrics: registry, Plan: ingress.NewPlan(ingress.Machine{Memory: 80 << 20})})
+	b = newBed(t, ingress.NewPlan(ingress.Machine{Memory: 80 << 20}))
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
 			w.WriteHeader(http.StatusForbidden)
@@ -47,16 +40,6 @@
 		t.Fatal(err)
 	}
 	b.address = address.String()
-	t.Cleanup(func() {
-		for _, s := range b.servers.servers {
-			_ = s.Close()
-		}
-		life.Kill(nil)
-		if err := life.Wait(); err != nil {
-			t.Error(err)
-		}
-		_ = registry.Close()
-	})
 	return b, credentials.TLS("http/1.1")
 }
 
--- a/transport/link_test.go
+++ b/transport/link_test.go
@@ -177,9 +177,7 @@
 func TestLinkCarriesManyLargeMessages(t *testing.T) {
 	entry, agent := newRecordingHandler(), newRecordingHandler()
 	l := listen(t, entry)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go Dial(ctx, l.Address().String(), options(t, wire.RoleAgent, "a", agent))
+	go Dial(t.Context(), l.Address().String(), options(t, wire.RoleAgent, "a", agent))
 	up := <-agent.up
 	large := bytes.Repeat([]byte("x"), 1<<20) // more than is received ahead
 	const batch, batches = 8, 5 * maxLargeStreams / 8
@@ -189,7 +187,7 @@
 				t.Fatal(err)
 			}
 		}
-		arrived := make(chan bool, 1)
+		arrived := make(chan struct{})
 		go func() {
 			for range batch {
 				entry.next(wire.TypeOutcome)
