--- a/command/examples_test.go
+++ b/command/examples_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, refusal := job.Decode(strings.NewReader(string(body)), job.DefaultLimits()); refusal != nil {
+	if _, refusal := job.Decode(body, job.DefaultLimits()); refusal != nil {
 		t.Error(refusal)
 	}
 }
