--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -51,6 +51,7 @@
 	settings             string
 	store                *door
 	runner               *standin.Runner
+	late                 *lateRunner // the runner's calls
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -253,7 +254,10 @@
 			ID: "i-" + m.name, Zone: m.zone, Work: d.site.work, StopTime: d.site.stopTime,
 			MaxLease: time.Duration(d.site.maxHoldMS) * time.Millisecond, Observer: observer{d.record, m},
 		})
-		if err := d.serve(m.address(runnerPort), m.runner.Handler(), nil); err != nil {
+		m.late = &lateRunner{
+			inner: m.runner.Handler(), runner: m.runner, record: d.record, name: m.name, conns: make(map[*http.Request]chan struct{}),
+		}
+		if err := d.serve(m.address(runnerPort), m.late, nil); err != nil {
 			return err
 		}
 		go d.reportLoop(m)
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -23,6 +23,7 @@
 	plays := map[string]func(program, record string, trouble bool) (broken bool, err error){
 		"unlisted": playUnlisted,
 		"evacuate": playEvacuate,
+		"reborn":   playReborn,
 	}
 	play := plays[os.Args[1]]
 	if play == nil {
