Review: case 14, a gateway that ends crashes when another one begins its stop

A gateway's stop ends its goroutines, waits up to 150 ms for the store and only then closes its listener. A peer that announces its own stop in that time makes it start a dial loop in a tomb that is dead: panic, exit code 2.

--- a/review/third/main.go
+++ b/review/third/main.go
@@ -24,6 +24,7 @@
 		"unlisted": playUnlisted,
 		"evacuate": playEvacuate,
 		"reborn":   playReborn,
+		"stopping": playStopping,
 	}
 	play := plays[os.Args[1]]
 	if play == nil {
