--- a/review/third/main.go
+++ b/review/third/main.go
@@ -22,6 +22,7 @@
 	}
 	plays := map[string]func(program, record string, trouble bool) (broken bool, err error){
 		"unlisted": playUnlisted,
+		"alone":    playAlone,
 		"evacuate": playEvacuate,
 		"reborn":   playReborn,
 		"stopping": playStopping,
--- a/review/third/unlisted.go
+++ b/review/third/unlisted.go
@@ -37,6 +37,16 @@
 // playUnlisted plays a planned restart of one gateway while the store turns another one away, and cancels at the
 // restarted gateway a job that the other one runs.
 func playUnlisted(program, recordPath string, trouble bool) (bool, error) {
+	return playRestartBeside(program, recordPath, trouble, 1, syscall.SIGTERM)
+}
+
+// playAlone plays the same with a gateway that is killed, while the store turns both other gateways away.
+func playAlone(program, recordPath string, trouble bool) (bool, error) {
+	return playRestartBeside(program, recordPath, trouble, 2, syscall.SIGKILL)
+}
+
+// playRestartBeside plays the restart of a gateway, which a signal ends, while the store turns a number of others away.
+func playRestartBeside(program, recordPath string, trouble bool, turned int, end syscall.Signal) (bool, error) {
 	d, err := newDeployment(site{
 		zones: []string{"gabrovo-a", "sevlievo-c", "tarnovo-b"}, sidesPerZone: 3, service: "order-desk", host: "orders.example", prefix: "/quotes/",
 		graceS: 6, farPenalty: 1.5, maxHoldMS: 1000, stopTime: 20 * time.Millisecond,
@@ -57,22 +67,18 @@
 	time.Sleep(6 * time.Second) // all machines are in touch
 	restarted, away := d.edges[0], d.edges[2]
 
-	d.signal(restarted, syscall.SIGTERM) // planned work: the machine is stopped and started again
+	d.signal(restarted, end)
 	select {
 	case <-restarted.exited:
 	case <-time.After(7 * time.Second):
 		return false, fmt.Errorf("%s has not ended within its grace", restarted.name)
 	}
 	if trouble {
-		d.record.printf("the store turns %s away and takes its keys away", away.name)
-		away.store.turnAway(true)
-		if err := d.store.ChangeFaults(standin.StoreFaultChange{ExpireLeaseOf: member.Prefix + away.name}); err != nil {
-			return false, err
+		for _, m := range d.edges[len(d.edges)-turned:] {
+			if err := d.turnAwayUnlisted(m); err != nil {
+				return false, err
+			}
 		}
-		time.AfterFunc(turnedAway, func() {
-			d.record.printf("the store serves %s again", away.name)
-			away.store.turnAway(false)
-		})
 	}
 	time.Sleep(restartDelay)
 	if err := d.start(restarted); err != nil {
@@ -119,3 +125,14 @@
 	}
 	return time.Time{}, fmt.Errorf("%s did not acknowledge the cancelling", m.name)
 }
+
+// turnAwayUnlisted makes the store turn a gateway away for a time, and take its keys away at once.
+func (d *deployment) turnAwayUnlisted(m *machine) error {
+	d.record.printf("the store turns %s away and takes its keys away", m.name)
+	m.store.turnAway(true)
+	time.AfterFunc(turnedAway, func() {
+		d.record.printf("the store serves %s again", m.name)
+		m.store.turnAway(false)
+	})
+	return d.store.ChangeFaults(standin.StoreFaultChange{ExpireLeaseOf: member.Prefix + m.name})
+}
